--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run with ``make bench``."""
--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the targets and the callers."""
--- /dev/null
+++ b/src/cottonlink/_headers.py
@@ -0,0 +1,22 @@
+"""Names of the HTTP headers between callers, nodes and targets."""
+
+from __future__ import annotations
+
+TRACEPARENT = "traceparent"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+PERMIT = "Cottonlink-Permit"
+DEADLINE_MS = "Cottonlink-Deadline-Ms"
+CALL = "Cottonlink-Call"
+DEPTH = "Cottonlink-Depth"
+IMPORTANCE = "Cottonlink-Importance"
+RETRY_BUDGET = "Cottonlink-Retry-Budget"
+CALL_ID = "Cottonlink-Call-Id"
+INGRESS = "Cottonlink-Ingress"
+KIND = "Cottonlink-Kind"
+POLICY_VERSION = "Cottonlink-Policy-Version"
+SUSPICION = "Cottonlink-Suspicion"
+LOAD = "Cottonlink-Load"
+THRESHOLD = "Cottonlink-Threshold"
+STATE = "Cottonlink-State"
+TIME = "Cottonlink-Time"
+EXECUTED = "Cottonlink-Executed"
--- /dev/null
+++ b/src/cottonlink/node/__init__.py
@@ -0,0 +1,1 @@
+"""Runtime of a node: settings, listeners, forwarding and control tasks."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers and CI."""
