--- /dev/null
+++ b/src/cottonlink/decisions/_retries.py
@@ -0,0 +1,223 @@
+"""Retry budgets of root requests at their home node, and retry rules of an ingress.
+
+A retry needs a token of the root's home node and must fit the ratio of its upstream. Times are
+monotonic milliseconds of the node.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+from attrs import define, field, frozen
+
+from cottonlink._hashing import rendezvous_first
+from cottonlink.errors import Executed
+from cottonlink.policy._records import Policy
+
+BUDGET_EXPIRY_MS = 300_000
+YOUNG_HOME_MS = 300_000
+BUDGET_LIMIT = 16_384
+
+RATIO_WINDOW_MS = 10_000
+_RATIO_SLICE_MS = 1_000
+
+
+class DrawResult(enum.StrEnum):
+    """Whether a retry may be made, or why not."""
+
+    GRANTED = "granted"
+    EXHAUSTED = "exhausted"
+    TOO_YOUNG = "too_young"
+    FULL = "full"
+
+
+@frozen
+class Draw:
+    """Answer of a home node. ``remaining`` is the number of tokens left, 0 if unknown."""
+
+    result: DrawResult
+    remaining: int
+
+
+@define
+class _Budget:
+    spent: int
+    last_draw_ms: int
+
+
+class RetryBudgets:
+    """Tokens drawn by the root requests whose home is this node."""
+
+    def __init__(self, now_ms: int) -> None:
+        self._home_since_ms = now_ms
+        # Ordered by last draw, so that expired budgets are found at the front.
+        self._budgets: collections.OrderedDict[str, _Budget] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._budgets)
+
+    def draw(self, root_id: str, budget: int, now_ms: int) -> Draw:
+        """Take one of the ``budget`` tokens of a root request, if the node can vouch for it."""
+        self._expire(now_ms)
+        if now_ms - self._home_since_ms < YOUNG_HOME_MS:
+            return Draw(DrawResult.TOO_YOUNG, 0)
+        entry = self._budgets.get(root_id)
+        if entry is None:
+            if len(self._budgets) >= BUDGET_LIMIT:
+                return Draw(DrawResult.FULL, 0)
+            entry = self._budgets[root_id] = _Budget(0, now_ms)
+        return self._take(root_id, entry, budget, now_ms)
+
+    def change_homes(self, now_ms: int) -> None:
+        """Note that root requests may have had another home until now."""
+        self._home_since_ms = now_ms
+
+    def _take(self, root_id: str, entry: _Budget, budget: int, now_ms: int) -> Draw:
+        # A refused draw counts as a sign of life too: a caller that keeps on asking gets no
+        # second budget.
+        entry.last_draw_ms = now_ms
+        self._budgets.move_to_end(root_id)
+        if entry.spent >= budget:
+            return Draw(DrawResult.EXHAUSTED, 0)
+        entry.spent += 1
+        return Draw(DrawResult.GRANTED, budget - entry.spent)
+
+    def _expire(self, now_ms: int) -> None:
+        while self._budgets:
+            root_id, entry = next(iter(self._budgets.items()))
+            if now_ms - entry.last_draw_ms < BUDGET_EXPIRY_MS:
+                return
+            del self._budgets[root_id]
+
+
+def make_retry_budgets(now_ms: int) -> RetryBudgets:
+    """Return the budgets of a starting node, which refuses draws while it is young."""
+    return RetryBudgets(now_ms)
+
+
+def home_node(root_id: str, policy: Policy) -> str | None:
+    """Return the node that holds the budget of a root request, or None without upstreams."""
+    return rendezvous_first(root_id, policy.upstreams_by_name)
+
+
+@define
+class _Slice:
+    start_ms: int
+    first_attempts: int = 0
+    retries: int = 0
+
+
+@define
+class RetryRatio:
+    """Limits retries to one upstream to a share of the first attempts of the last 10 s.
+
+    One retry per window is always allowed; otherwise an ingress with little traffic to an
+    upstream could never retry there.
+    """
+
+    ratio: float
+    _slices: collections.deque[_Slice] = field(factory=collections.deque, init=False)
+
+    def first_attempt(self, now_ms: int) -> None:
+        """Count a first attempt."""
+        self._current_slice(now_ms).first_attempts += 1
+
+    def retried(self, now_ms: int) -> None:
+        """Count a retry."""
+        self._current_slice(now_ms).retries += 1
+
+    def allows_retry(self, now_ms: int) -> bool:
+        """Return whether one more retry fits."""
+        self._drop_old_slices(now_ms)
+        first_attempts = sum(s.first_attempts for s in self._slices)
+        retries = sum(s.retries for s in self._slices)
+        return retries + 1 <= max(1, self.ratio * first_attempts)
+
+    def _current_slice(self, now_ms: int) -> _Slice:
+        self._drop_old_slices(now_ms)
+        start_ms = now_ms - now_ms % _RATIO_SLICE_MS
+        if not self._slices or self._slices[-1].start_ms < start_ms:
+            self._slices.append(_Slice(start_ms))
+        return self._slices[-1]
+
+    def _drop_old_slices(self, now_ms: int) -> None:
+        while self._slices and now_ms - self._slices[0].start_ms >= RATIO_WINDOW_MS:
+            self._slices.popleft()
+
+
+def make_retry_ratio(ratio: float) -> RetryRatio:
+    """Return the retry limit of one upstream."""
+    return RetryRatio(ratio)
+
+
+class RetryAction(enum.StrEnum):
+    """What an ingress does after a failed attempt.
+
+    ``REROUTE`` goes to another upstream without a token. ``RETRY`` (another upstream) and
+    ``SAME_OWNER`` (the owner of the permit) need a token each.
+    """
+
+    GIVE_UP = "give_up"
+    REROUTE = "reroute"
+    RETRY = "retry"
+    SAME_OWNER = "same_owner"
+
+
+@frozen
+class AttemptFailure:
+    """A failed attempt of an ingress.
+
+    ``retried_below`` says that a node nearer to the failure has retried already. ``reroutes`` is
+    the number of attempts of this call made so far without a token.
+    """
+
+    code: str
+    executed: Executed
+    retried_below: bool = False
+    repeatable: bool = True
+    has_permit: bool = False
+    reroutes: int = 0
+
+
+# Failures of the way to a target or of the target itself. Everything else is final: it would
+# fail again, or it tells that there is too much work already.
+_RETRIABLE = frozenset(
+    {
+        "leaving",
+        "not_ready",
+        "upstream_unreachable",
+        "connection_lost",
+        "answer_incomplete",
+        "answer_mismatch",
+        "target_crashed",
+    }
+)
+# The owner of a permit may be asked again when its answer, not its target, was lost.
+_RETRIABLE_AT_OWNER = frozenset(
+    {"upstream_unreachable", "connection_lost", "answer_incomplete", "answer_mismatch"}
+)
+
+
+def decide_retry(failure: AttemptFailure) -> RetryAction:
+    """Return what to do after ``failure``."""
+    if failure.retried_below:
+        return RetryAction.GIVE_UP
+    if failure.has_permit:
+        at_owner = failure.code in _RETRIABLE_AT_OWNER
+        return RetryAction.SAME_OWNER if at_owner else RetryAction.GIVE_UP
+    if _may_reroute(failure):
+        return RetryAction.REROUTE
+    if failure.code not in _RETRIABLE:
+        return RetryAction.GIVE_UP
+    if failure.repeatable or failure.executed is Executed.NO:
+        return RetryAction.RETRY
+    return RetryAction.GIVE_UP
+
+
+def _may_reroute(failure: AttemptFailure) -> bool:
+    if failure.reroutes or failure.executed is not Executed.NO:
+        return False
+    if failure.code == "leaving":
+        return True
+    return failure.code == "overloaded" and not failure.repeatable
