--- a/src/cottonlink/decisions/_quarantine.py
+++ b/src/cottonlink/decisions/_quarantine.py
@@ -1,9 +1,9 @@
 """Fingerprints of requests that were in flight when a target crashed.
 
 A fingerprint is suspect after one crash and refused after two. A level of suspicion spreads
-between nodes: 1 is a suspect, 2 a first quarantine, 3 a second one, and so on. A node takes in
-only levels above those it has known, so that old news can't circulate for ever. Times are
-monotonic milliseconds of the node.
+between nodes: 1 is a suspect, 2 a first quarantine, 3 a second one, and so on. For a while after
+a level has ended, a node ignores news of it; otherwise nodes that learn late would pass old news
+around for ever. Times are monotonic milliseconds of the node.
 """
 
 from __future__ import annotations
@@ -19,8 +19,10 @@
 LONGEST_QUARANTINE_MS = 3_600_000
 ENTRY_LIMIT = 1_024
 
-# A level stays known for this long after its end, so that a repeat is recognized and news of it
-# that is still on the way is not taken for a new crash.
+# News of a level that ended less than this long ago is taken to be old. It covers the spread by
+# gossip and answers of slow calls. Longer would hide a new crash elsewhere.
+HOLD_OFF_MS = 60_000
+# A quarantine within this time after the end of the last one is a repeat and lasts longer.
 HISTORY_MS = 3_600_000
 _HIGHEST_LEVEL = 8
 
@@ -62,9 +64,12 @@
 
     def crashed(self, in_flight_fingerprints: Iterable[str], now_ms: int) -> tuple[Verdict, ...]:
         """Record a crash of the target with these requests in flight."""
-        unique = dict.fromkeys(in_flight_fingerprints)
-        self._make_room(sum(f not in self._entries for f in unique), now_ms)
-        return tuple(self._raise_level(fingerprint, now_ms) for fingerprint in unique)
+        unique = [*dict.fromkeys(in_flight_fingerprints)][:ENTRY_LIMIT]
+        levels = {f: _next_level(self._entries.get(f), now_ms) for f in unique}
+        for fingerprint, level in levels.items():
+            self._set_level(fingerprint, level, now_ms, now_ms)
+        self._trim(now_ms)
+        return tuple(Verdict(f, level, level >= 2) for f, level in levels.items())
 
     def completed(self, fingerprint: str, now_ms: int) -> None:
         """Clear a suspect that ran to its end. A quarantine stays in force."""
@@ -82,41 +87,28 @@
         """Return whether requests with this fingerprint must not run."""
         return self.suspicion(fingerprint, now_ms) >= 2
 
-    def learn(self, fingerprint: str, crashes: int, now_ms: int) -> None:
-        """Take in a level known to another node, unless it is no news here."""
-        entry = self._entries.get(fingerprint)
-        known = entry.level if entry and not self._is_forgotten(entry, now_ms) else 0
+    def learn(self, fingerprint: str, crashes: int, now_ms: int, age_ms: int = 0) -> None:
+        """Take in a level known to another node for ``age_ms``, unless it is no news here."""
         level = min(crashes, _HIGHEST_LEVEL)
-        if level <= known:
-            return
-        if entry is None:
-            self._make_room(1, now_ms)
-        self._entries[fingerprint] = _make_entry(level, now_ms)
+        entry = self._entries.get(fingerprint)
+        known = _known_level(entry, now_ms) if entry else 0
+        started_ms = now_ms - age_ms
+        if level > known and now_ms < started_ms + _duration_ms(level):
+            self._set_level(fingerprint, level, started_ms, now_ms)
+            self._trim(now_ms)
 
-    def _raise_level(self, fingerprint: str, now_ms: int) -> Verdict:
+    def _set_level(self, fingerprint: str, level: int, started_ms: int, now_ms: int) -> None:
         entry = self._entries.get(fingerprint)
-        level = self._next_level(entry, now_ms)
-        if level == 1 and entry and not self._is_forgotten(entry, now_ms):
-            entry.suspect_until_ms = now_ms + SUSPECT_MS
+        until_ms = started_ms + _duration_ms(level)
+        if level >= 2:
+            self._entries[fingerprint] = _Entry(level, until_ms, until_ms + SUSPECT_MS)
+        elif entry is not None and now_ms < entry.suspect_until_ms + HISTORY_MS:
+            entry.suspect_until_ms = until_ms
         else:
-            self._entries[fingerprint] = _make_entry(level, now_ms)
-        return Verdict(fingerprint, level, level >= 2)
-
-    def _next_level(self, entry: _Entry | None, now_ms: int) -> int:
-        if entry is None:
-            return 1
-        in_force = entry.in_force(now_ms)
-        if in_force == 0:
-            return 1
-        if in_force >= 2:
-            return in_force  # a copy that was running when the quarantine began
-        return min(entry.level + 1, _HIGHEST_LEVEL)
-
-    def _is_forgotten(self, entry: _Entry, now_ms: int) -> bool:
-        return now_ms >= entry.suspect_until_ms + HISTORY_MS
-
-    def _make_room(self, count: int, now_ms: int) -> None:
-        excess = len(self._entries) + count - ENTRY_LIMIT
+            self._entries[fingerprint] = _Entry(level, until_ms, until_ms)
+
+    def _trim(self, now_ms: int) -> None:
+        excess = len(self._entries) - ENTRY_LIMIT
         if excess <= 0:
             return
         order = {f: (e.in_force(now_ms), e.suspect_until_ms) for f, e in self._entries.items()}
@@ -138,9 +130,22 @@
     return digest.hexdigest()
 
 
-def _make_entry(level: int, now_ms: int) -> _Entry:
+def _next_level(entry: _Entry | None, now_ms: int) -> int:
+    in_force = entry.in_force(now_ms) if entry else 0
+    if in_force == 0:
+        return 1
+    if in_force >= 2:
+        return in_force  # a copy that was running when the quarantine began
+    return min(entry.level + 1, _HIGHEST_LEVEL)
+
+
+def _known_level(entry: _Entry, now_ms: int) -> int:
+    if entry.level >= 2 and now_ms < entry.until_ms + SUSPECT_MS + HOLD_OFF_MS:
+        return entry.level
+    return 1 if now_ms < entry.suspect_until_ms + HOLD_OFF_MS else 0
+
+
+def _duration_ms(level: int) -> int:
     if level == 1:
-        return _Entry(1, now_ms + SUSPECT_MS, now_ms + SUSPECT_MS)
-    quarantine_ms = min(FIRST_QUARANTINE_MS * 2 ** (level - 2), LONGEST_QUARANTINE_MS)
-    until_ms = now_ms + quarantine_ms
-    return _Entry(level, until_ms, until_ms + SUSPECT_MS)
+        return SUSPECT_MS
+    return min(FIRST_QUARANTINE_MS * 2 ** (level - 2), LONGEST_QUARANTINE_MS)
--- a/src/cottonlink/decisions/_retries.py
+++ b/src/cottonlink/decisions/_retries.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+from collections.abc import Iterable
 
 from attrs import define, field, frozen
 
@@ -18,6 +19,7 @@
 BUDGET_EXPIRY_MS = 300_000
 YOUNG_HOME_MS = 300_000
 BUDGET_LIMIT = 16_384
+REMOVED_LIMIT = 1_024
 
 RATIO_WINDOW_MS = 10_000
 _RATIO_SLICE_MS = 1_000
@@ -46,11 +48,19 @@
     last_draw_ms: int
 
 
+@frozen
+class _Removal:
+    removed_ms: int
+    names: frozenset[str]
+
+
 class RetryBudgets:
-    """Tokens drawn by the root requests whose home is this node."""
+    """Tokens drawn by the root requests whose home is ``node``."""
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self, now_ms: int, node: str) -> None:
+        self._node = node
         self._home_since_ms = now_ms
+        self._removals: collections.deque[_Removal] = collections.deque()
         # Ordered by last draw, so that expired budgets are found at the front.
         self._budgets: collections.OrderedDict[str, _Budget] = collections.OrderedDict()
 
@@ -60,7 +70,7 @@
     def draw(self, root_id: str, budget: int, now_ms: int) -> Draw:
         """Take one of the ``budget`` tokens of a root request, if the node can vouch for it."""
         self._expire(now_ms)
-        if now_ms - self._home_since_ms < YOUNG_HOME_MS:
+        if self._is_young_home(root_id, now_ms):
             return Draw(DrawResult.TOO_YOUNG, 0)
         entry = self._budgets.get(root_id)
         if entry is None:
@@ -69,9 +79,31 @@
             entry = self._budgets[root_id] = _Budget(0, now_ms)
         return self._take(root_id, entry, budget, now_ms)
 
-    def change_homes(self, now_ms: int) -> None:
-        """Note that root requests may have had another home until now."""
-        self._home_since_ms = now_ms
+    def change_homes(self, now_ms: int, removed: Iterable[str] | None = None) -> None:
+        """Note that root requests may have had another home until now.
+
+        ``removed`` names the upstreams that the policy no longer lists, if this node was listed
+        before and still is: then only root requests of the removed nodes are new here. Without
+        it, all root requests count as new.
+        """
+        names = None if removed is None else frozenset(removed)
+        self._expire(now_ms)
+        if names is None or not self._node or self._removed_count() + len(names) > REMOVED_LIMIT:
+            self._home_since_ms = now_ms
+            self._removals.clear()
+        elif names:
+            self._removals.append(_Removal(now_ms, names))
+
+    def _is_young_home(self, root_id: str, now_ms: int) -> bool:
+        if now_ms - self._home_since_ms < YOUNG_HOME_MS:
+            return True
+        removed = frozenset().union(*(removal.names for removal in self._removals))
+        # The other listed nodes rank below this one, so only a removed node can have been the
+        # home before.
+        return rendezvous_first(root_id, removed | {self._node}) != self._node
+
+    def _removed_count(self) -> int:
+        return sum(len(removal.names) for removal in self._removals)
 
     def _take(self, root_id: str, entry: _Budget, budget: int, now_ms: int) -> Draw:
         # A refused draw counts as a sign of life too: a caller that keeps on asking gets no
@@ -84,6 +116,8 @@
         return Draw(DrawResult.GRANTED, budget - entry.spent)
 
     def _expire(self, now_ms: int) -> None:
+        while self._removals and now_ms - self._removals[0].removed_ms >= YOUNG_HOME_MS:
+            self._removals.popleft()
         while self._budgets:
             root_id, entry = next(iter(self._budgets.items()))
             if now_ms - entry.last_draw_ms < BUDGET_EXPIRY_MS:
@@ -91,9 +125,9 @@
             del self._budgets[root_id]
 
 
-def make_retry_budgets(now_ms: int) -> RetryBudgets:
-    """Return the budgets of a starting node, which refuses draws while it is young."""
-    return RetryBudgets(now_ms)
+def make_retry_budgets(now_ms: int, node: str = "") -> RetryBudgets:
+    """Return the budgets of the starting ``node``, which refuses draws while it is young."""
+    return RetryBudgets(now_ms, node)
 
 
 def home_node(root_id: str, policy: Policy) -> str | None:
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,119 @@
+"""Tests of the text of permits and of child bindings."""
+
+from __future__ import annotations
+
+import re
+import unittest
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from cottonlink.decisions import (
+    BindingsFull,
+    Denied,
+    incarnation_of_permit,
+    make_child_bindings,
+    make_execution_registry,
+    owner_of_permit,
+)
+from cottonlink.decisions import _once as once
+from cottonlink.decisions._permits import Permit, sign_permit, verify_permit
+from cottonlink.errors import Executed
+
+SECRET = b"s" * 32
+PERMIT = Permit("västerås-1", "00ff", 7, "d" * 32, 123)
+
+
+class PermitTest(unittest.TestCase):
+    def test_text(self):
+        """Guards against a permit that doesn't fit a header or that loses a field."""
+        text = sign_permit(PERMIT, SECRET)
+        self.assertRegex(text, re.compile(r"\A[A-Za-z0-9_-]{1,1024}\Z"))
+        self.assertEqual(verify_permit(text, SECRET), PERMIT)
+        self.assertEqual(owner_of_permit(text), PERMIT.owner)
+        self.assertEqual(incarnation_of_permit(text), PERMIT.incarnation)
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @given(st.text())
+    @example("\ud800")
+    @example("[" * 1_024)
+    @example("A" * 44 + "W1tbW1tbW1tb" * 80)
+    def test_malformed(self, text):
+        """Guards against a crash of the node, or a run, caused by a forged header."""
+        self.assertIsNone(owner_of_permit(text))
+        registry = make_execution_registry("a", "i", SECRET, 0)
+        denied = Denied("permit_invalid", Executed.UNKNOWN)
+        self.assertEqual(registry.begin(text, text, "call", 0), denied)
+
+    def test_authentication(self):
+        """Guards against a permit that was changed, or signed with another secret."""
+        text = sign_permit(PERMIT, SECRET)
+        for index, character in enumerate(text):
+            changed = text[:index] + ("A" if character != "A" else "B") + text[index + 1 :]
+            verified = verify_permit(changed, SECRET)
+            self.assertIn(verified, (None, PERMIT))  # unused bits may differ, the content can't
+        self.assertIsNone(verify_permit(text, b"t" * 32))
+
+
+class ExecutionRegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.registry = make_execution_registry("a", "i", SECRET, 0)
+
+    def test_key(self):
+        """Guards against a permit that runs a request with another key."""
+        permit = self.registry.issue("key", 0).permit
+        denied = self.registry.begin(permit, "other", "call", 0)
+        self.assertEqual(denied, Denied("permit_invalid", Executed.UNKNOWN))
+
+    def test_executed(self):
+        """Guards against "not run" from an owner that can't know, or while the run goes on."""
+        young_ms = once.YOUNG_OWNER_MS
+        self.assertIs(self.registry.issue("key", young_ms - 1).executed, Executed.UNKNOWN)
+        issued = self.registry.issue("key", young_ms)
+        self.assertIs(issued.executed, Executed.NO)
+        self.registry.begin(issued.permit, "key", "call", young_ms)
+        again = self.registry.issue("key", young_ms)
+        self.assertEqual((again.permit, again.executed), (issued.permit, Executed.UNKNOWN))
+        self.registry.change_owners(young_ms)
+        self.assertTrue(self.registry.issue("key 2", 2 * young_ms - 1).owner_is_young)
+
+    def test_expires_ms(self):
+        """Guards against a permit that outlives its time, or a record that doesn't outlive it."""
+        permit = self.registry.issue("key", 0).permit
+        late_ms = once.PERMIT_LIFETIME_MS
+        refused = Denied("already_refused", Executed.NO)
+        self.assertEqual(self.registry.begin(permit, "key", "call", late_ms), refused)
+        self.registry.expire(late_ms + once.RECORD_RETENTION_MS - 1)
+        self.assertEqual(self.registry.begin(permit, "key", "call", late_ms), refused)
+        self.registry.expire(late_ms + once.RECORD_RETENTION_MS)
+        self.assertEqual(len(self.registry), 0)
+        denied = Denied("permit_invalid", Executed.UNKNOWN)
+        self.assertEqual(self.registry.begin(permit, "key", "call", late_ms), denied)
+
+    def test_superseded(self):
+        """Guards against "not run" for a refused permit whose successor has run."""
+        first = self.registry.issue("key", 0).permit
+        self.registry.refuse(self.registry.begin(first, "key", "call", 0).serial, 0)
+        second = self.registry.issue("key", 0).permit
+        run = self.registry.begin(second, "key", "call", 0)
+        self.assertEqual(self.registry.begin(first, "key", "call", 0), once.Attach(run.serial))
+
+
+class ChildBindingsTest(unittest.TestCase):
+    def test_bind(self):
+        """Guards against a child call that reaches two owners, and against unbounded state."""
+        bindings = make_child_bindings()
+        first = bindings.bind("run", "key", "a", "1")
+        again = bindings.bind("run", "key", "b", "2")
+        self.assertTrue(first.is_new and not again.is_new)
+        self.assertEqual((again.owner, again.incarnation), ("a", "1"))
+        for number in range(once.BINDINGS_PER_RUN - 1):
+            bindings.bind("run", str(number), "a", "1")
+        self.assertEqual(bindings.bind("run", "more", "a", "1"), BindingsFull())
+        self.assertEqual(bindings.bind("run", "key", "b", "2"), again)
+        bindings.close("run")
+        self.assertEqual((len(bindings), bindings.find("run", "key")), (0, None))
+
+
+if __name__ == "__main__":
+    unittest.main()
