--- /dev/null
+++ b/src/cottonlink/decisions/_lifecycle.py
@@ -0,0 +1,131 @@
+"""Lifecycle of a node: start, slow start, drain, and detection of pauses."""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import frozen
+
+# A cold target gets its full share after this time.
+WARM_UP_MS = 10_000
+INITIAL_SHARE = 0.1
+
+# A tick is due every few hundred ms; a longer gap means that the process was paused.
+PAUSE_THRESHOLD_MS = 2_000
+
+
+class NodeState(enum.StrEnum):
+    """State of a node as announced on answers and by gossip."""
+
+    STARTING = "starting"
+    WARMING = "warming"
+    LIVE = "live"
+    LEAVING = "leaving"
+    STOPPED = "stopped"
+
+
+class TargetState(enum.StrEnum):
+    """State that a target reports in ``GET /_health``."""
+
+    STARTING = "starting"
+    OK = "ok"
+    DRAINING = "draining"
+    FAILING = "failing"
+
+
+@frozen
+class PauseDetected:
+    """The process stood still for ``paused_ms``; its view of the fleet is outdated."""
+
+    paused_ms: int
+
+
+def ramp_share(elapsed_ms: int) -> float:
+    """Return the traffic share ``elapsed_ms`` after the start of a slow start, up to 1."""
+    progress = min(1.0, max(0.0, elapsed_ms / WARM_UP_MS))
+    return INITIAL_SHARE + (1 - INITIAL_SHARE) * progress
+
+
+def make_lifecycle(now_ms: int) -> Lifecycle:
+    """Return the lifecycle of a node that starts now."""
+    return Lifecycle(now_ms)
+
+
+class Lifecycle:
+    """State of one node. ``leaving`` and ``stopped`` are final."""
+
+    def __init__(self, now_ms: int) -> None:
+        self._last_tick_ms = now_ms
+        self._warm_since_ms: int | None = None
+        self._needs_refresh = False
+        self._stopped = False
+        self.leave_reason: str | None = None
+
+    def leave(self, reason: str, now_ms: int) -> None:
+        """Stop accepting work for good; the first reason is kept."""
+        if self.leave_reason is None:
+            self.leave_reason = reason
+
+    def stop(self, now_ms: int) -> None:
+        """Record that all accepted work has finished."""
+        self.leave("stopped", now_ms)
+        self._stopped = True
+
+    def target_state(self, state: TargetState, now_ms: int) -> None:
+        """Take in the target's health, which may be late or wrong unless it is ``draining``.
+
+        ``failing`` changes nothing. ``starting`` after the first ``ok`` begins a new slow start,
+        since the target may be cold again, but work is still accepted.
+        """
+        if state is TargetState.DRAINING:
+            self.leave("target_draining", now_ms)
+            return
+        is_warm = self._warm_since_ms is not None
+        begins_first = state is TargetState.OK and not is_warm
+        begins_again = state is TargetState.STARTING and is_warm
+        if begins_first or begins_again:
+            self._warm_since_ms = now_ms
+
+    def tick(self, now_ms: int) -> tuple[PauseDetected, ...]:
+        """Record that the process runs; return a pause if the last tick was too long ago."""
+        paused_ms = now_ms - self._last_tick_ms
+        self._last_tick_ms = now_ms
+        if paused_ms <= PAUSE_THRESHOLD_MS:
+            return ()
+        self._needs_refresh = True
+        return (PauseDetected(paused_ms),)
+
+    def refreshed(self, now_ms: int) -> None:
+        """Record that policy and members were refreshed after a pause."""
+        self._needs_refresh = False
+
+    def state(self, now_ms: int) -> NodeState:
+        """Return the state."""
+        if self._stopped:
+            return NodeState.STOPPED
+        if self.leave_reason is not None:
+            return NodeState.LEAVING
+        if self._warm_since_ms is None:
+            return NodeState.STARTING
+        if now_ms - self._warm_since_ms < WARM_UP_MS:
+            return NodeState.WARMING
+        return NodeState.LIVE
+
+    def accepts_work(self, now_ms: int) -> bool:
+        """Return whether new calls may be admitted."""
+        return self.state(now_ms) in (NodeState.WARMING, NodeState.LIVE)
+
+    def accepts_non_repeatable(self, now_ms: int) -> bool:
+        """Return whether new non-repeatable calls may be admitted.
+
+        They may not between a pause and the refresh after it, even if no tick has noticed the
+        pause yet.
+        """
+        unnoticed = now_ms - self._last_tick_ms > PAUSE_THRESHOLD_MS
+        return self.accepts_work(now_ms) and not self._needs_refresh and not unnoticed
+
+    def share(self, now_ms: int) -> float:
+        """Return the share of its full traffic that the node should get, 0 to 1."""
+        if not self.accepts_work(now_ms) or self._warm_since_ms is None:
+            return 0.0
+        return ramp_share(now_ms - self._warm_since_ms)
