--- a/src/cottonlink/policy/_records.py
+++ b/src/cottonlink/policy/_records.py
@@ -76,11 +76,19 @@
 
 @frozen(hash=False, eq=True)
 class Policy:
-    """One published policy record. ``version`` only rises."""
+    """One published policy record. ``version`` only rises.
+
+    ``body`` is the record as it was published (zlib-compressed JSON) and ``digest`` its hash. Nodes
+    pass on the published form, not their own reading of it, so that a node of another release
+    can apply its own upgrade and all of them agree on the digest. Both are empty if the policy
+    was made in the program; see ``encode_policy``.
+    """
 
     version: int
     services: tuple[Service, ...] = ()
     retry: RetryPolicy = field(factory=RetryPolicy)
+    digest: str = field(default="", eq=False, repr=False)
+    body: bytes = field(default=b"", eq=False, repr=False)
 
     @functools.cached_property
     def services_by_name(self) -> dict[str, Service]:
