Decide which policy is in force and who watches the service

Cause: each node needs a version that never falls, a member list that survives a missing VM list, and the same answer as its peers on who reads the configuration service. Ruled out: heartbeat counters per watcher as evidence, because 42 of them in each message would take most of the 24 KB a second; one age per data centre says the same. Also ruled out: letting every further node join the watchers during an outage, because the whole fleet would then read when the service returns; takeover moves on instead of growing. Before: nothing.

--- /dev/null
+++ b/src/cottonlink/decisions/_membership.py
@@ -0,0 +1,333 @@
+"""Members of the fleet, choice of the watchers and exchange of gossip.
+
+Members come from the policy record, the VM list and gossip; the addresses in the settings serve
+as long as no member is known. No list has to be complete or recent.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from cottonlink.decisions._gossip import (
+    MAX_DATA_CENTRES,
+    MAX_MEMBERS_PER_MESSAGE,
+    Gossip,
+    GossipError,
+    Member,
+    MemberState,
+    VmList,
+    WatchEvidence,
+)
+from cottonlink.decisions._gossip_events import GossipEvents
+from cottonlink.decisions._member_table import MemberTable
+from cottonlink.decisions._membership_changes import (
+    CrashLearned,
+    MembershipChange,
+    PolicyBehind,
+    PolicyConflict,
+    VmListBehind,
+)
+from cottonlink.policy import Policy, encode_policy
+
+WATCHERS_PER_DATA_CENTRE = 3
+
+# Watchers renew their evidence every 2 s (the wait of a watch) and gossip each second, so 5 s
+# without evidence means that no chosen watcher reaches the service.
+WATCHER_SILENCE_MS = 5_000
+
+# A node that took over goes on watching for this time. Otherwise its first success would end the
+# silence, it would stop, and the next change would wait for another silence to pass.
+TAKEOVER_MS = 30_000
+
+# A node without a policy leaves its peers this time to answer before it reads the service, so
+# that a service which was rolled back can't put an old record in force at a replaced node.
+PEERS_FIRST_MS = 2_000
+PEERS_FIRST_JITTER_MS = 1_000
+
+# A node without contact to any peer reads the service by itself, since no watcher can tell it
+# anything. With a read every 3 to 6 s a change still reaches it within 17 s.
+ISOLATED_AFTER_MS = 8_000
+
+FIRST_BACKOFF_MS = 1_000
+# Bounds the time until two parts of a healed partition meet, well below the 17 s of a change.
+MAX_BACKOFF_MS = 8_000
+BACKOFF_LIFETIME_MS = 60_000
+
+EVIDENCE_LIFETIME_MS = 120_000
+
+
+class ServiceAccess(enum.Enum):
+    """How a node may use the configuration service now."""
+
+    NONE = "none"
+    WATCH = "watch"
+    READ = "read"
+
+
+@frozen
+class _Backoff:
+    until_ms: int
+    delay_ms: int
+
+
+@define(eq=False)
+class Membership:
+    """What one node knows about the fleet."""
+
+    _table: MemberTable
+    _seeds: tuple[Member, ...]
+    _rng: random.Random
+    _start_ms: int
+    _peers_first_ms: int
+    _events: GossipEvents
+    _policy_version: int = 0
+    _policy_digest: str = ""
+    _vm_list: VmList | None = None
+    _evidence_ms: dict[str, int] = field(factory=dict)
+    _backoffs: dict[str, _Backoff] = field(factory=dict)
+    _takeover_until_ms: int = 0
+    _contact_ms: int | None = None
+
+    @property
+    def own(self) -> Member:
+        """This node."""
+        return self._table.own
+
+    @property
+    def vm_list(self) -> VmList | None:
+        """The VM list in use."""
+        return self._vm_list
+
+    @property
+    def vm_list_version(self) -> int:
+        """Version of the VM list in use, or 0."""
+        return self._vm_list.version if self._vm_list else 0
+
+    def members(self) -> dict[str, Member]:
+        """Return all known members by name, this node included. Don't change the result."""
+        return self._table.members()
+
+    def watchers(self, data_centre: str, now_ms: int) -> tuple[str, ...]:
+        """Return the names of the nodes of ``data_centre`` that should watch the service.
+
+        The first in the order always watch. For every period in which none of them reached the
+        service, the next ones in the order join in place of those that joined before, so that a
+        long outage doesn't turn the whole data centre into watchers.
+        """
+        order = self._table.watch_order(data_centre)
+        chosen = order[:WATCHERS_PER_DATA_CENTRE]
+        others = order[WATCHERS_PER_DATA_CENTRE:]
+        silence_ms = now_ms - self._evidence_ms.get(data_centre, self._start_ms)
+        turn = silence_ms // WATCHER_SILENCE_MS
+        if turn < 1 or not others:
+            return tuple(chosen)
+        first = (turn - 1) * WATCHERS_PER_DATA_CENTRE % len(others)
+        return tuple(chosen + others[first : first + WATCHERS_PER_DATA_CENTRE])
+
+    def is_watcher(self, now_ms: int) -> bool:
+        """Return whether this node should watch the service."""
+        if self.own.state is MemberState.LEAVING:
+            return False
+        is_listed = self.own.name in self.watchers(self.own.data_centre, now_ms)
+        return is_listed or now_ms < self._takeover_until_ms
+
+    def service_access(self, now_ms: int) -> ServiceAccess:
+        """Return how this node may use the configuration service now.
+
+        Only watchers watch it, and before they have a policy they ask their peers first. A node
+        that reaches no peer reads it now and then.
+        """
+        is_new = not self._policy_version
+        if is_new and now_ms - self._start_ms < self._peers_first_ms:
+            return ServiceAccess.NONE
+        if self.is_watcher(now_ms):
+            return ServiceAccess.WATCH
+        return ServiceAccess.READ if self._is_isolated(now_ms) else ServiceAccess.NONE
+
+    def watch_succeeded(self, now_ms: int) -> None:
+        """Take note that this node reached the configuration service."""
+        order = self._table.watch_order(self.own.data_centre)
+        if self.own.name not in order[:WATCHERS_PER_DATA_CENTRE] and self.is_watcher(now_ms):
+            self._extend_takeover(now_ms)
+        self._evidence_ms[self.own.data_centre] = now_ms
+
+    def apply_policy(self, policy: Policy) -> tuple[MembershipChange, ...]:
+        """Take the members and the version of the policy in force."""
+        self._policy_version = policy.version
+        self._policy_digest = encode_policy(policy)[1]
+        self._table.set_policy_members(
+            Member(up.name, up.data_centre, up.peer_address, up.control_address)
+            for up in policy.upstreams_by_name.values()
+        )
+        return self._table.take_changes()
+
+    def apply_vm_list(self, vm_list: VmList, now_ms: int) -> tuple[MembershipChange, ...]:
+        """Take a VM list; one that is not later than the list in use changes nothing."""
+        if vm_list.version <= self.vm_list_version:
+            return ()
+        self._vm_list = vm_list
+        self._table.set_vm_list_members(vm_list.vms)
+        return self._table.take_changes()
+
+    def announce_leaving(self, now_ms: int) -> None:
+        """Tell the fleet that this node leaves."""
+        self._table.set_own_leaving()
+        self._events.add_leaving(self.own.name, self.own.incarnation, 0, now_ms)
+
+    def announce_crash(self, fingerprint: str, crashes: int, now_ms: int) -> None:
+        """Tell the fleet how many targets a request has crashed."""
+        self._events.add_crash(fingerprint, crashes, 0, now_ms)
+
+    def gossip_peers(self, count: int, now_ms: int) -> tuple[Member, ...]:
+        """Return up to ``count`` random members to gossip with, or seeds if no member is ready.
+
+        Members that did not answer lately are passed over until their backoff ends.
+        """
+        for pool in (self._table.others(), self._seeds):
+            ready = [member for member in pool if self._is_ready(member, now_ms)]
+            if ready:
+                return tuple(self._rng.sample(ready, min(count, len(ready))))
+        return ()
+
+    def standby_peer(self, now_ms: int) -> Member | None:
+        """Return a node that would take over from this one if it is a chosen watcher, else None.
+
+        Watchers gossip with these nodes directly, so that the time in which evidence spreads at
+        random doesn't look like silence.
+        """
+        order = self._table.watch_order(self.own.data_centre)
+        names = order[WATCHERS_PER_DATA_CENTRE : 2 * WATCHERS_PER_DATA_CENTRE]
+        if self.own.name not in order[:WATCHERS_PER_DATA_CENTRE] or not names:
+            return None
+        member = self.members()[self._rng.choice(names)]
+        return member if self._is_ready(member, now_ms) else None
+
+    def peer_answered(self, member: Member, now_ms: int) -> None:
+        """Take note that ``member`` answered."""
+        self._backoffs.pop(member.control_address, None)
+        self._contact_ms = now_ms
+
+    def peer_failed(self, member: Member, now_ms: int) -> None:
+        """Pass ``member`` over for a jittered time that doubles with each failure."""
+        known = self._backoffs.get(member.control_address)
+        delay_ms = min(2 * known.delay_ms, MAX_BACKOFF_MS) if known else FIRST_BACKOFF_MS
+        until_ms = now_ms + round(delay_ms * self._rng.uniform(0.5, 1.0))
+        self._backoffs[member.control_address] = _Backoff(until_ms, delay_ms)
+
+    def make_gossip(self, now_ms: int, reply_to: Gossip | None = None) -> Gossip:
+        """Return the next message to a peer, or the reply to one.
+
+        It names other members only while one of the two has no policy, which lists them all.
+        """
+        has_policy = self._policy_version and (reply_to is None or reply_to.policy_version)
+        leaving, crashes = self._events.take(len(self.members()), now_ms)
+        return Gossip(
+            sender=self.own,
+            policy_version=self._policy_version,
+            policy_digest=self._policy_digest,
+            vm_list_version=self.vm_list_version,
+            evidence=self._evidence(now_ms),
+            leaving=leaving,
+            crashes=crashes,
+            members=() if has_policy else self._table.sample(self._rng, MAX_MEMBERS_PER_MESSAGE),
+        )
+
+    def receive(self, gossip: Gossip, now_ms: int) -> tuple[MembershipChange, ...]:
+        """Take a message of a peer and return what is new.
+
+        Raises GossipError, without any change, if the message can't come from another node.
+        """
+        self._refuse_impostor(gossip)
+        self._contact_ms = now_ms
+        self._table.hear_sender(gossip.sender, now_ms)
+        for member in gossip.members:
+            self._table.hear_member(member, now_ms)
+        self._take_evidence(gossip.evidence, now_ms)
+        for event in gossip.leaving:
+            if self._events.add_leaving(event.node, event.incarnation, event.age_ms, now_ms):
+                self._table.mark_leaving(event.node, event.incarnation, event.age_ms, now_ms)
+        learned = [
+            CrashLearned(event.fingerprint, event.crashes)
+            for event in gossip.crashes
+            if self._events.add_crash(event.fingerprint, event.crashes, event.age_ms, now_ms)
+        ]
+        return (*self._compare_versions(gossip), *learned, *self._table.take_changes())
+
+    def expire(self, now_ms: int) -> tuple[MembershipChange, ...]:
+        """Forget what is too old: unlisted members, marks of leaving nodes, events, backoffs."""
+        self._events.expire(now_ms)
+        self._table.expire(now_ms)
+        oldest_ms = now_ms - BACKOFF_LIFETIME_MS
+        for address in [a for a, known in self._backoffs.items() if known.until_ms < oldest_ms]:
+            del self._backoffs[address]
+        return self._table.take_changes()
+
+    def _extend_takeover(self, now_ms: int) -> None:
+        if now_ms >= self._takeover_until_ms:
+            self._takeover_until_ms = now_ms + TAKEOVER_MS
+
+    def _is_isolated(self, now_ms: int) -> bool:
+        last_ms = self._start_ms if self._contact_ms is None else self._contact_ms
+        return now_ms - last_ms >= ISOLATED_AFTER_MS
+
+    def _is_ready(self, member: Member, now_ms: int) -> bool:
+        known = self._backoffs.get(member.control_address)
+        return known is None or known.until_ms <= now_ms
+
+    def _evidence(self, now_ms: int) -> tuple[WatchEvidence, ...]:
+        return tuple(
+            WatchEvidence(data_centre, now_ms - seen_ms)
+            for data_centre, seen_ms in sorted(self._evidence_ms.items())
+            if now_ms - seen_ms < EVIDENCE_LIFETIME_MS
+        )
+
+    def _refuse_impostor(self, gossip: Gossip) -> None:
+        problems = []
+        if gossip.sender.name == self.own.name:
+            problems.append(f"sender.name: {self.own.name!r} is the name of this node")
+        for index, event in enumerate(gossip.leaving):
+            is_own = (event.node, event.incarnation) == (self.own.name, self.own.incarnation)
+            if is_own and self.own.state is MemberState.LIVE:
+                problems.append(f"leaving[{index}]: this node is not leaving")
+        if problems:
+            raise GossipError("gossip_refused", tuple(problems), peer=gossip.sender.name)
+
+    def _take_evidence(self, evidence: Iterable[WatchEvidence], now_ms: int) -> None:
+        for entry in evidence:
+            seen_ms = now_ms - entry.age_ms
+            known_ms = self._evidence_ms.get(entry.data_centre)
+            # The last place is kept for the data centre of this node.
+            if known_ms is None and len(self._evidence_ms) >= MAX_DATA_CENTRES - 1:
+                continue
+            if known_ms is None or seen_ms > known_ms:
+                self._evidence_ms[entry.data_centre] = seen_ms
+
+    def _compare_versions(self, gossip: Gossip) -> list[MembershipChange]:
+        sender = gossip.sender
+        changes: list[MembershipChange] = []
+        is_same = gossip.policy_version == self._policy_version
+        if gossip.policy_version > self._policy_version:
+            changes.append(PolicyBehind(sender, gossip.policy_version, gossip.policy_digest))
+        elif is_same and gossip.policy_digest != self._policy_digest:
+            changes.append(PolicyConflict(sender, gossip.policy_version))
+        if gossip.vm_list_version > self.vm_list_version:
+            changes.append(VmListBehind(sender, gossip.vm_list_version))
+        return changes
+
+
+def make_membership(
+    own: Member, seeds: Iterable[str], rng: random.Random, now_ms: int
+) -> Membership:
+    """Return the membership of a node that knows only itself and the ``seeds`` (``ip:port``)."""
+    return Membership(
+        table=MemberTable(own),
+        seeds=tuple(Member("", "", "", seed) for seed in seeds if seed != own.control_address),
+        rng=rng,
+        start_ms=now_ms,
+        peers_first_ms=PEERS_FIRST_MS + rng.randrange(PEERS_FIRST_JITTER_MS),
+        events=GossipEvents(rng),
+    )
--- /dev/null
+++ b/src/cottonlink/decisions/_membership_changes.py
@@ -0,0 +1,59 @@
+"""What a node learned from gossip, a VM list or a policy."""
+
+from __future__ import annotations
+
+from attrs import frozen
+
+from cottonlink.decisions._gossip import Member
+
+
+@frozen
+class PolicyBehind:
+    """``member`` has a policy of a higher version, whose body it can give."""
+
+    member: Member
+    version: int
+    digest: str
+
+
+@frozen
+class PolicyConflict:
+    """``member`` has another record than this node under the same version."""
+
+    member: Member
+    version: int
+
+
+@frozen
+class VmListBehind:
+    """``member`` has a later VM list."""
+
+    member: Member
+    version: int
+
+
+@frozen
+class MemberLeft:
+    """The node ``name``, perhaps this one, takes no new work."""
+
+    name: str
+
+
+@frozen
+class MemberReturned:
+    """The node ``name`` no longer counts as leaving."""
+
+    name: str
+
+
+@frozen
+class CrashLearned:
+    """A fingerprint has crashed ``crashes`` targets, as another node saw."""
+
+    fingerprint: str
+    crashes: int
+
+
+MembershipChange = (
+    PolicyBehind | PolicyConflict | VmListBehind | MemberLeft | MemberReturned | CrashLearned
+)
