--- /dev/null
+++ b/emulator/checker.py
@@ -0,0 +1,247 @@
+"""Checks the invariants of ``docs/design.md`` over what callers, targets and nodes recorded."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Iterator
+
+from attrs import define, field, frozen
+
+from cottonlink.errors import Executed
+from cottonlink.observe import EventKind
+from emulator.journal import Run, RunOutcome
+from emulator.load import BROKEN_ANSWER, NO_ANSWER, Call, Send
+
+# I6 allows "a few seconds" between the start of a leave and the last new run.
+LEAVE_GRACE_MS = 5_000
+CUT_OFF_CODES = frozenset({BROKEN_ANSWER, NO_ANSWER, "cancelled", "connection_lost"})
+
+
+@frozen
+class Leave:
+    """A target that was told to leave at ``at_ms`` (monotonic)."""
+
+    target: str
+    at_ms: int
+
+
+@frozen
+class Shutdown:
+    """A node that got SIGTERM at ``at_ms`` and its exit status (None: it had to be killed)."""
+
+    node: str
+    caller_address: str
+    at_ms: int
+    exit_status: int | None
+
+
+@define
+class Evidence:
+    """Everything recorded during a scenario.
+
+    ``events`` are the dicts of ``/v1/events``. ``killed`` holds the caller addresses of the nodes
+    that were killed or paused, whose connections may therefore break. ``final_versions`` maps each
+    live node to the policy version that it reports in the end; ``published_version`` is the
+    highest one that was ever published.
+    """
+
+    calls: list[Call] = field(factory=list)
+    runs: list[Run] = field(factory=list)
+    events: list[dict] = field(factory=list)
+    retry_budget: int = 3
+    killed: set[str] = field(factory=set)
+    leaves: list[Leave] = field(factory=list)
+    shutdowns: list[Shutdown] = field(factory=list)
+    final_versions: dict[str, int] = field(factory=dict)
+    published_version: int = 0
+
+    def sends(self) -> Iterator[tuple[Call, Send]]:
+        """Yield every send with its call."""
+        for call in self.calls:
+            for send in call.sends:
+                yield call, send
+
+
+@frozen
+class Violation:
+    """A broken invariant, for instance ``I5``, and what shows it."""
+
+    invariant: str
+    detail: str
+
+
+def check_invariants(evidence: Evidence) -> list[Violation]:
+    """Return all violations in ``evidence``."""
+    checks = (
+        _check_retry_budget,
+        _check_shed_order,
+        _check_whole_answers,
+        _check_not_run,
+        _check_at_most_once,
+        _check_leaving,
+        _check_shutdown,
+        _check_policy,
+    )
+    return [violation for check in checks for violation in check(evidence)]
+
+
+def _check_retry_budget(evidence: Evidence) -> Iterable[Violation]:
+    """I1: nodes retry one root request at most as often as its budget allows."""
+    retries = collections.Counter(
+        event["request_id"] for event in evidence.events if event["kind"] == EventKind.RETRIED
+    )
+    for root_id, count in retries.items():
+        if count > evidence.retry_budget:
+            yield Violation("I1", f"{root_id}: {count} retries")
+
+
+def _check_shed_order(evidence: Evidence) -> Iterable[Violation]:
+    """I2: when an owner sheds a non-repeatable call, it holds no repeatable one of less weight."""
+    for node, events in _by_node(evidence.events).items():
+        reads: dict[str, int] = {}
+        for event in events:
+            details = event["details"]
+            if event["kind"] in (EventKind.QUEUED, EventKind.ADMITTED):
+                if details.get("repeatable"):
+                    reads[event["call_id"]] = details["importance"]
+                continue
+            if _sheds_write(event):
+                cheaper = [call for call, own in reads.items() if own < details["importance"]]
+                if cheaper:
+                    detail = f"{node} shed {event['call_id']} and kept {cheaper[0]}"
+                    yield Violation("I2", detail)
+            if event["kind"] in CALL_ENDS:
+                reads.pop(event["call_id"], None)
+
+
+CALL_ENDS = frozenset(
+    {EventKind.COMPLETED, EventKind.REFUSED, EventKind.EVICTED, EventKind.CANCELLED}
+)
+
+
+def _sheds_write(event: dict) -> bool:
+    if event["kind"] not in (EventKind.REFUSED, EventKind.EVICTED):
+        return False
+    return event["code"] == "overloaded" and event["details"].get("repeatable") == 0
+
+
+def _check_whole_answers(evidence: Evidence) -> Iterable[Violation]:
+    """I3: each answer is whole and belongs to the request; no live node cuts one off."""
+    for call, send in evidence.sends():
+        where = f"{send.send_id} at {send.node}"
+        if send.code == BROKEN_ANSWER and (send.status or send.node not in evidence.killed):
+            yield Violation("I3", f"{where}: cut answer")
+        if not send.whole:
+            continue
+        if send.answered_key != call.plan.key:
+            yield Violation("I3", f"{where}: answer of key {send.answered_key}")
+        if not call.plan.key and send.answered_send_id != send.send_id:
+            yield Violation("I3", f"{where}: answer of send {send.answered_send_id}")
+
+
+def _check_not_run(evidence: Evidence) -> Iterable[Violation]:
+    """I4: no run belongs to a send that was answered with ``executed: no``."""
+    by_send = collections.defaultdict(list)
+    by_key = collections.defaultdict(list)
+    for run in evidence.runs:
+        by_send[run.send_id].append(run)
+        by_key[run.key].append(run)
+    for call, send in evidence.sends():
+        if not send.status or send.executed != Executed.NO:
+            continue
+        if any(_is_run_of(run, send, call) for run in by_send[send.send_id]):
+            yield Violation("I4", f"{send.send_id}: {send.code}, but it ran")
+        earlier = [run for run in by_key[call.plan.key] if run.start_ms < send.sent_ms]
+        if send.permit and call.plan.key and earlier:
+            yield Violation("I4", f"{send.send_id}: {send.code}, but its key ran before")
+
+
+def _is_run_of(run: Run, send: Send, call: Call) -> bool:
+    """Whether ``send`` is the latest send of its id before the run."""
+    senders = [
+        other
+        for other in call.sends
+        if other.send_id == run.send_id and other.sent_ms <= run.start_ms
+    ]
+    return bool(senders) and senders[-1] is send
+
+
+def _check_at_most_once(evidence: Evidence) -> Iterable[Violation]:
+    """I5: a key has at most one run, on all targets together."""
+    runs = collections.Counter(run.key for run in evidence.runs if run.key)
+    for key, count in runs.items():
+        if count > 1:
+            yield Violation("I5", f"{key}: {count} runs")
+
+
+def _check_leaving(evidence: Evidence) -> Iterable[Violation]:
+    """I6: a leaving node starts only what it had queued, and its target gets no late run."""
+    for leave in evidence.leaves:
+        late = [
+            run
+            for run in evidence.runs
+            if run.target == leave.target and run.start_ms > leave.at_ms + LEAVE_GRACE_MS
+        ]
+        if late:
+            yield Violation("I6", f"{leave.target}: {len(late)} runs after it left")
+    for node, events in _by_node(evidence.events).items():
+        yield from _check_leaving_node(node, events)
+
+
+def _check_leaving_node(node: str, events: list[dict]) -> Iterable[Violation]:
+    accepted: set[str] = set()
+    is_leaving = False
+    for event in events:
+        if event["kind"] == EventKind.STATE_CHANGED:
+            is_leaving = event["code"] == "leaving"
+        elif event["kind"] == EventKind.QUEUED:
+            accepted.add(event["call_id"])
+        elif event["kind"] == EventKind.ADMITTED:
+            if is_leaving and event["call_id"] not in accepted:
+                yield Violation("I6", f"{node} admitted {event['call_id']} while leaving")
+
+
+def _check_shutdown(evidence: Evidence) -> Iterable[Violation]:
+    """I7: a node that is shut down gracefully exits by itself and finishes what it holds."""
+    for shutdown in evidence.shutdowns:
+        if shutdown.exit_status != 0:
+            yield Violation("I7", f"{shutdown.node}: exit status {shutdown.exit_status}")
+        for _, send in evidence.sends():
+            is_in_flight = send.sent_ms < shutdown.at_ms <= send.answered_ms
+            if send.node != shutdown.caller_address or not is_in_flight:
+                continue
+            if send.code in CUT_OFF_CODES:
+                yield Violation("I7", f"{send.send_id}: {send.code} at {shutdown.node}")
+        for run in evidence.runs:
+            if run.target != shutdown.node or run.start_ms > shutdown.at_ms:
+                continue
+            if run.outcome in (RunOutcome.RUNNING, RunOutcome.CANCELLED):
+                yield Violation("I7", f"{run.send_id}: {run.outcome} at {run.target}")
+
+
+def _check_policy(evidence: Evidence) -> Iterable[Violation]:
+    """I8: versions rise at each node, and all live nodes end up with the highest."""
+    for node, events in _by_node(evidence.events).items():
+        versions = [
+            int(event["details"]["version"])
+            for event in events
+            if event["kind"] == EventKind.POLICY_ACCEPTED
+        ]
+        if versions != sorted(set(versions)):
+            yield Violation("I8", f"{node} accepted versions {versions}")
+    for node, version in evidence.final_versions.items():
+        if version != evidence.published_version:
+            yield Violation("I8", f"{node} ended with version {version}")
+
+
+def _by_node(events: list[dict]) -> dict[str, list[dict]]:
+    """Return the events of each process life, in the order in which it recorded them.
+
+    ``life`` tells two processes of one node apart; ``Fleet.collect`` adds it.
+    """
+    by_node: dict[str, list[dict]] = collections.defaultdict(list)
+    for event in events:
+        by_node[f"{event['node']}/{event.get('life', 0)}"].append(event)
+    for own in by_node.values():
+        own.sort(key=lambda event: event["sequence"])
+    return dict(by_node)
--- /dev/null
+++ b/emulator/load.py
@@ -0,0 +1,274 @@
+"""Callers: open-loop arrivals from a seed, with resends through several nodes.
+
+A caller keeps the permit of a request with its key, as ``docs/callers.md`` asks: it drops a
+permit only after an answer that says that the request was not run, and it never asks for another
+permit after an answer that says ``unknown``.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import enum
+import json
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+import urllib3
+from attrs import define, field, frozen
+
+from cottonlink._headers import DEADLINE_MS, EXECUTED, IDEMPOTENCY_KEY, PERMIT, TRACEPARENT
+from cottonlink.errors import Executed
+from emulator.journal import monotonic_ms
+from emulator.target import SEND_PARAMETER, parse_answer_body
+
+PERMIT_REQUIRED = "permit_required"
+# Codes that the caller itself records, when no answer of a node arrives.
+NO_ANSWER = "no_answer"
+NOT_CONNECTED = "not_connected"
+BROKEN_ANSWER = "broken_answer"
+MAX_THREADS = 400
+MAX_RETRY_AFTER_MS = 5_000
+
+
+class CallOutcome(enum.StrEnum):
+    """What the caller knows about a call in the end."""
+
+    WHOLE = "whole"
+    REFUSED_NOT_RUN = "refused_not_run"
+    UNKNOWN = "unknown"
+
+
+@frozen
+class CallPlan:
+    """One request of a caller. ``nodes`` are caller addresses, tried in turn."""
+
+    at_ms: int
+    method: str
+    path: str
+    key: str
+    root_id: str
+    nodes: tuple[str, ...]
+    body: bytes = b""
+
+
+@frozen
+class CallerOptions:
+    """How callers behave. ``timeout_ms`` bounds one send, ``pause_ms`` separates resends.
+
+    With ``keeps_send_id`` each resend repeats the first send byte for byte.
+    """
+
+    max_sends: int = 4
+    timeout_ms: int = 2_000
+    pause_ms: int = 0
+    obeys_retry_after: bool = False
+    keeps_send_id: bool = False
+
+
+@define
+class Send:
+    """One HTTP request of a caller and what came back."""
+
+    send_id: str
+    node: str
+    sent_ms: int
+    permit: str = ""
+    answered_ms: int = 0
+    status: int = 0
+    code: str = ""
+    executed: str = Executed.UNKNOWN
+    whole: bool = False
+    answered_key: str = ""
+    answered_send_id: str = ""
+    retry_after_ms: int = 0
+    new_permit: str = ""
+
+
+@define
+class Call:
+    """A request of a caller with all its sends."""
+
+    plan: CallPlan
+    sends: list[Send] = field(factory=list)
+
+    @property
+    def outcome(self) -> CallOutcome:
+        if any(send.whole for send in self.sends):
+            return CallOutcome.WHOLE
+        if all(send.executed == Executed.NO for send in self.sends):
+            return CallOutcome.REFUSED_NOT_RUN
+        return CallOutcome.UNKNOWN
+
+    @property
+    def last(self) -> Send:
+        return self.sends[-1]
+
+    @property
+    def end_ms(self) -> int:
+        return self.last.answered_ms
+
+
+class Caller:
+    """Makes calls through nodes. Thread-safe."""
+
+    def __init__(self, options: CallerOptions | None = None) -> None:
+        self.options = options or CallerOptions()
+        self._http = urllib3.PoolManager(num_pools=64, maxsize=MAX_THREADS, retries=False)
+
+    def call(self, plan: CallPlan) -> Call:
+        """Send a request until it is answered whole or the sends are used up."""
+        call = Call(plan)
+        permit = ""
+        # A send that only fetches a permit is a part of the next one.
+        while len([s for s in call.sends if not s.new_permit]) < self.options.max_sends:
+            node = plan.nodes[len(call.sends) % len(plan.nodes)]
+            if call.sends and call.last.new_permit:
+                node = call.last.node
+            send = self.send(plan, node, len(call.sends), permit)
+            call.sends.append(send)
+            if send.whole or _is_settled(send):
+                break
+            permit = _next_permit(permit, send)
+            if not send.new_permit:
+                self._pause(send)
+            elif len(call.sends) >= 3 * self.options.max_sends:
+                break
+        return call
+
+    def send(self, plan: CallPlan, node: str, number: int = 0, permit: str = "") -> Send:
+        """Make one HTTP request and return what came back; never raises for a failed one."""
+        keeps = self.options.keeps_send_id
+        send_id = plan.root_id if keeps else f"{plan.root_id}-{number}"
+        send = Send(send_id, node, monotonic_ms(), permit)
+        try:
+            response = self._http.request(
+                plan.method,
+                f"http://{node}{plan.path}?{SEND_PARAMETER}={send_id}",
+                body=plan.body or None,
+                headers=self._headers(plan, number, permit),
+                timeout=self.options.timeout_ms / 1000,
+            )
+        except urllib3.exceptions.NewConnectionError:
+            send.code, send.executed = NOT_CONNECTED, Executed.NO
+        except urllib3.exceptions.HTTPError as error:
+            send.code = NO_ANSWER
+            if isinstance(error, urllib3.exceptions.ProtocolError):
+                send.code = BROKEN_ANSWER
+        else:
+            _read_answer(send, response)
+        send.answered_ms = monotonic_ms()
+        return send
+
+    def _headers(self, plan: CallPlan, number: int, permit: str) -> dict[str, str]:
+        headers = {
+            TRACEPARENT: f"00-{plan.root_id}-{number + 1:016x}-01",
+            DEADLINE_MS: str(self.options.timeout_ms),
+        }
+        if plan.key:
+            headers[IDEMPOTENCY_KEY] = plan.key
+        if permit:
+            headers[PERMIT] = permit
+        return headers
+
+    def _pause(self, send: Send) -> None:
+        pause_ms = self.options.pause_ms
+        if self.options.obeys_retry_after:
+            pause_ms = max(pause_ms, min(send.retry_after_ms, MAX_RETRY_AFTER_MS))
+        time.sleep(pause_ms / 1000)
+
+
+def _is_settled(send: Send) -> bool:
+    """Whether a resend can't change anything: the node knows that the run is over."""
+    return 400 <= send.status < 500 and send.code not in (PERMIT_REQUIRED, "already_refused")
+
+
+def _next_permit(permit: str, send: Send) -> str:
+    if send.new_permit:
+        return send.new_permit
+    return "" if send.executed == Executed.NO else permit
+
+
+def _read_answer(send: Send, response: urllib3.BaseHTTPResponse) -> None:
+    send.status = response.status
+    if response.status == 200:
+        _read_whole_answer(send, response.data)
+        return
+    send.executed = response.headers.get(EXECUTED, Executed.UNKNOWN)
+    if "problem+json" in response.headers.get("Content-Type", ""):
+        problem = json.loads(response.data)
+        send.code = problem.get("code", "")
+        send.executed = problem.get("executed", send.executed)
+        send.retry_after_ms = problem.get("retry_after_ms") or 0
+    if response.status == 428:
+        send.new_permit = response.headers.get(PERMIT, "")
+
+
+def _read_whole_answer(send: Send, body: bytes) -> None:
+    content = parse_answer_body(body)
+    if content is None:
+        send.code = BROKEN_ANSWER
+        return
+    send.whole = True
+    send.executed = Executed.YES
+    send.answered_key = content["key"]
+    send.answered_send_id = content["send"]
+
+
+@frozen
+class Mix:
+    """One kind of request in a load: its share, and whether it carries a key."""
+
+    method: str
+    path: str
+    share: float
+    keyed: bool = False
+
+
+def plan_calls(
+    seed: int,
+    mixes: Sequence[Mix],
+    nodes: Sequence[str],
+    rates_per_s: Sequence[tuple[int, float]],
+    nodes_per_call: int = 3,
+) -> list[CallPlan]:
+    """Return Poisson arrivals; ``rates_per_s`` lists (duration in ms, rate) one after another."""
+    rng = random.Random(seed)
+    plans: list[CallPlan] = []
+    start_ms = 0
+    for duration_ms, rate in rates_per_s:
+        at_ms = start_ms + rng.expovariate(rate) * 1000
+        while at_ms < start_ms + duration_ms:
+            mix = rng.choices(mixes, [mix.share for mix in mixes])[0]
+            root_id = f"{rng.getrandbits(128) | 1:032x}"
+            chosen = tuple(rng.sample(list(nodes), min(nodes_per_call, len(nodes))))
+            key = f"key-{root_id}" if mix.keyed else ""
+            plans.append(CallPlan(int(at_ms), mix.method, mix.path, key, root_id, chosen))
+            at_ms += rng.expovariate(rate) * 1000
+        start_ms += duration_ms
+    return plans
+
+
+def run_load(
+    plans: Sequence[CallPlan],
+    caller: Caller,
+    at_times: Sequence[tuple[int, Callable[[], object]]] = (),
+) -> list[Call]:
+    """Make all calls at their times, whatever becomes of earlier ones, and return them.
+
+    ``at_times`` lists (ms, action) pairs, for instance a slow-down, that run during the load.
+    """
+    start_ms = monotonic_ms()
+    timers = [threading.Timer(at_ms / 1000, action) for at_ms, action in at_times]
+    for timer in timers:
+        timer.start()
+    with concurrent.futures.ThreadPoolExecutor(MAX_THREADS) as pool:
+        futures = []
+        for plan in plans:
+            time.sleep(max(0, start_ms + plan.at_ms - monotonic_ms()) / 1000)
+            futures.append(pool.submit(caller.call, plan))
+        calls = [future.result() for future in futures]
+    for timer in timers:
+        timer.join()
+    return calls
--- /dev/null
+++ b/emulator/plans.py
@@ -0,0 +1,114 @@
+"""Plans of fleets: services, their upstreams, kinds and work, as policy records and settings."""
+
+from __future__ import annotations
+
+from attrs import field, frozen
+
+from emulator.target import Work
+
+
+@frozen
+class KindPlan:
+    """A kind of request, as in ``cottonlink.policy``."""
+
+    name: str
+    methods: tuple[str, ...]
+    path: str
+    importance: int
+    repeatable: bool
+    timeout_ms: int = 2_000
+
+
+@frozen
+class ServicePlan:
+    """A service. ``data_centres`` lists the data centre of each upstream."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    slots: int
+    kinds: tuple[KindPlan, ...]
+    work: tuple[Work, ...]
+    connections: int = 64
+    starting_ms: int = 0
+    cold_ms: int = 0
+    cold_factor: float = 1.0
+
+
+@frozen
+class FleetPlan:
+    """All services of a fleet. ``node_settings`` overrides defaults in the settings of nodes.
+
+    ``relayed`` puts a relay in front of each peer listener, control listener and target.
+    ``node_module`` is the module that runs as a node.
+    """
+
+    services: tuple[ServicePlan, ...]
+    relayed: bool = False
+    budget_per_request: int = 3
+    upstream_ratio: float = 0.1
+    node_settings: dict[str, int | str] = field(factory=dict)
+    node_module: str = "cottonlink.node"
+
+
+@frozen
+class UpstreamAddresses:
+    """Addresses of one upstream; ``seen_*`` are the ones that other processes get to know."""
+
+    name: str
+    service: ServicePlan
+    data_centre: str
+    caller: str
+    peer: str
+    control: str
+    target: str
+    seen_peer: str
+    seen_control: str
+    seen_target: str
+
+
+def make_policy_record(
+    plan: FleetPlan, upstreams: dict[str, UpstreamAddresses], version: int
+) -> dict:
+    """Return a policy record of schema 2 for ``plan``, listing the given upstreams only."""
+    return {
+        "schema": 2,
+        "version": version,
+        "services": [
+            {
+                "name": service.name,
+                "upstreams": [
+                    _upstream_record(upstream)
+                    for upstream in upstreams.values()
+                    if upstream.service.name == service.name
+                ],
+                "kinds": [_kind_record(kind) for kind in service.kinds],
+            }
+            for service in plan.services
+        ],
+        "retry": {
+            "budget_per_request": plan.budget_per_request,
+            "upstream_ratio": plan.upstream_ratio,
+        },
+    }
+
+
+def _upstream_record(upstream: UpstreamAddresses) -> dict:
+    return {
+        "name": upstream.name,
+        "data_centre": upstream.data_centre,
+        "peer_address": upstream.seen_peer,
+        "control_address": upstream.seen_control,
+        "slots": upstream.service.slots,
+        "connections": upstream.service.connections,
+    }
+
+
+def _kind_record(kind: KindPlan) -> dict:
+    return {
+        "name": kind.name,
+        "methods": list(kind.methods),
+        "path": kind.path,
+        "importance": kind.importance,
+        "repeatable": kind.repeatable,
+        "timeout_ms": kind.timeout_ms,
+    }
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,139 @@
+"""The invariant checker finds each kind of violation, and none in a sound record."""
+
+from __future__ import annotations
+
+import unittest
+
+from emulator.checker import Evidence, Leave, Shutdown, check_invariants
+from emulator.journal import Run, RunOutcome
+from emulator.load import BROKEN_ANSWER, Call, CallPlan, Send
+
+NODE = "127.0.0.1:1"
+
+
+def make_run(key: str = "k", send_id: str = "s", start_ms: int = 10, **changes: object) -> Run:
+    """A finished run on target ``t``."""
+    content = {
+        "run_id": 0,
+        "target": "t",
+        "method": "POST",
+        "path": "/bookings",
+        "key": key,
+        "root_id": "r",
+        "call": "c",
+        "send_id": send_id,
+        "start_ms": start_ms,
+        "end_ms": start_ms + 1,
+        "outcome": RunOutcome.FINISHED,
+    }
+    return Run(**{**content, **changes})
+
+
+def make_call(key: str = "k", **changes: object) -> Call:
+    """A call with one send, answered whole unless ``changes`` say otherwise."""
+    whole = {"status": 200, "executed": "yes", "whole": True, "answered_key": key}
+    content = {**whole, "answered_ms": 20, "answered_send_id": "s", **changes}
+    return Call(CallPlan(0, "POST", "/x", key, "r", (NODE,)), [Send("s", NODE, 5, **content)])
+
+
+def make_event(sequence: int, kind: str, code: str = "", **details: object) -> dict:
+    """An event of node ``n``."""
+    return {
+        "node": "n",
+        "sequence": sequence,
+        "kind": kind,
+        "code": code,
+        "request_id": "r",
+        "call_id": details.pop("call_id", "c"),
+        "details": details,
+    }
+
+
+def broken(evidence: Evidence) -> set[str]:
+    """Names of the invariants that the checker finds broken."""
+    return {violation.invariant for violation in check_invariants(evidence)}
+
+
+class CheckerTest(unittest.TestCase):
+    def test_sound_record(self) -> None:
+        """Guards against a checker that reports violations in a sound record."""
+        events = [
+            make_event(1, "policy_accepted", version=1),
+            make_event(2, "retried"),
+            make_event(3, "queued", call_id="q", importance=2, repeatable=1),
+            make_event(4, "evicted", "overloaded", call_id="q", importance=2, repeatable=1),
+            make_event(5, "refused", "overloaded", call_id="w", importance=8, repeatable=0),
+            make_event(6, "state_changed", "leaving"),
+        ]
+        evidence = Evidence([make_call()], [make_run()], events)
+        evidence.final_versions = {"n": 1}
+        evidence.published_version = 1
+        evidence.shutdowns = [Shutdown("t", NODE, 15, 0)]
+        evidence.leaves = [Leave("t", 9)]
+        self.assertEqual(broken(evidence), set())
+
+    def test_retry_budget(self) -> None:
+        """Guards against missing a root request with more retries than its budget."""
+        evidence = Evidence(events=[make_event(number, "retried") for number in range(4)])
+        self.assertEqual(broken(evidence), {"I1"})
+
+    def test_shed_order(self) -> None:
+        """Guards against missing a booking that is shed while a read keeps its place."""
+        events = [
+            make_event(1, "admitted", call_id="q", importance=2, repeatable=1),
+            make_event(2, "refused", "overloaded", call_id="w", importance=8, repeatable=0),
+        ]
+        self.assertEqual(broken(Evidence(events=events)), {"I2"})
+
+    def test_whole_answers(self) -> None:
+        """Guards against missing a foreign or cut answer."""
+        calls = [
+            make_call(answered_key="other"),
+            make_call("", answered_send_id="other"),
+            make_call(whole=False, code=BROKEN_ANSWER),
+            make_call(whole=False, code=BROKEN_ANSWER, status=0, executed="unknown"),
+        ]
+        for call in calls:
+            self.assertEqual(broken(Evidence([call])), {"I3"})
+
+    def test_not_run(self) -> None:
+        """Guards against missing a run of a request that was reported as not run."""
+        refused = {"status": 503, "executed": "no", "whole": False}
+        evidence = Evidence([make_call(**refused)], [make_run()])
+        self.assertEqual(broken(evidence), {"I4"})
+        earlier = make_run(send_id="other", start_ms=1)
+        evidence = Evidence([make_call(permit="p", **refused)], [earlier])
+        self.assertEqual(broken(evidence), {"I4"})
+
+    def test_at_most_once(self) -> None:
+        """Guards against missing two runs of one key on different targets."""
+        runs = [make_run(), make_run(target="u", send_id="other")]
+        self.assertEqual(broken(Evidence(runs=runs)), {"I5"})
+
+    def test_leaving(self) -> None:
+        """Guards against missing new work on a leaving target, by its journal or its node."""
+        evidence = Evidence(runs=[make_run(start_ms=9_000)], leaves=[Leave("t", 10)])
+        self.assertEqual(broken(evidence), {"I6"})
+        events = [make_event(1, "state_changed", "leaving"), make_event(2, "admitted")]
+        self.assertEqual(broken(Evidence(events=events)), {"I6"})
+
+    def test_shutdown(self) -> None:
+        """Guards against missing a request that a graceful shutdown cut off."""
+        cut = make_call(whole=False, status=502, executed="unknown", code="connection_lost")
+        records = [
+            Evidence(shutdowns=[Shutdown("t", NODE, 15, None)]),
+            Evidence([cut], shutdowns=[Shutdown("t", NODE, 15, 0)]),
+            Evidence(
+                runs=[make_run(outcome=RunOutcome.CANCELLED)],
+                shutdowns=[Shutdown("t", NODE, 15, 0)],
+            ),
+        ]
+        for evidence in records:
+            self.assertEqual(broken(evidence), {"I7"})
+
+    def test_policy(self) -> None:
+        """Guards against missing a return to an older policy and a node that lags behind."""
+        events = [make_event(n, "policy_accepted", version=v) for n, v in enumerate((2, 1))]
+        self.assertEqual(broken(Evidence(events=events)), {"I8"})
+        lagging = Evidence(final_versions={"n": 1}, published_version=2)
+        self.assertEqual(broken(lagging), {"I8"})
