--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -196,9 +196,9 @@
             is_leaving = event["code"] == "leaving"
         elif event["kind"] == EventKind.QUEUED:
             accepted.add(event["call_id"])
-        elif event["kind"] == EventKind.ADMITTED:
-            if is_leaving and event["call_id"] not in accepted:
-                yield Violation("I6", f"{node} admitted {event['call_id']} while leaving")
+        is_new = event["kind"] == EventKind.ADMITTED and event["call_id"] not in accepted
+        if is_leaving and is_new:
+            yield Violation("I6", f"{node} admitted {event['call_id']} while leaving")
 
 
 def _check_shutdown(evidence: Evidence) -> Iterable[Violation]:
