--- a/emulator/load.py
+++ b/emulator/load.py
@@ -101,6 +101,14 @@
             return CallOutcome.REFUSED_NOT_RUN
         return CallOutcome.UNKNOWN
 
+    @property
+    def held_permit(self) -> str:
+        """The permit that goes with the next send, or an empty text."""
+        permit = ""
+        for send in self.sends:
+            permit = _next_permit(permit, send)
+        return permit
+
     @property
     def last(self) -> Send:
         return self.sends[-1]
@@ -120,22 +128,28 @@
     def call(self, plan: CallPlan) -> Call:
         """Send a request until it is answered whole or the sends are used up."""
         call = Call(plan)
-        permit = ""
-        # A send that only fetches a permit is a part of the next one.
-        while len([s for s in call.sends if not s.new_permit]) < self.options.max_sends:
-            node = plan.nodes[len(call.sends) % len(plan.nodes)]
+        self.go_on(call, self.options.max_sends)
+        return call
+
+    def go_on(self, call: Call, send_count: int) -> None:
+        """Send the request of ``call`` again, up to ``send_count`` times.
+
+        A send that only fetches a permit is a part of the next one and isn't counted.
+        """
+        permit = call.held_permit
+        while send_count > 0:
+            node = call.plan.nodes[len(call.sends) % len(call.plan.nodes)]
             if call.sends and call.last.new_permit:
                 node = call.last.node
-            send = self.send(plan, node, len(call.sends), permit)
+            send = self.send(call.plan, node, len(call.sends), permit)
             call.sends.append(send)
             if send.whole or _is_settled(send):
-                break
-            permit = _next_permit(permit, send)
-            if not send.new_permit:
+                return
+            is_permit_fetch = bool(send.new_permit) and not permit
+            permit = call.held_permit
+            if not is_permit_fetch:
+                send_count -= 1
                 self._pause(send)
-            elif len(call.sends) >= 3 * self.options.max_sends:
-                break
-        return call
 
     def send(self, plan: CallPlan, node: str, number: int = 0, permit: str = "") -> Send:
         """Make one HTTP request and return what came back; never raises for a failed one."""
--- /dev/null
+++ b/emulator/matrix.py
@@ -0,0 +1,124 @@
+"""The fault matrix: every fault at every step of a call, of a leave and of a policy change.
+
+Cells are generated from the two lists. A cell that can't exist carries the reason.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from cottonlink.errors import Step
+
+
+class MatrixFault(enum.StrEnum):
+    """Faults of ``docs/design.md``, section 1.4, and those that follow from section 6."""
+
+    KILL = "kill"
+    PAUSE = "pause_and_late_resume"
+    REFUSED = "connection_refused"
+    RESET = "reset"
+    SILENT = "silent_connection"
+    SLOW = "slow_peer"
+    TRUNCATED = "truncated_answer"
+    DUPLICATE = "duplicate_and_late_answer"
+    HEALTH = "misleading_health"
+    VM_LIST = "stale_or_absent_vm_list"
+    CONFIG = "config_service_down_stale_or_rolled_back"
+    PARTITION = "partition"
+    CRASH = "crashing_request"
+    CLOCK = "clock_jump"
+    TWO = "two_faults_together"
+    TWICE = "same_fault_twice"
+
+
+class Place(enum.StrEnum):
+    """The connection that a step uses: caller to ingress, ingress to owner, owner to target."""
+
+    CALLER = "caller"
+    PEER = "peer"
+    TARGET = "target"
+
+
+CALL_STEPS = (
+    Step.ACCEPT,
+    Step.IDENTIFY,
+    Step.ROUTE,
+    Step.CONNECT,
+    Step.SEND_HEAD,
+    Step.SEND_BODY,
+    Step.QUEUE,
+    Step.HAND_OVER,
+    Step.RUN,
+    Step.FIRST_BYTE,
+    Step.BODY,
+    Step.RELAY,
+)
+OTHER_STEPS = (Step.CANCEL, Step.DRAIN, Step.POLICY_READ, Step.POLICY_SPREAD)
+STEPS = CALL_STEPS + OTHER_STEPS
+POLICY_STEPS = frozenset({Step.POLICY_READ, Step.POLICY_SPREAD})
+
+PLACES = {
+    Step.ACCEPT: Place.CALLER,
+    Step.IDENTIFY: Place.CALLER,
+    Step.RELAY: Place.CALLER,
+    Step.HAND_OVER: Place.TARGET,
+    Step.FIRST_BYTE: Place.TARGET,
+    Step.BODY: Place.TARGET,
+}
+
+_OPEN_STEPS = frozenset(
+    {
+        Step.IDENTIFY,
+        Step.SEND_HEAD,
+        Step.SEND_BODY,
+        Step.QUEUE,
+        Step.RUN,
+        Step.FIRST_BYTE,
+        Step.BODY,
+        Step.RELAY,
+    }
+)
+_BEFORE_ANSWER = frozenset(CALL_STEPS) - {Step.FIRST_BYTE, Step.BODY, Step.RELAY}
+_CONNECTION_FAULTS = frozenset({MatrixFault.RESET, MatrixFault.SILENT, MatrixFault.SLOW})
+_ANSWER_FAULTS = frozenset({MatrixFault.TRUNCATED, MatrixFault.DUPLICATE})
+_TARGET_FAULTS = frozenset({MatrixFault.CRASH, MatrixFault.HEALTH})
+
+
+@frozen
+class Cell:
+    """One fault at one step; ``impossible`` holds the reason if there is no such case."""
+
+    step: Step
+    fault: MatrixFault
+    impossible: str = ""
+
+    @property
+    def name(self) -> str:
+        return f"{self.step}/{self.fault}"
+
+    @property
+    def place(self) -> Place:
+        return PLACES.get(self.step, Place.PEER)
+
+
+def make_cells(steps: Iterable[Step] = STEPS) -> list[Cell]:
+    """Return the cells of ``steps``, possible or not."""
+    return [Cell(step, fault, find_reason(step, fault)) for step in steps for fault in MatrixFault]
+
+
+def find_reason(step: Step, fault: MatrixFault) -> str:
+    """Return why ``fault`` can't strike at ``step``, or an empty text."""
+    if fault is MatrixFault.REFUSED and step in _OPEN_STEPS:
+        return "the connection is already open, and only a connect can be refused"
+    if fault in _ANSWER_FAULTS and step in _BEFORE_ANSWER:
+        return "no byte of the answer exists yet"
+    if fault in _CONNECTION_FAULTS and step is Step.ROUTE:
+        return "no connection of the call exists while its upstream is chosen"
+    if fault is MatrixFault.SLOW and step in (Step.QUEUE, Step.RUN):
+        return "no byte of the call moves while it waits or runs"
+    if fault in _TARGET_FAULTS and step in POLICY_STEPS:
+        return "no target takes part in a policy change"
+    return ""
--- a/emulator/relay.py
+++ b/emulator/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that injects faults between a node and its peers or its target."""
+"""A TCP relay that injects faults between a node and its peers, target, callers or platform."""
 
 from __future__ import annotations
 
@@ -7,20 +7,28 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Callable
 
 from attrs import define, field, frozen
 
 from emulator.addresses import split_address
+from emulator.gates import Direction, Gate, Release
 
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 5
 # Closing a socket with a linger time of 0 sends a reset instead of an orderly end.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SLOW_CHUNK_BYTES = 64
+SLOW_PAUSE_S = 0.01
 
 
 class Fault(enum.StrEnum):
-    """What a relay does to connections."""
+    """What a relay does to connections.
+
+    ``SILENT_REQUEST`` drops everything in both directions; ``SILENT_ANSWER`` holds answers back.
+    ``TRUNCATE_ANSWER`` ends the connection in good order, ``RESET_*`` with a reset.
+    """
 
     NONE = "none"
     REFUSE = "refuse"
@@ -38,32 +46,37 @@
 class FaultSpec:
     """A fault and the byte or time at which it strikes.
 
-    ``after_bytes`` counts bytes of the request or the answer that still pass. ``limit`` is the
-    number of connections it strikes; later ones pass. Zero stands for all.
+    ``after_bytes`` counts bytes of the request or the answer that still pass.
     """
 
     fault: Fault = Fault.NONE
     after_bytes: int = 0
     delay_ms: int = 0
-    limit: int = 0
+
+
+SILENCE = FaultSpec(Fault.SILENT_REQUEST)
 
 
 def reset(connection: socket.socket) -> None:
     """Close ``connection`` with a reset."""
     with contextlib.suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    _shut(connection)
+    _shut(connection, socket.SHUT_RD)
 
 
-def _shut(connection: socket.socket) -> None:
+def _shut(connection: socket.socket, how: int = socket.SHUT_RDWR) -> None:
     with contextlib.suppress(OSError):
-        connection.shutdown(socket.SHUT_RDWR)
+        connection.shutdown(how)
     connection.close()
 
 
 @define(eq=False)
 class _Link:
-    """One relayed connection. ``spec`` is replaced when a fault strikes open connections."""
+    """One relayed connection. ``spec`` is replaced when a fault strikes open connections.
+
+    ``gate`` is the gate whose marker the connection has sent; ``marked_bytes`` counts the bytes
+    of the gate's direction since then.
+    """
 
     near: socket.socket
     far: socket.socket
@@ -71,6 +84,8 @@
     source: str = ""
     thawed: threading.Event = field(factory=threading.Event)
     closed: threading.Event = field(factory=threading.Event)
+    gate: Gate | None = None
+    marked_bytes: int = 0
 
     def close(self, *, with_reset: bool = False) -> None:
         self.closed.set()
@@ -86,7 +101,7 @@
     """Relays ``listen`` to ``upstream``; both are ``ip:port``.
 
     ``identify`` maps the address of a connecting socket to the name of its process, for cuts
-    between sets of nodes. Its result is asked for once for each connection.
+    between sets of nodes; it is called once for each connection.
     """
 
     def __init__(
@@ -101,21 +116,21 @@
         self._lock = threading.Lock()
         self._spec = FaultSpec()
         self._cut_sources: frozenset[str] = frozenset()
+        self._gate: Gate | None = None
         self._links: list[_Link] = []
-        self._struck_count = 0
         self._server: socket.socket | None = None
         self._open_server()
 
-    @property
-    def struck_count(self) -> int:
-        """Number of connections that met the present fault."""
-        return self._struck_count
+    def set_gate(self, gate: Gate | None) -> None:
+        """Hold connections at ``gate``; None removes the gate and releases what it holds."""
+        previous, self._gate = self._gate, gate
+        if previous is not None:
+            previous.release()
 
     def inject(self, spec: FaultSpec, *, on_open: bool = False) -> None:
         """Apply ``spec`` to new connections, and with ``on_open`` to those that are open."""
         with self._lock:
             self._spec = spec
-            self._struck_count = 0
             links = list(self._links)
         if spec.fault is Fault.REFUSE:
             self._close_server()
@@ -128,28 +143,22 @@
 
     def freeze_open(self) -> None:
         """Make all open connections silent for good, while new ones work."""
-        with self._lock:
-            links = list(self._links)
-        for link in links:
-            link.spec = FaultSpec(Fault.SILENT_REQUEST)
+        for link in self._open_links():
+            link.spec = SILENCE
 
     def cut(self, sources: frozenset[str]) -> None:
         """Drop everything from and to the named processes; an empty set ends the cut."""
         with self._lock:
             self._cut_sources = sources
-            links = list(self._links)
-        for link in links:
-            link.spec = self._spec
-            if link.source in sources:
-                link.spec = FaultSpec(Fault.SILENT_REQUEST)
+        for link in self._open_links():
+            link.spec = SILENCE if link.source in sources else self._spec
 
     def heal(self) -> None:
         """End all faults; held answers go on, silent connections are closed."""
         self.inject(FaultSpec())
         with self._lock:
             self._cut_sources = frozenset()
-            links = list(self._links)
-        for link in links:
+        for link in self._open_links():
             if link.spec.fault is Fault.SILENT_REQUEST:
                 link.close(with_reset=True)
             link.spec = FaultSpec()
@@ -159,12 +168,15 @@
 
     def close(self) -> None:
         """Stop relaying and close all connections."""
+        self.set_gate(None)
         self._close_server()
-        with self._lock:
-            links = list(self._links)
-        for link in links:
+        for link in self._open_links():
             link.close()
 
+    def _open_links(self) -> list[_Link]:
+        with self._lock:
+            return list(self._links)
+
     def _open_server(self) -> None:
         server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -212,23 +224,18 @@
 
     def _spec_for(self, source: str) -> FaultSpec:
         with self._lock:
-            if source and source in self._cut_sources:
-                return FaultSpec(Fault.SILENT_REQUEST)
-            if self._spec.fault is Fault.NONE:
-                return self._spec
-            if self._spec.limit and self._struck_count >= self._spec.limit:
-                return FaultSpec()
-            self._struck_count += 1
-            return self._spec
+            return SILENCE if source and source in self._cut_sources else self._spec
 
     def _pump_requests(self, link: _Link) -> None:
         passed_bytes = 0
         while chunk := _receive(link.near):
             if link.spec.fault is Fault.SILENT_REQUEST:
                 continue
+            self._mark(link, chunk)
             if link.spec.fault is Fault.RESET_IN_REQUEST:
                 chunk = chunk[: max(0, link.spec.after_bytes - passed_bytes)]
-            _send(link.far, chunk)
+            if not self._pass(link, link.far, chunk, Direction.REQUEST):
+                return
             passed_bytes += len(chunk)
             if self._strikes(link, Fault.RESET_IN_REQUEST, passed_bytes):
                 link.close(with_reset=True)
@@ -247,7 +254,9 @@
                 link.closed.wait(link.spec.delay_ms / 1000)
             if fault in (Fault.TRUNCATE_ANSWER, Fault.RESET_IN_ANSWER):
                 chunk = chunk[: max(0, link.spec.after_bytes - passed_bytes)]
-            _send(link.near, chunk * 2 if fault is Fault.DUPLICATE_ANSWER else chunk)
+            chunk = chunk * 2 if fault is Fault.DUPLICATE_ANSWER else chunk
+            if not self._pass(link, link.near, chunk, Direction.ANSWER):
+                return
             passed_bytes += len(chunk)
             if self._strikes(link, Fault.RESET_IN_ANSWER, passed_bytes):
                 link.close(with_reset=True)
@@ -259,6 +268,50 @@
     def _strikes(self, link: _Link, fault: Fault, passed_bytes: int) -> bool:
         return link.spec.fault is fault and passed_bytes >= link.spec.after_bytes
 
+    def _mark(self, link: _Link, chunk: bytes) -> None:
+        """Tie ``link`` to the gate if its request carries the gate's marker."""
+        gate = self._gate
+        if gate is not None and link.gate is not gate and gate.marker in chunk and gate.claim():
+            link.gate = gate
+            link.marked_bytes = 0
+
+    def _pass(
+        self, link: _Link, to: socket.socket, chunk: bytes, direction: Direction
+    ) -> bool:
+        """Send ``chunk`` on, through the gate if it applies; return whether the link goes on."""
+        gate = link.gate
+        if gate is None or gate.direction is not direction:
+            _send(to, chunk)
+            return True
+        room = gate.after_bytes - link.marked_bytes
+        link.marked_bytes += len(chunk)
+        if room < 0 or len(chunk) <= room:
+            _send(to, chunk)
+            return True
+        _send(to, chunk[:room])
+        return self._go_on(link, to, chunk, room, gate.wait_release())
+
+    def _go_on(
+        self, link: _Link, to: socket.socket, chunk: bytes, room: int, how: Release
+    ) -> bool:
+        rest = chunk[room:]
+        if how is Release.RESET:
+            link.close(with_reset=True)
+            return False
+        if how is Release.TRUNCATE:
+            link.close()
+            return False
+        if how is Release.SILENT:
+            link.spec = SILENCE
+            return True
+        if how is Release.SLOW:
+            for start in range(0, len(rest), SLOW_CHUNK_BYTES):
+                _send(to, rest[start : start + SLOW_CHUNK_BYTES])
+                time.sleep(SLOW_PAUSE_S)
+            return True
+        _send(to, rest + chunk if how is Release.DUPLICATE else rest)
+        return True
+
 
 def _receive(connection: socket.socket) -> bytes:
     try:
