Add the command line

Need: operators check settings and records before they publish, ask a node for its state, and read the time line of the fleet; errors carry code, step, peer and a hint. Ruled out: one module for everything; commands (start a node) and queries (read) are apart, as in the rest of the code.

--- a/src/cottonlink/cli/__init__.py
+++ b/src/cottonlink/cli/__init__.py
@@ -1,9 +1,35 @@
-"""Command line."""
+"""Command line: commands and queries."""
 
 import click
 
+from cottonlink.cli._commands import node_group
+from cottonlink.cli._queries import (
+    explain,
+    limits,
+    peers,
+    policy_group,
+    settings_group,
+    status,
+    timeline,
+)
+
+__all__ = ["main"]
+
 
 @click.group()
 @click.version_option(package_name="cottonlink")
 def main() -> None:
     """Overload control layer for service call graphs."""
+
+
+for _command in (
+    node_group,
+    settings_group,
+    policy_group,
+    status,
+    limits,
+    peers,
+    timeline,
+    explain,
+):
+    main.add_command(_command)
--- a/src/cottonlink/cli/_output.py
+++ b/src/cottonlink/cli/_output.py
@@ -27,7 +27,9 @@
 _HINTS = {
     "settings_invalid": "docs/operations.md lists every setting with its unit",
     "policy_invalid": "correct the listed fields; nothing was published",
-    "policy_schema_unknown": "this program is older than the record; publish schema 2",
+    "policy_malformed": "the record is neither JSON nor YAML, or not a mapping",
+    "policy_schema_newer": "this program is older than the record; update it or publish schema 2",
+    "policy_too_large": "the configuration service holds values of up to 1 MB",
     "node_unreachable": "check that the address is the node's control_address",
     "answer_malformed": "check that the address is a control listener, not a caller listener",
     "request_not_found": "nodes keep their latest events only; the id is the trace id",
