Let a reported drain end when the report is withdrawn

Cause: the lifecycle took one 'draining' from the target's health endpoint as final. Ruled out: ignoring 'draining', since then a target that leaves gets new work until the VM list, which lags, says so. Before: test_false_report stays in state leaving. After: the node warms up again; SIGTERM is still final.

--- a/src/cottonlink/decisions/_lifecycle.py
+++ b/src/cottonlink/decisions/_lifecycle.py
@@ -13,6 +13,8 @@
 # A tick is due every few hundred ms; a longer gap means that the process was paused.
 PAUSE_THRESHOLD_MS = 2_000
 
+TARGET_DRAINING = "target_draining"
+
 
 class NodeState(enum.StrEnum):
     """State of a node as announced on answers and by gossip."""
@@ -52,19 +54,42 @@
 
 
 class Lifecycle:
-    """State of one node. ``leaving`` and ``stopped`` are final."""
+    """State of one node.
+
+    A shutdown is final. A drain that was only reported (by the target's health endpoint, the VM
+    list or a policy record) ends when the report is withdrawn, because such reports may be
+    wrong: a false one must not take a target out of service for good.
+    """
 
     def __init__(self, now_ms: int) -> None:
         self._last_tick_ms = now_ms
         self._warm_since_ms: int | None = None
         self._needs_refresh = False
         self._stopped = False
-        self.leave_reason: str | None = None
+        self._shutdown_reason: str | None = None
+        self._reported_reasons: dict[str, None] = {}
+
+    @property
+    def leave_reason(self) -> str | None:
+        """Why the node takes no new work, or None."""
+        return self._shutdown_reason or next(iter(self._reported_reasons), None)
 
     def leave(self, reason: str, now_ms: int) -> None:
         """Stop accepting work for good; the first reason is kept."""
-        if self.leave_reason is None:
-            self.leave_reason = reason
+        if self._shutdown_reason is None:
+            self._shutdown_reason = reason
+
+    def suspend(self, reason: str, now_ms: int) -> None:
+        """Stop accepting work until ``resume`` is called with the same reason."""
+        self._reported_reasons[reason] = None
+
+    def resume(self, reason: str, now_ms: int) -> None:
+        """Withdraw a reason; without any other, the node accepts work again, slowly."""
+        if reason not in self._reported_reasons:
+            return
+        del self._reported_reasons[reason]
+        if self._warm_since_ms is not None:
+            self._warm_since_ms = now_ms
 
     def stop(self, now_ms: int) -> None:
         """Record that all accepted work has finished."""
@@ -72,14 +97,16 @@
         self._stopped = True
 
     def target_state(self, state: TargetState, now_ms: int) -> None:
-        """Take in the target's health, which may be late or wrong unless it is ``draining``.
+        """Take in the target's health, which may be late or wrong.
 
-        ``failing`` changes nothing. ``starting`` after the first ``ok`` begins a new slow start,
-        since the target may be cold again, but work is still accepted.
+        ``draining`` stops new work for as long as it is reported. ``failing`` changes nothing.
+        ``starting`` after the first ``ok`` begins a new slow start, since the target may be cold
+        again, but work is still accepted.
         """
         if state is TargetState.DRAINING:
-            self.leave("target_draining", now_ms)
+            self.suspend(TARGET_DRAINING, now_ms)
             return
+        self.resume(TARGET_DRAINING, now_ms)
         is_warm = self._warm_since_ms is not None
         begins_first = state is TargetState.OK and not is_warm
         begins_again = state is TargetState.STARTING and is_warm
