--- a/src/cottonlink/decisions/__init__.py
+++ b/src/cottonlink/decisions/__init__.py
@@ -3,6 +3,53 @@
 Each takes typed events with a monotonic ``now_ms`` and returns typed decisions.
 """
 
+from cottonlink.decisions._admission import (
+    Admission,
+    Cancel,
+    Load,
+    Outcome,
+    Refuse,
+    Start,
+    make_admission,
+)
+from cottonlink.decisions._gossip import (
+    CrashedFingerprint,
+    Gossip,
+    GossipError,
+    LeavingNode,
+    Member,
+    MemberState,
+    VmList,
+    WatchEvidence,
+    dump_gossip,
+    dump_vm_list,
+    parse_gossip,
+    parse_vm_list,
+)
+from cottonlink.decisions._lifecycle import (
+    Lifecycle,
+    NodeState,
+    PauseDetected,
+    TargetState,
+    make_lifecycle,
+)
+from cottonlink.decisions._limits import (
+    LimitAlgorithm,
+)
+from cottonlink.decisions._membership import (
+    Membership,
+    ServiceAccess,
+    make_membership,
+)
+from cottonlink.decisions._membership_changes import (
+    CrashLearned,
+    MemberLeft,
+    MemberReturned,
+    MembershipChange,
+    PolicyBehind,
+    PolicyConflict,
+    VmListBehind,
+)
 from cottonlink.decisions._once import (
     Attach,
     Binding,
@@ -19,13 +66,31 @@
     make_child_bindings,
     make_execution_registry,
 )
-from cottonlink.decisions._permits import incarnation_of_permit, owner_of_permit
+from cottonlink.decisions._outlier import (
+    Ejected,
+    Readmitted,
+)
+from cottonlink.decisions._permits import (
+    incarnation_of_permit,
+    owner_of_permit,
+)
+from cottonlink.decisions._policy_state import (
+    Accepted,
+    Ignored,
+    IgnoredReason,
+    PolicyState,
+    make_policy_state,
+)
 from cottonlink.decisions._quarantine import (
     Quarantine,
     Verdict,
     make_quarantine,
     request_fingerprint,
 )
+from cottonlink.decisions._queue import (
+    Arrival,
+    QueueOrder,
+)
 from cottonlink.decisions._retries import (
     AttemptFailure,
     Draw,
@@ -38,36 +103,106 @@
     make_retry_budgets,
     make_retry_ratio,
 )
+from cottonlink.decisions._routing import (
+    Choice,
+    NoUpstream,
+    Router,
+    RouteRequest,
+    make_router,
+)
+from cottonlink.decisions._threshold import (
+    Threshold,
+)
+from cottonlink.decisions._upstreams import (
+    CallOutcome,
+    RouteResult,
+    UpstreamHint,
+    UpstreamView,
+)
 
 __all__ = [
+    "Accepted",
+    "Admission",
+    "Arrival",
     "Attach",
     "AttemptFailure",
     "Binding",
     "BindingsFull",
+    "CallOutcome",
+    "Cancel",
     "ChildBindings",
+    "Choice",
+    "CrashLearned",
+    "CrashedFingerprint",
     "Denied",
     "Draw",
     "DrawResult",
+    "Ejected",
     "ExecutionRegistry",
+    "Gossip",
+    "GossipError",
+    "Ignored",
+    "IgnoredReason",
     "Issued",
     "Known",
+    "LeavingNode",
+    "Lifecycle",
+    "LimitAlgorithm",
+    "Load",
+    "Member",
+    "MemberLeft",
+    "MemberReturned",
+    "MemberState",
+    "Membership",
+    "MembershipChange",
+    "NoUpstream",
+    "NodeState",
+    "Outcome",
+    "PauseDetected",
+    "PolicyBehind",
+    "PolicyConflict",
+    "PolicyState",
     "Quarantine",
+    "QueueOrder",
+    "Readmitted",
+    "Refuse",
     "RegistryFull",
     "Replay",
     "RetryAction",
     "RetryBudgets",
     "RetryRatio",
+    "RouteRequest",
+    "RouteResult",
+    "Router",
     "Run",
+    "ServiceAccess",
+    "Start",
     "StoredAnswer",
+    "TargetState",
+    "Threshold",
+    "UpstreamHint",
+    "UpstreamView",
     "Verdict",
+    "VmList",
+    "VmListBehind",
+    "WatchEvidence",
     "decide_retry",
+    "dump_gossip",
+    "dump_vm_list",
     "home_node",
     "incarnation_of_permit",
+    "make_admission",
     "make_child_bindings",
     "make_execution_registry",
+    "make_lifecycle",
+    "make_membership",
+    "make_policy_state",
     "make_quarantine",
     "make_retry_budgets",
     "make_retry_ratio",
+    "make_router",
     "owner_of_permit",
+    "parse_gossip",
+    "parse_vm_list",
     "request_fingerprint",
 ]
