Add the control actors of a node

Cause: the data path needs the current policy, members, crashed requests and the health of its target without waiting for any of them. Ruled out: reading the policy body from the service at each node, whose rate would grow with the fleet; and guarding members with the lock of the request path, because sampling 740 members there would hold up calls. Before: decisions without a runtime.

--- a/emulator/relay.py
+++ b/emulator/relay.py
@@ -275,9 +275,7 @@
             link.gate = gate
             link.marked_bytes = 0
 
-    def _pass(
-        self, link: _Link, to: socket.socket, chunk: bytes, direction: Direction
-    ) -> bool:
+    def _pass(self, link: _Link, to: socket.socket, chunk: bytes, direction: Direction) -> bool:
         """Send ``chunk`` on, through the gate if it applies; return whether the link goes on."""
         gate = link.gate
         if gate is None or gate.direction is not direction:
@@ -291,9 +289,7 @@
         _send(to, chunk[:room])
         return self._go_on(link, to, chunk, room, gate.wait_release())
 
-    def _go_on(
-        self, link: _Link, to: socket.socket, chunk: bytes, room: int, how: Release
-    ) -> bool:
+    def _go_on(self, link: _Link, to: socket.socket, chunk: bytes, room: int, how: Release) -> bool:
         rest = chunk[room:]
         if how is Release.RESET:
             link.close(with_reset=True)
--- a/src/cottonlink/decisions/_membership.py
+++ b/src/cottonlink/decisions/_membership.py
@@ -307,7 +307,9 @@
                 self._evidence_ms[entry.data_centre] = seen_ms
 
     def _compare_versions(self, gossip: Gossip) -> list[MembershipChange]:
-        sender = gossip.sender
+        # A listed address counts more than what a message says, so that a message can't make the
+        # fleet fetch from anywhere.
+        sender = self.members().get(gossip.sender.name, gossip.sender)
         changes: list[MembershipChange] = []
         is_same = gossip.policy_version == self._policy_version
         if gossip.policy_version > self._policy_version:
--- /dev/null
+++ b/src/cottonlink/node/_actors/_client.py
@@ -0,0 +1,118 @@
+"""HTTP client of the control actors, with bounds on time and size."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from typing import Any
+
+import urllib3
+from attrs import frozen
+
+from cottonlink._clock import Clock
+from cottonlink.errors import CottonlinkError, Step
+from cottonlink.policy import MAX_RECORD_BYTES
+
+CONNECT_TIMEOUT_MS = 500
+# A body of 1 MB may take several round trips between regions 20 ms apart.
+BODY_TIMEOUT_MS = 2_000
+
+# Peers are chosen at random, so a connection is seldom used again before it is too old.
+_POOL_COUNT = 16
+_CHUNK_BYTES = 65_536
+
+
+@frozen
+class ControlAnswer:
+    """A whole answer; ``body`` is decompressed."""
+
+    status: int
+    body: bytes
+
+
+class ControlClient:
+    """Sends control requests. Thread-safe; an actor has its own."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._pools = urllib3.PoolManager(num_pools=_POOL_COUNT, maxsize=4, retries=False)
+
+    def get(self, address: str, path: str, *, wait_ms: int = 0) -> ControlAnswer:
+        """Read ``path``; the other side may hold the answer back for ``wait_ms``."""
+        return self._request("GET", address, path, b"", wait_ms)
+
+    def post(self, address: str, path: str, data: Any) -> ControlAnswer:
+        """Send ``data`` as JSON."""
+        return self._request("POST", address, path, json.dumps(data).encode(), 0)
+
+    def close(self) -> None:
+        """Close the pooled connections."""
+        self._pools.clear()
+
+    def _request(
+        self, method: str, address: str, path: str, body: bytes, wait_ms: int
+    ) -> ControlAnswer:
+        deadline_ms = self._clock.monotonic_ms() + wait_ms + BODY_TIMEOUT_MS
+        headers = {"Accept-Encoding": "deflate"}
+        if body:
+            headers["Content-Type"] = "application/json"
+        try:
+            response = self._pools.request(
+                method,
+                f"http://{address}{path}",
+                body=body or None,
+                headers=headers,
+                preload_content=False,
+                redirect=False,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_MS / 1000, read=(wait_ms + BODY_TIMEOUT_MS) / 1000
+                ),
+            )
+            try:
+                raw = self._read(response, deadline_ms)
+                response.release_conn()
+            finally:
+                # Without effect on a connection that went back to its pool.
+                response.close()
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            raise _failure("control_unreachable", f"{type(error).__name__}", address) from error
+        if response.headers.get("Content-Encoding", "") == "deflate":
+            raw = _decompress(raw, address)
+        return ControlAnswer(response.status, raw)
+
+    def _read(self, response: urllib3.BaseHTTPResponse, deadline_ms: int) -> bytes:
+        """Read the body by what is there, so that a trickling peer can't hold the actor."""
+        chunks: list[bytes] = []
+        size = 0
+        while chunk := response.read1(_CHUNK_BYTES, decode_content=False):
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_RECORD_BYTES:
+                raise ValueError("body over the limit")
+            if self._clock.monotonic_ms() > deadline_ms:
+                raise ValueError("body too slow")
+        return b"".join(chunks)
+
+
+def parse_json(answer: ControlAnswer, address: str) -> Any:
+    """Return the JSON in ``answer``; raises CottonlinkError unless it is a good answer."""
+    if answer.status != 200:
+        raise _failure("control_refused", f"status {answer.status}", address)
+    try:
+        return json.loads(answer.body)
+    except (ValueError, RecursionError) as error:
+        raise _failure("control_malformed", "the answer is not JSON", address) from error
+
+
+def _decompress(raw: bytes, address: str) -> bytes:
+    try:
+        body = zlib.decompressobj().decompress(raw, MAX_RECORD_BYTES + 1)
+    except zlib.error as error:
+        raise _failure("control_malformed", "the answer is not zlib data", address) from error
+    if len(body) > MAX_RECORD_BYTES:
+        raise _failure("control_malformed", "the answer expands over the limit", address)
+    return body
+
+
+def _failure(code: str, detail: str, address: str) -> CottonlinkError:
+    return CottonlinkError(code, detail, step=Step.POLICY_SPREAD, peer=address)
--- /dev/null
+++ b/src/cottonlink/node/_actors/_control_state.py
@@ -0,0 +1,211 @@
+"""Policy state and membership of a node, shared by its control actors and control listener."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterable
+
+from cottonlink._clock import Clock
+from cottonlink.decisions import (
+    Accepted,
+    CrashLearned,
+    Gossip,
+    Ignored,
+    IgnoredReason,
+    Member,
+    MemberLeft,
+    MemberReturned,
+    Membership,
+    MembershipChange,
+    PolicyBehind,
+    PolicyConflict,
+    ServiceAccess,
+    VmList,
+    VmListBehind,
+    make_policy_state,
+)
+from cottonlink.errors import CottonlinkError, PolicyError
+from cottonlink.node._actors._interfaces import NodeControl
+from cottonlink.observe import EventKind, EventLog
+from cottonlink.policy import Policy
+
+GOSSIP_PEERS = 2
+SPREAD_PEERS = 4
+
+
+class ControlState:
+    """Guards the decisions of the control plane with one lock and reports them to the node.
+
+    The lock is not the one of the request path: a sample of 740 members takes longer than a
+    call may wait. It is never held while the node is called.
+    """
+
+    def __init__(
+        self, node: NodeControl, membership: Membership, events: EventLog, clock: Clock
+    ) -> None:
+        self._node = node
+        self._membership = membership
+        self._events = events
+        self._clock = clock
+        self._policy_state = make_policy_state()
+        self._lock = threading.Lock()
+        self._was_watcher = False
+        self._reported: dict[str, str] = {}
+
+    @property
+    def policy(self) -> Policy | None:
+        """The policy in force, or None."""
+        return self._policy_state.current
+
+    @property
+    def policy_version(self) -> int:
+        """The version in force, or 0."""
+        return self._policy_state.version
+
+    @property
+    def vm_list(self) -> VmList | None:
+        """The VM list in use, or None."""
+        return self._membership.vm_list
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all known members, this node included."""
+        with self._lock:
+            return tuple(self._membership.members().values())
+
+    def watchers(self, data_centre: str) -> tuple[str, ...]:
+        """Return the nodes of ``data_centre`` that watch the configuration service."""
+        with self._lock:
+            return self._membership.watchers(data_centre, self._clock.monotonic_ms())
+
+    def offer_policy(self, policy: Policy, source: str) -> Accepted | Ignored:
+        """Put ``policy`` in force at this node if its version is higher."""
+        with self._lock:
+            result = self._policy_state.offer(policy, source)
+            changes: tuple[MembershipChange, ...] = ()
+            if isinstance(result, Accepted):
+                changes = self._membership.apply_policy(policy)
+        if isinstance(result, Accepted):
+            self._events.record(
+                EventKind.POLICY_ACCEPTED, peer=source, version=policy.version, digest=policy.digest
+            )
+            self._node.apply_policy(policy)
+        elif result.reason is not IgnoredReason.SAME:
+            self._report_once(source, f"policy_{result.reason}", policy.version)
+        self._carry_out(changes)
+        return result
+
+    def report_error(self, error: CottonlinkError) -> None:
+        """Record a fault of the control plane in the time line, once while it lasts."""
+        detail = error.problems[0] if isinstance(error, PolicyError) else error.detail
+        self._report_once(error.peer, error.code, 0, detail)
+
+    def receive_gossip(self, gossip: Gossip) -> tuple[PolicyBehind | VmListBehind, ...]:
+        """Take a message of a peer; return what should be fetched from it.
+
+        Raises GossipError, without any change, if the message can't come from another node.
+        """
+        with self._lock:
+            changes = self._membership.receive(gossip, self._clock.monotonic_ms())
+        self._carry_out(changes)
+        return tuple(c for c in changes if isinstance(c, PolicyBehind | VmListBehind))
+
+    def make_gossip(self, reply_to: Gossip | None = None) -> Gossip:
+        """Return the next message to a peer, or the reply to one."""
+        with self._lock:
+            return self._membership.make_gossip(self._clock.monotonic_ms(), reply_to)
+
+    def gossip_peers(self) -> tuple[Member, ...]:
+        """Return the peers of one periodic round."""
+        with self._lock:
+            now_ms = self._clock.monotonic_ms()
+            standby = self._membership.standby_peer(now_ms)
+            peers = self._membership.gossip_peers(GOSSIP_PEERS, now_ms)
+        return peers if standby is None or standby in peers else (*peers, standby)
+
+    def spread_peers(self) -> tuple[Member, ...]:
+        """Return the peers that are told of something new at once."""
+        with self._lock:
+            return self._membership.gossip_peers(SPREAD_PEERS, self._clock.monotonic_ms())
+
+    def peer_answered(self, member: Member) -> None:
+        """Take note that ``member`` answered."""
+        with self._lock:
+            self._membership.peer_answered(member, self._clock.monotonic_ms())
+
+    def peer_failed(self, member: Member) -> None:
+        """Take note that ``member`` did not answer."""
+        with self._lock:
+            self._membership.peer_failed(member, self._clock.monotonic_ms())
+
+    def expire(self) -> None:
+        """Forget what is too old."""
+        with self._lock:
+            changes = self._membership.expire(self._clock.monotonic_ms())
+        self._carry_out(changes)
+
+    def apply_vm_list(self, vm_list: VmList) -> bool:
+        """Take a VM list; return whether it is later than the one in use."""
+        with self._lock:
+            is_later = vm_list.version > self._membership.vm_list_version
+            changes = self._membership.apply_vm_list(vm_list, self._clock.monotonic_ms())
+        self._carry_out(changes)
+        return is_later
+
+    def vm_list_version(self) -> int:
+        """Return the version of the VM list in use, or 0."""
+        return self._membership.vm_list_version
+
+    def service_access(self) -> ServiceAccess:
+        """Return how this node may use the configuration service and the VM list now."""
+        with self._lock:
+            now_ms = self._clock.monotonic_ms()
+            access = self._membership.service_access(now_ms)
+            is_watcher = access is ServiceAccess.WATCH
+            has_changed = is_watcher is not self._was_watcher
+            self._was_watcher = is_watcher
+        if has_changed:
+            self._events.record(EventKind.WATCHER_CHANGED, code="began" if is_watcher else "ceased")
+        return access
+
+    def watch_succeeded(self) -> None:
+        """Take note that this node reached the configuration service."""
+        with self._lock:
+            self._membership.watch_succeeded(self._clock.monotonic_ms())
+        self._reported.clear()
+
+    def announce_leaving(self) -> None:
+        """Tell the fleet with the next gossip that this node leaves."""
+        with self._lock:
+            self._membership.announce_leaving(self._clock.monotonic_ms())
+
+    def announce_crash(self, fingerprint: str, crashes: int) -> None:
+        """Tell the fleet with the next gossip how many targets a request has crashed."""
+        with self._lock:
+            self._membership.announce_crash(fingerprint, crashes, self._clock.monotonic_ms())
+
+    def _carry_out(self, changes: Iterable[MembershipChange]) -> None:
+        own_name = self._membership.own.name
+        for change in changes:
+            match change:
+                case MemberLeft(name) if name == own_name:
+                    self._node.leave("vm_list")
+                case MemberLeft(name):
+                    self._node.member_left(name)
+                case MemberReturned(name) if name != own_name:
+                    self._node.member_returned(name)
+                case CrashLearned(fingerprint, crashes):
+                    self._node.learn_suspicion(fingerprint, crashes)
+                case PolicyConflict(member, version):
+                    self._report_once(member.name, "policy_conflict", version)
+
+    def _report_once(self, source: str, code: str, version: int, detail: str = "") -> None:
+        """A fault repeats with every watch and exchange; the ring of events would hold no other."""
+        text = f"{code} {version} {detail}"
+        if self._reported.get(source) == text:
+            return
+        if len(self._reported) > 256:
+            self._reported.clear()
+        self._reported[source] = text
+        self._events.record(
+            EventKind.POLICY_REJECTED, peer=source, code=code, version=version, detail=detail[:200]
+        )
