Test policy and membership over generated histories of a fleet

Cause: a version must never fall and must reach every node within 17 s, whatever is lost, delayed, cut off, restarted or rolled back, and single examples don't show that. Ruled out: real sockets for these histories, whose verdict would depend on the speed of the machine; a fleet of the pure modules runs in virtual time instead. Before: no test of either module. The test of hostile messages found that an empty fingerprint was accepted; it is refused now.

--- /dev/null
+++ b/bench/control_fleet.py
@@ -0,0 +1,356 @@
+"""Control decisions of many nodes in one process and in virtual time, over a fake network.
+
+It runs the pure modules only (PolicyState, Membership) with the intervals of the actors. Messages
+are delayed, lost or cut off as the caller of ``ControlFleet`` says; nothing depends on the speed
+of the machine, and equal seeds give equal runs.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import json
+import random
+from collections.abc import Callable
+
+from attrs import define, field
+
+from cottonlink.decisions import (
+    Accepted,
+    Gossip,
+    Ignored,
+    Member,
+    Membership,
+    PolicyBehind,
+    PolicyState,
+    ServiceAccess,
+    dump_gossip,
+    make_membership,
+    make_policy_state,
+    parse_gossip,
+)
+from cottonlink.node._actors._backoff import Backoff
+from cottonlink.node._actors._control_state import GOSSIP_PEERS, SPREAD_PEERS
+from cottonlink.node._actors._gossip import GOSSIP_INTERVAL_MS
+from cottonlink.node._actors._watcher import (
+    FIRST_BACKOFF_MS,
+    IDLE_MS,
+    MAX_BACKOFF_MS,
+    READ_INTERVAL_MS,
+    WATCH_WAIT_MS,
+)
+from cottonlink.policy import Policy, encode_policy, load_policy
+
+REGION_DELAY_MS = 1.5
+CROSS_REGION_DELAY_MS = 20.0
+SERVICE_DELAY_MS = 5.0
+CONNECT_TIMEOUT_MS = 500
+READ_TIMEOUT_MS = 2_000
+
+# Request line and header fields of one exchange as urllib3 and waitress write them, in both
+# directions, rounded up.
+REQUEST_HEAD_BYTES = 220
+ANSWER_HEAD_BYTES = 170
+
+
+@define(eq=False)
+class FleetNode:
+    """One node: its decisions, and what the network did to it."""
+
+    own: Member
+    membership: Membership
+    policy_state: PolicyState
+    backoff: Backoff
+    is_alive: bool = True
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    versions: list[int] = field(factory=list)
+    is_fetching: bool = False
+
+
+@define
+class Service:
+    """The configuration service: what it serves now, and how often it was read.
+
+    ``ignores_after_version`` answers at once with a record that the reader has or has passed.
+    """
+
+    policy: Policy | None = None
+    is_up: bool = True
+    ignores_after_version: bool = False
+    reads: list[int] = field(factory=list)
+    waiting: dict[str, Callable[[], None]] = field(factory=dict)
+
+
+class ControlFleet:
+    """Nodes and the service in virtual time; ``now_ms`` is the time of the last event."""
+
+    def __init__(self, seed: int, *, checks_messages: bool = True) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0.0
+        self.nodes: dict[str, FleetNode] = {}
+        self.service = Service()
+        self.loss = 0.0
+        self.extra_delay_ms = 0.0
+        self.is_cut: Callable[[str, str], bool] = lambda a, b: False
+        self.reaches_service: Callable[[str], bool] = lambda name: True
+        self.message_sizes: list[int] = []
+        self.fetch_count = 0
+        self._checks_messages = checks_messages
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._incarnations = itertools.count()
+
+    def start(self, name: str, data_centre: str, seeds: tuple[str, ...] = ()) -> FleetNode:
+        """Start a node, or replace the one of that name by a process without memory."""
+        address = self.address(name)
+        own = Member(name, data_centre, address, address, incarnation=f"{next(self._incarnations)}")
+        seed_addresses = [self.address(seed) for seed in seeds]
+        rng = random.Random(self.rng.random())
+        membership = make_membership(own, seed_addresses, rng, self._now())
+        backoff = Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, rng)
+        node = FleetNode(own, membership, make_policy_state(), backoff)
+        if name in self.nodes:
+            self.nodes[name].is_alive = False
+        self.nodes[name] = node
+        self._after(self.rng.uniform(0, 50), lambda: self._tick(node))
+        self._after(self.rng.uniform(0, 50), lambda: self._watch(node))
+        return node
+
+    def kill(self, name: str) -> None:
+        """Stop a node without notice."""
+        self.nodes[name].is_alive = False
+
+    def publish(self, policy: Policy) -> None:
+        """Replace the record at the service, by an older one too."""
+        self.service.policy = policy
+        waiting, self.service.waiting = self.service.waiting, {}
+        for wake in waiting.values():
+            wake()
+
+    def run(self, duration_ms: float, until: Callable[[], bool] | None = None) -> bool:
+        """Run for ``duration_ms``, or until the condition is true; return whether it became so."""
+        end_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._queue)
+            action()
+            if until and until():
+                return True
+        self.now_ms = end_ms
+        return False
+
+    def live_versions(self) -> list[int]:
+        """Return the version in force at each live node."""
+        return [node.policy_state.version for node in self.nodes.values() if node.is_alive]
+
+    def offer(self, node: FleetNode, policy: Policy, source: str) -> Accepted | Ignored:
+        """Offer a record to a node and have it spread if it is accepted."""
+        result = node.policy_state.offer(policy, source)
+        if isinstance(result, Accepted):
+            node.versions.append(policy.version)
+            node.membership.apply_policy(policy)
+            for peer in node.membership.gossip_peers(SPREAD_PEERS, self._now()):
+                self._exchange(node, peer)
+        return result
+
+    @staticmethod
+    def address(name: str) -> str:
+        """Return the address of a node; its name ends with its number."""
+        number = int(name.rpartition("-")[2])
+        return f"10.{number >> 8 & 255}.{number & 255}.1:80"
+
+    def _now(self) -> int:
+        return int(self.now_ms)
+
+    def _after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (self.now_ms + delay_ms, next(self._sequence), action))
+
+    def _tick(self, node: FleetNode) -> None:
+        if not node.is_alive:
+            return
+        node.membership.expire(self._now())
+        peers = node.membership.gossip_peers(GOSSIP_PEERS, self._now())
+        standby = node.membership.standby_peer(self._now())
+        for peer in {peer.control_address: peer for peer in (*peers, standby) if peer}.values():
+            self._exchange(node, peer)
+        self._after(GOSSIP_INTERVAL_MS * self.rng.uniform(0.9, 1.1), lambda: self._tick(node))
+
+    def _exchange(self, node: FleetNode, peer: Member) -> None:
+        message = node.membership.make_gossip(self._now())
+
+        def deliver(other: FleetNode) -> None:
+            received = self._carry(message, node, other, REQUEST_HEAD_BYTES)
+            self._take(other, received)
+            reply = other.membership.make_gossip(self._now(), received)
+            self._send(other, node.own, lambda _: answer(other, reply), lambda: fail(2_000))
+
+        def answer(other: FleetNode, reply: Gossip) -> None:
+            node.membership.peer_answered(peer, self._now())
+            self._take(node, self._carry(reply, other, node, ANSWER_HEAD_BYTES))
+
+        def fail(delay_ms: float) -> None:
+            self._after(delay_ms, lambda: node.membership.peer_failed(peer, self._now()))
+
+        self._send(node, peer, deliver, lambda: fail(CONNECT_TIMEOUT_MS))
+
+    def _send(
+        self, node: FleetNode, to: Member, deliver: Callable, fail: Callable[[], None]
+    ) -> None:
+        """Deliver a message to the process that holds the address of ``to``, or lose it."""
+        other = self._holder(to.control_address)
+        is_lost = other is None or self.is_cut(node.own.name, other.own.name)
+        if is_lost or self.rng.random() < self.loss:
+            fail()
+            return
+        delay_ms = self._delay_ms(node.own, other.own)
+        delay_ms += self.rng.uniform(0, self.extra_delay_ms)
+
+        def arrive() -> None:
+            if other.is_alive and node.is_alive:
+                deliver(other)
+            else:
+                fail()
+
+        self._after(delay_ms, arrive)
+
+    def _holder(self, address: str) -> FleetNode | None:
+        high, low = address.split(".")[1:3]
+        number = (int(high) << 8) + int(low)
+        node = self.nodes.get(f"n-{number}")
+        return node if node and node.is_alive else None
+
+    def _delay_ms(self, one: Member, other: Member) -> float:
+        same_region = one.data_centre[:2] == other.data_centre[:2]
+        return REGION_DELAY_MS if same_region else CROSS_REGION_DELAY_MS
+
+    def _carry(self, gossip: Gossip, one: FleetNode, other: FleetNode, head_bytes: int) -> Gossip:
+        text = json.dumps(dump_gossip(gossip))
+        size = len(text) + head_bytes
+        self.message_sizes.append(size)
+        one.sent_bytes += size
+        other.received_bytes += size
+        return parse_gossip(json.loads(text)) if self._checks_messages else gossip
+
+    def _take(self, node: FleetNode, gossip: Gossip) -> None:
+        for change in node.membership.receive(gossip, self._now()):
+            if isinstance(change, PolicyBehind) and not node.is_fetching:
+                node.is_fetching = True
+                self._fetch(node, change.member)
+
+    def _fetch(self, node: FleetNode, member: Member) -> None:
+        def end() -> None:
+            node.is_fetching = False
+
+        def deliver(other: FleetNode) -> None:
+            policy = other.policy_state.current
+            self._send(
+                other, node.own, lambda _: take(other, policy), lambda: self._after(2_000, end)
+            )
+
+        def take(other: FleetNode, policy: Policy | None) -> None:
+            end()
+            if policy:
+                size = len(encode_policy(policy)[0]) + REQUEST_HEAD_BYTES + ANSWER_HEAD_BYTES
+                other.sent_bytes += size
+                node.received_bytes += size
+                self.fetch_count += 1
+                self.offer(node, policy, other.own.name)
+
+        self._send(node, member, deliver, lambda: self._after(CONNECT_TIMEOUT_MS, end))
+
+    def _watch(self, node: FleetNode) -> None:
+        if not node.is_alive:
+            return
+        access = node.membership.service_access(self._now())
+        if access is ServiceAccess.NONE:
+            self._after(IDLE_MS, lambda: self._watch(node))
+        elif not (self.service.is_up and self.reaches_service(node.own.name)):
+            self._count_read()
+            self._after(node.backoff.fail(), lambda: self._watch(node))
+        else:
+            self._count_read()
+            node.backoff.succeed()
+            self._read(node, access, self.now_ms)
+
+    def _read(self, node: FleetNode, access: ServiceAccess, started_ms: float) -> None:
+        policy = self.service.policy
+        is_later = policy is not None and (
+            policy.version > node.policy_state.version or self.service.ignores_after_version
+        )
+        if is_later or access is ServiceAccess.READ:
+            self._after(SERVICE_DELAY_MS, lambda: self._end_read(node, policy, access, started_ms))
+            return
+
+        def wake() -> None:
+            self._read(node, access, started_ms)
+
+        def give_up() -> None:
+            # A read that was woken has another end; only this one's own entry is removed.
+            if self.service.waiting.get(node.own.incarnation) is wake:
+                del self.service.waiting[node.own.incarnation]
+                self._end_read(node, None, access, started_ms)
+
+        self.service.waiting[node.own.incarnation] = wake
+        self._after(WATCH_WAIT_MS - (self.now_ms - started_ms), give_up)
+
+    def _end_read(
+        self, node: FleetNode, policy: Policy | None, access: ServiceAccess, started_ms: float
+    ) -> None:
+        if not node.is_alive:
+            return
+        is_reached = self.service.is_up and self.reaches_service(node.own.name)
+        is_new = False
+        if is_reached:
+            node.membership.watch_succeeded(self._now())
+            is_new = bool(policy) and isinstance(self.offer(node, policy, "service"), Accepted)
+        delay_ms = max(0, WATCH_WAIT_MS - (self.now_ms - started_ms))
+        if not is_reached:
+            delay_ms = node.backoff.fail()
+        elif access is ServiceAccess.READ:
+            delay_ms = self.rng.randint(*READ_INTERVAL_MS)
+        elif is_new:
+            delay_ms = 0
+        self._after(delay_ms, lambda: self._watch(node))
+
+    def _count_read(self) -> None:
+        self.service.reads.append(int(self.now_ms))
+
+
+def make_record(version: int, names_by_centre: dict[str, list[str]], services: int = 1) -> dict:
+    """Return a record of schema 2 that lists the given nodes, spread over ``services``."""
+    upstreams: dict[int, list[dict]] = collections.defaultdict(list)
+    names = [(name, centre) for centre, names in names_by_centre.items() for name in names]
+    for index, (name, centre) in enumerate(names):
+        address = ControlFleet.address(name)
+        upstream = {"name": name, "data_centre": centre, "peer_address": address}
+        upstream |= {"control_address": address, "slots": 140, "connections": 900}
+        upstreams[index % services].append(upstream)
+    kinds = [
+        {"name": "search", "methods": ["GET"], "path": "/", "importance": 3}
+        | {"repeatable": True, "timeout_ms": 2_000},
+        {"name": "book", "methods": ["POST"], "path": "/bookings", "importance": 9}
+        | {"repeatable": False, "timeout_ms": 5_000},
+        {"name": "show", "methods": ["GET"], "path": "/bookings", "importance": 5}
+        | {"repeatable": True, "timeout_ms": 2_000},
+    ]
+    entries = [
+        {"name": f"service-{index}", "upstreams": listed, "kinds": kinds}
+        for index, listed in sorted(upstreams.items())
+    ]
+    return {"schema": 2, "version": version, "services": entries}
+
+
+def make_policy(version: int, names_by_centre: dict[str, list[str]], services: int = 1) -> Policy:
+    """Return the policy of ``make_record``."""
+    return load_policy(make_record(version, names_by_centre, services))
+
+
+def spread_names(count: int, centres: int = 7) -> dict[str, list[str]]:
+    """Return names ``n-0`` and so on, spread over data centres in two regions."""
+    names: dict[str, list[str]] = {}
+    for index in range(count):
+        centre = index % centres
+        region = "r1" if centre * 7 < centres * 4 else "r2"
+        names.setdefault(f"{region}-{centre}", []).append(f"n-{index}")
+    return names
--- a/src/cottonlink/decisions/_gossip.py
+++ b/src/cottonlink/decisions/_gossip.py
@@ -123,6 +123,12 @@
     return value
 
 
+def _check_fingerprint(value: Any) -> str:
+    if not _check_token(value):
+        raise ValueError("expected a fingerprint, got an empty string")
+    return value
+
+
 def _check_state(value: Any) -> MemberState:
     if not isinstance(value, str) or value not in list(MemberState):
         raise ValueError(f"expected live or leaving, got {describe(value)}")
@@ -155,7 +161,7 @@
         WatchEvidence: {"data_centre": check_data_centre, "age_ms": _check_age_ms},
         LeavingNode: {"node": check_name, "incarnation": _check_token, "age_ms": _check_age_ms},
         CrashedFingerprint: {
-            "fingerprint": _check_token,
+            "fingerprint": _check_fingerprint,
             "crashes": check_integer(1, 1_000_000),
             "age_ms": _check_age_ms,
         },
