--- a/src/cottonlink/_headers.py
+++ b/src/cottonlink/_headers.py
@@ -1,7 +1,12 @@
-"""Names of the HTTP headers between callers, nodes and targets."""
+"""HTTP headers between callers, nodes and targets: names, parsing and filtering."""
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterable
+
+from attrs import frozen
+
 TRACEPARENT = "traceparent"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 PERMIT = "Cottonlink-Permit"
@@ -20,3 +25,106 @@
 STATE = "Cottonlink-State"
 TIME = "Cottonlink-Time"
 EXECUTED = "Cottonlink-Executed"
+OWN_HEADER_PREFIX = "cottonlink-"
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+_TRACEPARENT_RE = re.compile(r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?")
+_DIGITS_RE = re.compile(r"[0-9]{1,9}", re.ASCII)
+_PRINTABLE_RE = re.compile(r"[\x21-\x7e]+")
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@frozen
+class TraceContext:
+    """W3C trace context. ``trace_id`` is the root request id, ``parent_id`` the sender's span."""
+
+    trace_id: str
+    parent_id: str
+    flags: str = "01"
+
+    def __str__(self) -> str:
+        return f"00-{self.trace_id}-{self.parent_id}-{self.flags}"
+
+
+def parse_traceparent(text: str) -> TraceContext | None:
+    """Return the trace context in ``text``, or None if it is malformed."""
+    match = _TRACEPARENT_RE.fullmatch(text)
+    if match is None:
+        return None
+    version, trace_id, parent_id, flags, rest = match.groups()
+    if version == "ff" or (version == "00" and rest):
+        return None
+    if not int(trace_id, 16) or not int(parent_id, 16):
+        return None
+    return TraceContext(trace_id, parent_id, flags)
+
+
+def parse_count(text: str) -> int | None:
+    """Return a decimal number of at most nine ASCII digits, or None if it is malformed."""
+    return int(text) if _DIGITS_RE.fullmatch(text) else None
+
+
+def is_token(text: str, max_length: int = 256) -> bool:
+    """Return whether ``text`` is a non-empty run of printable ASCII without blanks."""
+    return len(text) <= max_length and _PRINTABLE_RE.fullmatch(text) is not None
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return ``headers`` without hop-by-hop headers and without those between nodes.
+
+    The names that a Connection header lists are hop-by-hop as well (RFC 9110, section 7.6.1).
+    """
+    pairs = tuple((name, value) for name, value in headers)
+    listed = {
+        item.strip().lower()
+        for name, value in pairs
+        if name.lower() == "connection"
+        for item in value.split(",")
+    }
+    dropped = HOP_BY_HOP | listed | {"content-length", "host"}
+    return tuple(
+        (name, value)
+        for name, value in pairs
+        if name.lower() not in dropped and not name.lower().startswith(OWN_HEADER_PREFIX)
+    )
+
+
+def answer_headers(method: str, status: int, headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers of an answer that go on to the next hop.
+
+    The length of an answer without a body is that of the body which it describes; it can't be
+    derived from the answer itself.
+    """
+    pairs = tuple(headers)
+    kept = end_to_end(pairs)
+    if method != "HEAD" and status != 304:
+        return kept
+    return (*kept, *((name, value) for name, value in pairs if name.lower() == "content-length"))
+
+
+def environ_headers(environ: dict) -> Headers:
+    """Return the request headers of a WSGI environment."""
+    names = ((key[5:].replace("_", "-").title(), key) for key in environ if key[:5] == "HTTP_")
+    headers = tuple((name, environ[key]) for name, key in names)
+    content_type = environ.get("CONTENT_TYPE")
+    return (("Content-Type", content_type), *headers) if content_type else headers
+
+
+def environ_name(header: str) -> str:
+    """Return the key of ``header`` in a WSGI environment."""
+    return "HTTP_" + header.upper().replace("-", "_")
--- a/src/cottonlink/decisions/_once.py
+++ b/src/cottonlink/decisions/_once.py
@@ -146,6 +146,10 @@
             return RegistryFull()
         return self._offer(self._reserve(digest, now_ms), now_ms)
 
+    def has_record(self, key: str) -> bool:
+        """Return whether a permit for ``key`` has been issued and is still remembered."""
+        return digest_key(key) in self._latest_by_key
+
     def begin(
         self, permit: str, key: str, call_id: str, now_ms: int
     ) -> Run | Attach | Replay | Denied:
--- /dev/null
+++ b/src/cottonlink/node/_core.py
@@ -0,0 +1,216 @@
+"""NodeCore: the request-path state of a node under one lock, held for one pure decision."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import threading
+
+from attrs import frozen
+
+from cottonlink._clock import Clock
+from cottonlink.decisions import (
+    Load,
+    NodeState,
+    PauseDetected,
+    TargetState,
+    Threshold,
+    UpstreamHint,
+    make_lifecycle,
+    make_quarantine,
+)
+from cottonlink.errors import CallError, Executed, Step
+from cottonlink.node._ingress_state import IngressState
+from cottonlink.node._owner_state import OwnerState
+from cottonlink.node._settings import Settings
+from cottonlink.observe import EventKind, EventLog, Metrics
+from cottonlink.policy import Policy
+
+INCARNATION_BYTES = 8
+
+
+@frozen
+class Report:
+    """What a node tells about itself on each answer to a peer."""
+
+    load: Load | None
+    threshold: Threshold | None
+    state: NodeState
+    policy_version: int
+
+
+class NodeCore:
+    """State of one node. Thread-safe.
+
+    ``ingress`` holds the calls that the node forwards, ``owner`` those of its own target. Both
+    share the lock of this object.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> None:
+        rng = rng or random.Random(secrets.randbits(64))
+        self.settings = settings
+        self.clock = clock
+        self.events = events
+        self.metrics = metrics
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._lock = threading.Lock()
+        self.newest_seen_version = 0
+        self._policy: Policy | None = None
+        self._lifecycle = make_lifecycle(clock.monotonic_ms())
+        self._last_state = NodeState.STARTING
+        self._quarantine = make_quarantine()
+        self.ingress = IngressState(
+            self._lock,
+            clock,
+            events,
+            rng,
+            data_centre=settings.data_centre,
+            limit=settings.caller_limit,
+        )
+        self.owner = OwnerState(
+            self._lock,
+            clock,
+            rng,
+            self._lifecycle,
+            self._quarantine,
+            node=settings.node,
+            incarnation=self.incarnation,
+            limit=settings.peer_limit,
+        )
+
+    def now_ms(self) -> int:
+        """Return the monotonic time."""
+        return self.clock.monotonic_ms()
+
+    @property
+    def policy(self) -> Policy | None:
+        """Return the policy in force, or None before the first one."""
+        return self._policy
+
+    @property
+    def policy_version(self) -> int:
+        """Return the version in force, 0 before the first one."""
+        policy = self._policy
+        return policy.version if policy else 0
+
+    def apply_policy(self, policy: Policy) -> None:
+        """Put an accepted policy in force; an older version changes nothing."""
+        now_ms = self.now_ms()
+        with self._lock:
+            if self._policy is not None and policy.version <= self._policy.version:
+                return
+            self._policy = policy
+            self.ingress.locked_apply(policy, now_ms)
+            actions = self.owner.locked_apply(policy, now_ms)
+        self.owner.carry_out(actions)
+        self._note_state()
+
+    def note_newer_policy(self, version: int) -> None:
+        """Record that a peer has a newer policy; the gossip task then fetches it."""
+        self.newest_seen_version = max(self.newest_seen_version, version)
+
+    def leave(self, reason: str) -> None:
+        """Stop accepting work; what has been accepted is finished."""
+        with self._lock:
+            self._lifecycle.leave(reason, self.now_ms())
+        self._note_state()
+
+    def stop(self) -> None:
+        """Record that all accepted work has finished."""
+        with self._lock:
+            self._lifecycle.stop(self.now_ms())
+        self._note_state()
+
+    def member_left(self, name: str) -> None:
+        """Send no new work to an upstream: it said that it leaves, or the VM list did."""
+        self.ingress.hint(name, UpstreamHint.LEAVING)
+
+    def member_returned(self, name: str) -> None:
+        """Offer work to an upstream again: nothing says any longer that it leaves."""
+        self.ingress.hint(name, UpstreamHint.LIVE)
+
+    def target_state(self, state: TargetState) -> None:
+        """Take in the health of the local target."""
+        with self._lock:
+            self._lifecycle.target_state(state, self.now_ms())
+        self._note_state()
+
+    def refreshed(self) -> None:
+        """Record that policy and members were refreshed after a pause."""
+        with self._lock:
+            self._lifecycle.refreshed(self.now_ms())
+
+    def tick(self) -> tuple[PauseDetected, ...]:
+        """Expire queued calls and records; return a pause of the process, if there was one."""
+        now_ms = self.now_ms()
+        with self._lock:
+            pauses = self._lifecycle.tick(now_ms)
+            actions = self.owner.locked_tick(now_ms)
+        self.owner.carry_out(actions)
+        self._note_state()
+        return pauses
+
+    def state(self) -> NodeState:
+        """Return the lifecycle state."""
+        with self._lock:
+            return self._lifecycle.state(self.now_ms())
+
+    def leave_reason(self) -> str | None:
+        """Return why the node leaves, or None."""
+        with self._lock:
+            return self._lifecycle.leave_reason
+
+    def in_flight(self) -> int:
+        """Return the number of calls in progress on both data listeners."""
+        with self._lock:
+            return len(self.ingress) + len(self.owner)
+
+    def report(self) -> Report:
+        """Return load, threshold, state and policy version for an answer to a peer."""
+        now_ms = self.now_ms()
+        with self._lock:
+            load, threshold = self.owner.locked_report(now_ms)
+            state = self._lifecycle.state(now_ms)
+        return Report(load, threshold, state, self.policy_version)
+
+    def suspicion(self, fingerprint: str) -> int:
+        """Return the level of suspicion of a request."""
+        with self._lock:
+            return self._quarantine.suspicion(fingerprint, self.now_ms())
+
+    def learn_suspicion(self, fingerprint: str, level: int) -> None:
+        """Take in a level of suspicion known to another node."""
+        with self._lock:
+            self._quarantine.learn(fingerprint, level, self.now_ms())
+
+    def check_quarantine(self, fingerprint: str) -> None:
+        """Raise CallError if the request has crashed two targets."""
+        with self._lock:
+            refused = self._quarantine.is_refused(fingerprint, self.now_ms())
+        if refused:
+            raise CallError(
+                "request_quarantined",
+                "this request has crashed two targets",
+                step=Step.IDENTIFY,
+                executed=Executed.NO,
+            )
+
+    def close_run(self, token: str) -> None:
+        """Forget the child keys of a run that has ended."""
+        with self._lock:
+            self.ingress.locked_close_bindings(token)
+
+    def _note_state(self) -> None:
+        with self._lock:
+            state = self._lifecycle.state(self.now_ms())
+            changed = state is not self._last_state
+            self._last_state = state
+        if changed:
+            self.events.record(EventKind.STATE_CHANGED, code=str(state))
--- /dev/null
+++ b/src/cottonlink/node/_ingress_state.py
@@ -0,0 +1,201 @@
+"""State of the calls that a node forwards: routing, retries and the calls in progress.
+
+An instance shares the lock of NodeCore. Methods whose names start with ``locked_`` expect that
+the caller holds it; all others take it for one pure decision.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+
+from cottonlink._clock import Clock
+from cottonlink.decisions import Binding as ChildBinding
+from cottonlink.decisions import (
+    BindingsFull,
+    Choice,
+    Draw,
+    Ejected,
+    NoUpstream,
+    Readmitted,
+    RetryRatio,
+    Router,
+    RouteRequest,
+    RouteResult,
+    UpstreamHint,
+    UpstreamView,
+    make_child_bindings,
+    make_retry_budgets,
+    make_retry_ratio,
+    make_router,
+)
+from cottonlink.node._calls import Attempt, ForwardedCall, OwnedCall
+from cottonlink.node._shares import ListenerShares, Occupant, listener_full
+from cottonlink.observe import EventKind, EventLog
+from cottonlink.policy import Policy
+
+
+class IngressState:
+    """Calls that enter the fleet at this node, and what it knows about their upstreams."""
+
+    def __init__(
+        self,
+        lock: threading.Lock,
+        clock: Clock,
+        events: EventLog,
+        rng: random.Random,
+        *,
+        data_centre: str,
+        limit: int,
+    ) -> None:
+        self._lock = lock
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self._data_centre = data_centre
+        self._policy: Policy | None = None
+        self._routers: dict[str, Router] = {}
+        self._ratios: dict[str, RetryRatio] = {}
+        self._budgets = make_retry_budgets(clock.monotonic_ms())
+        self._bindings = make_child_bindings()
+        self._shares = ListenerShares(limit)
+        self._forwarded: set[ForwardedCall] = set()
+
+    def __len__(self) -> int:
+        return len(self._forwarded)
+
+    def locked_apply(self, policy: Policy, now_ms: int) -> None:
+        """Take in a new policy."""
+        previous, self._policy = self._policy, policy
+        for service in policy.services:
+            router = self._routers.get(service.name)
+            if router is not None:
+                router.update(service.upstreams, now_ms)
+                continue
+            self._routers[service.name] = make_router(
+                service.upstreams, self._data_centre, self._rng, now_ms
+            )
+        for name in self._routers.keys() - policy.services_by_name.keys():
+            del self._routers[name]
+        # A changed ratio starts with an empty window.
+        if previous is None or previous.retry != policy.retry:
+            self._ratios.clear()
+        for name in self._ratios.keys() - policy.upstreams_by_name.keys():
+            del self._ratios[name]
+        if previous and previous.upstreams_by_name.keys() != policy.upstreams_by_name.keys():
+            self._budgets.change_homes(now_ms)
+
+    def locked_close_bindings(self, token: str) -> None:
+        """Forget the child keys of a run that has ended."""
+        self._bindings.close(token)
+
+    def enter(self, forwarded: ForwardedCall, preempt: Callable[[], None]) -> int:
+        """Take a place for a call; return its number. Raises CallError if there is none."""
+        call = forwarded.call
+        occupant = Occupant(call.importance, call.kind.repeatable, preempt)
+        with self._lock:
+            entry = self._shares.enter(occupant)
+            if entry is None:
+                raise listener_full(self._rng)
+            number, victim = entry
+            self._forwarded.add(forwarded)
+            if forwarded.parent is not None:
+                forwarded.parent.children.add(forwarded)
+        if victim is not None:
+            victim.preempt()
+        return number
+
+    def leave(self, forwarded: ForwardedCall, number: int) -> None:
+        """Forget a call that was answered."""
+        with self._lock:
+            self._shares.leave(number)
+            self._forwarded.discard(forwarded)
+            if forwarded.parent is not None:
+                forwarded.parent.children.discard(forwarded)
+
+    def calls(self) -> tuple[ForwardedCall, ...]:
+        """Return the calls in progress."""
+        with self._lock:
+            return tuple(self._forwarded)
+
+    def waiting(self, older_than_ms: int) -> tuple[tuple[ForwardedCall, Attempt], ...]:
+        """Return the calls whose current attempt began before ``older_than_ms``."""
+        with self._lock:
+            pairs = [(call, call.attempt) for call in self._forwarded]
+        return tuple((c, a) for c, a in pairs if a is not None and a.started_ms < older_than_ms)
+
+    def choose(self, service: str, request: RouteRequest) -> Choice | NoUpstream:
+        """Choose an upstream of ``service``."""
+        with self._lock:
+            router = self._routers.get(service)
+            if router is None:
+                return NoUpstream("upstream_unreachable", None)
+            return router.choose(request, self._clock.monotonic_ms())
+
+    def attempt_started(self, service: str, name: str, *, is_retry: bool) -> None:
+        """Count an attempt at an upstream."""
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            if service in self._routers:
+                self._routers[service].started(name, now_ms)
+            if is_retry:
+                self._ratio(name).retried(now_ms)
+            else:
+                self._ratio(name).first_attempt(now_ms)
+
+    def attempt_ended(self, service: str, result: RouteResult) -> None:
+        """Take in the result of an attempt."""
+        with self._lock:
+            router = self._routers.get(service)
+            changes = router.observe(result, self._clock.monotonic_ms()) if router else ()
+        self._record(service, changes)
+
+    def hint(self, name: str, state: UpstreamHint) -> None:
+        """Take in what the platform or gossip says about an upstream."""
+        with self._lock:
+            service = self._policy.service_by_upstream.get(name) if self._policy else None
+            if service is None:
+                return
+            changes = self._routers[service.name].hint(name, state, self._clock.monotonic_ms())
+        self._record(service.name, changes)
+
+    def allows_retry(self, name: str) -> bool:
+        """Return whether one more retry at an upstream keeps within its ratio."""
+        with self._lock:
+            return self._ratio(name).allows_retry(self._clock.monotonic_ms())
+
+    def draw_retry(self, root_id: str) -> Draw:
+        """Draw one retry of a root request whose home is this node."""
+        with self._lock:
+            budget = self._policy.retry.budget_per_request if self._policy else 0
+            return self._budgets.draw(root_id, budget, self._clock.monotonic_ms())
+
+    def find_binding(self, parent: OwnedCall, key: str) -> ChildBinding | None:
+        """Return the owner incarnation that a child key is bound to, or None."""
+        with self._lock:
+            return self._bindings.find(parent.token, key)
+
+    def bind(
+        self, parent: OwnedCall, key: str, owner: str, incarnation: str
+    ) -> ChildBinding | BindingsFull:
+        """Bind a child key to one owner incarnation, on first use."""
+        with self._lock:
+            return self._bindings.bind(parent.token, key, owner, incarnation)
+
+    def views(self) -> dict[str, tuple[UpstreamView, ...]]:
+        """Return the state of all upstreams by service."""
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            return {name: router.snapshot(now_ms) for name, router in self._routers.items()}
+
+    def _ratio(self, name: str) -> RetryRatio:
+        if name not in self._ratios:
+            ratio = self._policy.retry.upstream_ratio if self._policy else 0.0
+            self._ratios[name] = make_retry_ratio(ratio)
+        return self._ratios[name]
+
+    def _record(self, service: str, changes: tuple[Ejected | Readmitted, ...]) -> None:
+        for change in changes:
+            kind = EventKind.EJECTED if isinstance(change, Ejected) else EventKind.READMITTED
+            self._events.record(kind, service=service, peer=change.name)
--- /dev/null
+++ b/src/cottonlink/node/_owner_state.py
@@ -0,0 +1,374 @@
+"""State of the calls of the local target: admission, executions and the calls in progress.
+
+An instance shares the lock of NodeCore. Methods whose names start with ``locked_`` expect that
+the caller holds it; all others take it for one pure decision. What a decision demands of other
+calls is carried out after the lock is released.
+"""
+
+from __future__ import annotations
+
+import random
+import secrets
+import threading
+from collections.abc import Callable
+
+from attrs import frozen
+
+from cottonlink._clock import Clock
+from cottonlink._headers import TraceContext
+from cottonlink.decisions import (
+    Admission,
+    Arrival,
+    Attach,
+    Cancel,
+    Denied,
+    Issued,
+    Known,
+    Lifecycle,
+    Load,
+    NodeState,
+    Outcome,
+    Quarantine,
+    Refuse,
+    RegistryFull,
+    Replay,
+    Run,
+    Start,
+    StoredAnswer,
+    Threshold,
+    Verdict,
+    make_admission,
+    make_execution_registry,
+)
+from cottonlink.errors import CallError, Executed, Step
+from cottonlink.node._calls import CallState, CallTable, ForwardedCall, OwnedCall
+from cottonlink.node._shares import ListenerShares, Occupant, listener_full
+from cottonlink.policy import Policy
+
+SECRET_BYTES = 32
+NOT_READY_RETRY_MS = 1_000
+
+
+Decision = Start | Refuse | Cancel
+
+
+@frozen
+class NoPermit:
+    """The owner issues no permit now; ``code`` is leaving, not_ready or overloaded."""
+
+    code: str
+
+
+@frozen
+class _Action:
+    """A decision to carry out on a call after the lock is released."""
+
+    owned: OwnedCall
+    decision: Decision
+    cancel_code: str
+
+
+class OwnerState:
+    """Calls that the local target runs, and the rules for taking them on."""
+
+    def __init__(
+        self,
+        lock: threading.Lock,
+        clock: Clock,
+        rng: random.Random,
+        lifecycle: Lifecycle,
+        quarantine: Quarantine,
+        *,
+        node: str,
+        incarnation: str,
+        limit: int,
+    ) -> None:
+        now_ms = clock.monotonic_ms()
+        self._lock = lock
+        self._clock = clock
+        self._rng = rng
+        self._lifecycle = lifecycle
+        self._quarantine = quarantine
+        self._node = node
+        self._siblings: frozenset[str] | None = None
+        self._admission: Admission | None = None
+        self._registry = make_execution_registry(
+            node, incarnation, secrets.token_bytes(SECRET_BYTES), now_ms
+        )
+        self._run_ends: dict[int, threading.Event] = {}
+        self._calls = CallTable(now_ms)
+        self._last_serial = 0
+        self._shares = ListenerShares(limit)
+
+    def __len__(self) -> int:
+        return len(self._calls.owned)
+
+    def locked_apply(self, policy: Policy, now_ms: int) -> tuple[_Action, ...]:
+        """Take in a new policy; return the actions that it demands."""
+        own = policy.upstreams_by_name.get(self._node)
+        if own is None:
+            if self._siblings is not None:
+                self._lifecycle.leave("not_in_policy", now_ms)
+            return ()
+        service = policy.service_by_upstream[self._node]
+        siblings = frozenset(upstream.name for upstream in service.upstreams)
+        if self._siblings is not None and self._siblings != siblings:
+            self._registry.change_owners(now_ms)
+        self._siblings = siblings
+        if self._admission is None:
+            self._admission = make_admission(own.slots, rng=self._rng)
+            return ()
+        return self._resolve(self._admission.resize(own.slots, now_ms))
+
+    def locked_tick(self, now_ms: int) -> tuple[_Action, ...]:
+        """Expire queued calls and records; return the actions that this demands."""
+        self._registry.expire(now_ms)
+        return self._resolve(self._admission.expire(now_ms)) if self._admission else ()
+
+    def locked_report(self, now_ms: int) -> tuple[Load | None, Threshold | None]:
+        """Return the load of the target and the admission threshold."""
+        if self._admission is None:
+            return None, None
+        return self._admission.load(), self._admission.threshold(now_ms)
+
+    def is_given_up(self, call_id: str) -> bool:
+        """Return whether the ingress was told that this call was never seen."""
+        with self._lock:
+            return self._calls.is_refused(call_id)
+
+    def enter(self, owned: OwnedCall, preempt: Callable[[], None]) -> int:
+        """Take a place for a call; return its number. Raises CallError if it is refused."""
+        now_ms = self._clock.monotonic_ms()
+        call = owned.call
+        with self._lock:
+            self._check_accepts(call.kind.repeatable, now_ms)
+            if not self._calls.add(owned, now_ms):
+                raise _refusal("cancelled", "the ingress has given up this attempt")
+            entry = self._shares.enter(Occupant(call.importance, call.kind.repeatable, preempt))
+            if entry is None:
+                self._calls.remove(owned)
+                raise listener_full(self._rng)
+            number, victim = entry
+            owned.suspect = self._quarantine.suspicion(call.fingerprint, now_ms) > 0
+        if victim is not None:
+            victim.preempt()
+        return number
+
+    def enter_waiting(self, owned: OwnedCall) -> int:
+        """Take a place for a call that waits for the run of its permit; return its number.
+
+        A leaving node lets such calls wait. Raises CallError if there is no place.
+        """
+        with self._lock:
+            entry = self._shares.enter(Occupant(owned.call.importance, False, _ignore))
+            if entry is None:
+                raise listener_full(self._rng, Executed.UNKNOWN)
+            number, victim = entry
+            self._calls.add(owned, self._clock.monotonic_ms())
+            owned.state = CallState.RUNNING
+        if victim is not None:
+            victim.preempt()
+        return number
+
+    def leave(self, owned: OwnedCall, number: int) -> tuple[ForwardedCall, ...]:
+        """Forget a call; return the calls that its run has made and left behind."""
+        with self._lock:
+            self._shares.leave(number)
+            self._calls.remove(owned)
+            return tuple(owned.children)
+
+    def begin(self, owned: OwnedCall) -> Run | Attach | Replay | Denied:
+        """Decide what becomes of a call with a permit."""
+        call = owned.call
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            begun = self._registry.begin(call.permit, call.key, owned.call_id, now_ms)
+            if isinstance(begun, Run):
+                self._run_ends[begun.serial] = threading.Event()
+            return begun
+
+    def run_end(self, serial: int) -> threading.Event:
+        """Return the event that is set when a run with a permit has ended."""
+        with self._lock:
+            event = self._run_ends.get(serial)
+        if event is None:
+            event = threading.Event()
+            event.set()
+        return event
+
+    def expire_queue(self) -> None:
+        """Refuse queued calls that are too late."""
+        with self._lock:
+            actions = self._resolve(self._admission.expire(self._clock.monotonic_ms()))
+        self.carry_out(actions)
+
+    def next_serial(self) -> int:
+        """Return the serial of the next Cottonlink-Call value."""
+        with self._lock:
+            self._last_serial += 1
+            return self._last_serial
+
+    def end_run(self, serial: int, answer: StoredAnswer | None, executed: Executed) -> None:
+        """Record the end of a run with a permit, and wake those that wait for its result."""
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            if answer is not None:
+                self._registry.finish(serial, answer, now_ms)
+            elif executed is Executed.NO:
+                self._registry.refuse(serial, now_ms)
+            else:
+                self._registry.lose(serial, now_ms)
+            event = self._run_ends.pop(serial, None)
+        if event is not None:
+            event.set()
+
+    def issue_permit(
+        self, key: str, importance: int, position: int
+    ) -> Issued | Known | Replay | RegistryFull | NoPermit:
+        """Issue a permit for a key that hashes to this node.
+
+        A node that takes no work still answers for the keys that it knows.
+        """
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            if not self._registry.has_record(key):
+                refusal = self._refuse_permit(importance, position, now_ms)
+                if refusal is not None:
+                    return refusal
+            return self._registry.issue(key, now_ms)
+
+    def arrive(self, owned: OwnedCall) -> None:
+        """Ask for admission; ``owned.decided`` is set when the answer is known."""
+        call = owned.call
+        arrival = Arrival(
+            call_id=owned.call_id,
+            importance=call.importance,
+            position=call.position,
+            deadline_ms=call.deadline_ms,
+            arrived_ms=owned.arrived_ms,
+            repeatable=call.kind.repeatable,
+            kind=call.kind.name,
+            suspect=owned.suspect,
+        )
+        with self._lock:
+            decisions = self._admission.arrive(arrival, self._clock.monotonic_ms())
+            actions = self._resolve(decisions)
+        self.carry_out(actions)
+
+    def finish(self, owned: OwnedCall, outcome: Outcome) -> None:
+        """End a call at the admission; queued calls may start."""
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            owned.state = CallState.FINISHED
+            decisions = self._admission.finish(owned.call_id, outcome, now_ms)
+            if outcome is Outcome.OK:
+                self._quarantine.completed(owned.call.fingerprint, now_ms)
+            actions = self._resolve(decisions)
+        self.carry_out(actions)
+
+    def cancel(self, call_id: str, code: str) -> bool:
+        """Cancel a call, unless it is a non-repeatable run; return whether it was cancelled."""
+        with self._lock:
+            if call_id not in self._calls.owned or self._admission is None:
+                return False
+            decisions = self._admission.cancel(call_id, self._clock.monotonic_ms())
+            actions = self._resolve(decisions, code)
+        self.carry_out(actions)
+        return bool(actions)
+
+    def crashed(self, owned: OwnedCall) -> tuple[Verdict, ...]:
+        """Record that the target crashed while it ran ``owned``; return new verdicts.
+
+        All calls in flight see the same crash; it counts once for each of them.
+        """
+        with self._lock:
+            if owned.crash_counted:
+                return ()
+            running = {run for run in self._calls.running() if not run.crash_counted}
+            running.add(owned)
+            for run in running:
+                run.crash_counted = True
+            fingerprints = [run.call.fingerprint for run in running]
+            return self._quarantine.crashed(fingerprints, self._clock.monotonic_ms())
+
+    def find_parent(self, token: str) -> OwnedCall | None:
+        """Return the run in progress that a Cottonlink-Call value names."""
+        with self._lock:
+            return self._calls.find_parent(token)
+
+    def find_parent_by_trace(self, trace: TraceContext) -> OwnedCall | None:
+        """Return the run in progress that gave ``trace`` to the target."""
+        with self._lock:
+            return self._calls.find_parent_by_trace(trace)
+
+    def call_states(self, ages_ms: dict[str, int]) -> dict[str, CallState]:
+        """Return the states of calls by id, given how long ago their ingress began them."""
+        now_ms = self._clock.monotonic_ms()
+        with self._lock:
+            return {c: self._calls.state(c, age_ms, now_ms) for c, age_ms in ages_ms.items()}
+
+    def carry_out(self, actions: tuple[_Action, ...]) -> None:
+        """Wake, refuse or cancel the calls that decisions are about; call without the lock."""
+        for action in actions:
+            owned = action.owned
+            if isinstance(action.decision, Cancel):
+                owned.cancel(action.cancel_code)
+                continue
+            if isinstance(action.decision, Refuse):
+                owned.refusal = _queue_refusal(action)
+            owned.decided.set()
+
+    def _resolve(
+        self, decisions: tuple[Decision, ...], cancel_code: str = "preempted"
+    ) -> tuple[_Action, ...]:
+        """Pair each decision with its call."""
+        actions = []
+        for decision in decisions:
+            owned = self._calls.owned.get(decision.call_id)
+            if owned is None:
+                continue
+            if not isinstance(decision, Refuse | Cancel):
+                owned.state = CallState.RUNNING
+            actions.append(_Action(owned, decision, cancel_code))
+        return tuple(actions)
+
+    def _check_accepts(self, repeatable: bool, now_ms: int) -> None:
+        state = self._lifecycle.state(now_ms)
+        if state in (NodeState.LEAVING, NodeState.STOPPED):
+            raise _refusal("leaving", "the node is leaving")
+        if self._admission is None or not self._lifecycle.accepts_work(now_ms):
+            raise _refusal("not_ready", "the node is not ready", NOT_READY_RETRY_MS)
+        if not repeatable and not self._lifecycle.accepts_non_repeatable(now_ms):
+            raise _refusal("not_ready", "the node was paused", NOT_READY_RETRY_MS)
+
+    def _refuse_permit(self, importance: int, position: int, now_ms: int) -> NoPermit | None:
+        state = self._lifecycle.state(now_ms)
+        if state in (NodeState.LEAVING, NodeState.STOPPED):
+            return NoPermit("leaving")
+        if self._admission is None or not self._lifecycle.accepts_non_repeatable(now_ms):
+            return NoPermit("not_ready")
+        if not self._admission.threshold(now_ms).admits(importance, position):
+            return NoPermit("overloaded")
+        return None
+
+
+def _ignore() -> None:
+    """A call that waits for the run of its permit is never preempted."""
+
+
+def _queue_refusal(action: _Action) -> CallError:
+    decision = action.decision
+    code = action.cancel_code if decision.code == "cancelled" else decision.code
+    return CallError(
+        code,
+        "refused by the admission of the target",
+        step=Step.QUEUE,
+        executed=Executed.NO,
+        retry_after_ms=decision.retry_after_ms,
+    )
+
+
+def _refusal(code: str, detail: str, retry_after_ms: int | None = None) -> CallError:
+    return CallError(
+        code, detail, step=Step.ACCEPT, executed=Executed.NO, retry_after_ms=retry_after_ms
+    )
--- /dev/null
+++ b/src/cottonlink/node/_pool.py
@@ -0,0 +1,291 @@
+"""HTTP connections to one peer or to the local target, and one exchange over them."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import socket
+import threading
+
+from attrs import define, field, frozen
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util.request import SKIP_HEADER
+from urllib3.util.wait import wait_for_read
+
+from cottonlink._clock import Clock
+from cottonlink._headers import Headers
+from cottonlink._problem import Answer
+from cottonlink.errors import Step
+
+# A lost SYN is sent again after one second; another upstream is found sooner than that.
+CONNECT_TIMEOUT_MS = 500
+# Longest pause between two parts of an answer's body.
+BODY_PROGRESS_TIMEOUT_MS = 1_000
+# A connection that answered within this time is as good as a new one (design page, 4.5).
+ANSWERED_LATELY_MS = 1_000
+IDLE_LIMIT = 64
+READ_SIZE_BYTES = 65_536
+BODILESS_STATUSES = (204, 304)
+
+
+@frozen
+class OutgoingRequest:
+    """A request as it goes out. ``path`` starts with a slash and holds the query."""
+
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+
+
+class ExchangeError(Exception):
+    """An exchange failed. ``sent`` tells whether the peer may have seen any byte of it.
+
+    ``refused`` tells that no process listens at the address.
+    """
+
+    def __init__(
+        self,
+        step: Step,
+        detail: str,
+        *,
+        sent: bool,
+        timed_out: bool = False,
+        refused: bool = False,
+    ) -> None:
+        super().__init__(f"{step}: {detail}")
+        self.step = step
+        self.detail = detail
+        self.sent = sent
+        self.timed_out = timed_out
+        self.refused = refused
+
+
+class Connection:
+    """One TCP connection. ``abort`` may be called from any thread."""
+
+    def __init__(self, address: str, clock: Clock, generation: int = 0) -> None:
+        host, _, port = address.rpartition(":")
+        self._http = HTTPConnection(host, int(port))
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._socket: socket.socket | None = None
+        self._aborted = False
+        self.generation = generation
+        self.created_ms = clock.monotonic_ms()
+        self.answered_ms: int | None = None
+        self.answer_began = False
+
+    def connect(self, timeout_ms: int) -> None:
+        """Open the connection. Raises ExchangeError; nothing has been sent then."""
+        self._http.timeout = max(timeout_ms, 1) / 1000
+        try:
+            self._http.connect()
+        except (HTTPError, OSError) as error:
+            self._http.close()
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            raise ExchangeError(
+                Step.CONNECT, _explain(error), sent=False, refused=refused
+            ) from error
+        with self._lock:
+            self._socket = self._http.sock
+            aborted = self._aborted
+        if aborted:
+            self.close()
+            raise ExchangeError(Step.CONNECT, "aborted", sent=False)
+
+    def abort(self) -> None:
+        """Make the exchange in progress fail at once."""
+        with self._lock:
+            self._aborted = True
+            if self._socket is not None:
+                with contextlib.suppress(OSError):
+                    self._socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection; it must have no exchange in progress."""
+        self._http.close()
+
+    @property
+    def is_new(self) -> bool:
+        """Return whether the connection has yet to be opened."""
+        return self._socket is None
+
+    def ends_within(self, timeout_ms: int) -> bool:
+        """Return whether the peer closes the idle connection within ``timeout_ms``."""
+        return wait_for_read(self._socket, timeout=timeout_ms / 1000)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the last exchange left the connection open and in step."""
+        return not self._aborted and self._http.sock is not None
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether the idle connection has neither data nor an end to read."""
+        return self._http.is_connected
+
+    def exchange(
+        self, request: OutgoingRequest, deadline_ms: int, answer_limit_bytes: int
+    ) -> Answer:
+        """Send ``request`` and return the whole answer. Raises ExchangeError."""
+        step = Step.SEND_HEAD
+        self.answer_began = False
+        try:
+            self._send(request, deadline_ms)
+            step = Step.FIRST_BYTE
+            self._http.timeout = self._remaining_s(deadline_ms)
+            response = self._http.getresponse()
+            self.answer_began = True
+            step = Step.BODY
+            body = self._read_body(request, response, deadline_ms, answer_limit_bytes)
+        except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
+            self.close()
+            timed_out = isinstance(error, TimeoutError) or "timed out" in str(error)
+            raise ExchangeError(step, _explain(error), sent=True, timed_out=timed_out) from error
+        except ExchangeError:
+            self.close()
+            raise
+        self.answered_ms = self._clock.monotonic_ms()
+        headers = tuple(response.headers.items())
+        return Answer(response.status, headers, body, response.reason or "")
+
+    def _send(self, request: OutgoingRequest, deadline_ms: int) -> None:
+        headers = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+        by_name = {name.lower(): name for name in headers}
+        for name, value in request.headers:
+            headers.pop(by_name.pop(name.lower(), ""), None)
+            headers[name] = value
+        self._http.timeout = self._remaining_s(deadline_ms)
+        self._http.request(
+            request.method,
+            request.path,
+            body=request.body or None,
+            headers=headers,
+            preload_content=False,
+            decode_content=False,
+        )
+
+    def _read_body(self, request, response, deadline_ms: int, limit_bytes: int) -> bytes:
+        if response.status < 200:
+            raise ExchangeError(Step.BODY, f"interim answer {response.status}", sent=True)
+        if not _is_delimited(request.method, response):
+            raise ExchangeError(Step.BODY, "answer has neither length nor chunks", sent=True)
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            remaining_s = self._remaining_s(deadline_ms)
+            self._set_timeout(min(remaining_s, BODY_PROGRESS_TIMEOUT_MS / 1000))
+            part = response.read1(READ_SIZE_BYTES, decode_content=False)
+            if not part:
+                return b"".join(parts)
+            parts.append(part)
+            size += len(part)
+            if size > limit_bytes:
+                raise ExchangeError(Step.BODY, "answer exceeds the size limit", sent=True)
+
+    def _set_timeout(self, timeout_s: float) -> None:
+        with contextlib.suppress(OSError):
+            self._socket.settimeout(timeout_s)
+
+    def _remaining_s(self, deadline_ms: int) -> float:
+        remaining_ms = deadline_ms - self._clock.monotonic_ms()
+        if remaining_ms <= 0:
+            raise TimeoutError("timed out: deadline passed")
+        return remaining_ms / 1000
+
+
+def _is_delimited(method: str, response) -> bool:
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    return response.chunked or "content-length" in response.headers
+
+
+def _explain(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
+@define(eq=False)
+class Pool:
+    """Idle connections to one address, latest first. Thread-safe."""
+
+    address: str
+    clock: Clock
+    max_age_ms: int
+    _idle: list[Connection] = field(factory=list)
+    _lock: threading.Lock = field(factory=threading.Lock)
+    _generation: int = 0
+
+    def take(self, *, answered_lately: bool = False) -> Connection:
+        """Return an idle connection, or a new one that isn't connected yet.
+
+        With ``answered_lately``, an idle connection is used only if it answered within
+        ``ANSWERED_LATELY_MS``: a silent connection must not swallow non-repeatable work.
+        """
+        while (connection := self._pop()) is not None:
+            if self._is_usable(connection, answered_lately):
+                return connection
+            connection.close()
+        return Connection(self.address, self.clock, self._generation)
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep ``connection`` for later calls if its last exchange ended cleanly."""
+        with self._lock:
+            is_current = connection.generation == self._generation
+            if is_current and connection.is_reusable and len(self._idle) < IDLE_LIMIT:
+                self._idle.append(connection)
+                return
+        connection.close()
+
+    def discard(self) -> int:
+        """Close all idle connections and let those in use not come back; return the count."""
+        with self._lock:
+            self._generation += 1
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+        return len(idle)
+
+    def _pop(self) -> Connection | None:
+        with self._lock:
+            return self._idle.pop() if self._idle else None
+
+    def _is_usable(self, connection: Connection, answered_lately: bool) -> bool:
+        now_ms = self.clock.monotonic_ms()
+        if now_ms - connection.created_ms > self.max_age_ms:
+            return False
+        if answered_lately and now_ms - (connection.answered_ms or 0) > ANSWERED_LATELY_MS:
+            return False
+        return connection.is_quiet
+
+
+@define(eq=False)
+class Pools:
+    """One pool per address. Thread-safe."""
+
+    clock: Clock
+    max_age_ms: int
+    _pools: dict[str, Pool] = field(factory=dict)
+    _lock: threading.Lock = field(factory=threading.Lock)
+
+    def get(self, address: str) -> Pool:
+        """Return the pool of ``address``."""
+        with self._lock:
+            if address not in self._pools:
+                self._pools[address] = Pool(address, self.clock, self.max_age_ms)
+            return self._pools[address]
+
+    def discard_all(self) -> int:
+        """Discard every pool, after the process was paused; return the number of connections."""
+        with self._lock:
+            pools = tuple(self._pools.values())
+        return sum(pool.discard() for pool in pools)
+
+    def keep_only(self, addresses: frozenset[str]) -> None:
+        """Forget the pools of addresses that the policy no longer lists."""
+        with self._lock:
+            gone = [address for address in self._pools if address not in addresses]
+            pools = [self._pools.pop(address) for address in gone]
+        for pool in pools:
+            pool.discard()
--- /dev/null
+++ b/src/cottonlink/node/_process.py
@@ -0,0 +1,238 @@
+"""A node as a process: its parts, their start, and the way from SIGTERM to the exit."""
+
+from __future__ import annotations
+
+import functools
+import signal
+import threading
+from collections.abc import Callable, Iterable
+from types import FrameType
+
+import pykka
+import structlog
+from attrs import define, field
+
+from cottonlink._clock import Clock, SystemClock
+from cottonlink.decisions import NodeState
+from cottonlink.node._actors._cancellation import (
+    CancelAttempts,
+    CancellationActor,
+    CancelRun,
+    SweepDisconnected,
+    cancel_calls,
+)
+from cottonlink.node._actors._control_plane import ControlPlane, make_control_plane
+from cottonlink.node._actors._slow_calls import CheckSlowCalls, SlowCallChecker
+from cottonlink.node._attempt import AttemptSender
+from cottonlink.node._calls import ForwardedCall
+from cottonlink.node._control_app import ControlApp
+from cottonlink.node._core import NodeCore
+from cottonlink.node._forward import Forwarder
+from cottonlink.node._ingress import IngressApp
+from cottonlink.node._listeners import Listener, start_listener
+from cottonlink.node._owner import OwnerApp
+from cottonlink.node._permits import PermitClient
+from cottonlink.node._pool import Pools
+from cottonlink.node._settings import Settings
+from cottonlink.node._target import TargetGateway
+from cottonlink.observe import EventKind, EventLog, Metrics, configure_logs
+
+# Threads above the cap of a listener refuse calls while the others are busy.
+SPARE_THREADS = 16
+TICK_MS = 50
+# A leaving node goes on refusing calls for this time, so that its peers learn of its state from
+# answers rather than from broken connections. It also lets the last answers go out.
+LINGER_MS = 1_000
+# Gossip and policy messages are larger than the calls of callers.
+CONTROL_BODY_LIMIT_BYTES = 2_000_000
+# The parser of a pooled message needs a small stack only; the default of 8 MB is reserved for
+# each of several hundred threads.
+THREAD_STACK_BYTES = 512 * 1024
+
+_log = structlog.get_logger()
+
+
+@define(eq=False)
+class Node:
+    """A node that runs in this process. ``start`` binds the addresses of its settings."""
+
+    settings: Settings
+    core: NodeCore
+    pools: Pools
+    target: TargetGateway
+    control: ControlPlane
+    sender: AttemptSender
+    checker: pykka.ActorRef
+    canceller: pykka.ActorRef
+    caller_listener: Listener | None = None
+    peer_listener: Listener | None = None
+    control_listener: Listener | None = None
+    _stopped: threading.Event = field(factory=threading.Event)
+    _ticker: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Open the listeners and start the control tasks."""
+        threading.stack_size(THREAD_STACK_BYTES)
+        settings = self.settings
+        limit = settings.connection_limit
+        start = functools.partial(
+            start_listener,
+            connection_limit=limit,
+            header_limit_bytes=settings.header_limit_bytes,
+        )
+        self.control_listener = start(
+            ControlApp(self.core, self.control),
+            settings.control_address,
+            threads=settings.control_threads,
+            body_limit_bytes=CONTROL_BODY_LIMIT_BYTES,
+            name="control",
+        )
+        owner_app = OwnerApp(
+            self.core, self.target, self._cancel_children, self._cancel_run, self._note_crash
+        )
+        self.peer_listener = start(
+            owner_app,
+            settings.peer_address,
+            threads=settings.peer_limit + SPARE_THREADS,
+            body_limit_bytes=settings.body_limit_bytes,
+            name="peer",
+        )
+        forwarder = Forwarder(self.core, self.sender, PermitClient(self.core))
+        self.caller_listener = start(
+            IngressApp(self.core, forwarder, self.cancel_calls),
+            settings.caller_address,
+            threads=settings.caller_limit + SPARE_THREADS,
+            body_limit_bytes=settings.body_limit_bytes,
+            name="caller",
+        )
+        self.control.start()
+        self._ticker = threading.Thread(target=self._run_ticker, name="ticker", daemon=True)
+        self._ticker.start()
+
+    def leave(self, reason: str) -> None:
+        """Stop accepting work; ``wait_until_idle`` then returns once all work has ended."""
+        self.core.leave(reason)
+
+    def wait_until_idle(self) -> bool:
+        """Wait until a leaving node has finished its work; False if the drain timed out."""
+        clock = self.core.clock
+        deadline_ms = clock.monotonic_ms() + self.settings.drain_timeout_ms
+        idle_since_ms: int | None = None
+        while clock.monotonic_ms() < deadline_ms:
+            now_ms = clock.monotonic_ms()
+            if self.core.in_flight():
+                idle_since_ms = None
+            elif idle_since_ms is None:
+                idle_since_ms = now_ms
+            elif now_ms - idle_since_ms >= LINGER_MS:
+                return True
+            clock.sleep_ms(TICK_MS)
+        return not self.core.in_flight()
+
+    def stop(self) -> None:
+        """Close the listeners and end the control tasks."""
+        self._stopped.set()
+        self.core.stop()
+        self.control.stop()
+        self.checker.stop(block=False)
+        self.canceller.stop(block=False)
+        for listener in (self.caller_listener, self.peer_listener, self.control_listener):
+            if listener is not None:
+                listener.stop()
+        self.pools.discard_all()
+        self.target.discard_connections()
+
+    def cancel_calls(self, calls: Iterable[ForwardedCall], code: str) -> None:
+        """End forwarded calls with ``code`` and tell their owners."""
+        attempts = cancel_calls(self.core, calls, code)
+        if attempts:
+            self.canceller.tell(CancelAttempts(attempts))
+
+    def _cancel_children(self, calls: Iterable[ForwardedCall]) -> None:
+        self.cancel_calls(calls, "cancelled")
+
+    def _cancel_run(self, token: str) -> None:
+        self.canceller.tell(CancelRun(token))
+
+    def _note_crash(self, fingerprint: str, level: int) -> None:
+        self.control.announce_crash(fingerprint, level)
+
+    def _run_ticker(self) -> None:
+        """Drive what depends on time: queued calls, records, slow calls and lost callers."""
+        check_interval_ms = max(TICK_MS, self.settings.silence_check_ms // 3)
+        next_check_ms = 0
+        is_leaving = False
+        while not self._stopped.wait(TICK_MS / 1000):
+            for pause in self.core.tick():
+                self._recover_from_pause(pause.paused_ms)
+            if not is_leaving and self.core.state() is NodeState.LEAVING:
+                is_leaving = True
+                self.control.announce_leaving()
+            now_ms = self.core.now_ms()
+            if now_ms >= next_check_ms:
+                next_check_ms = now_ms + check_interval_ms
+                self.checker.tell(CheckSlowCalls())
+                self.canceller.tell(SweepDisconnected())
+
+    def _recover_from_pause(self, paused_ms: int) -> None:
+        """Drop what may be outdated after the process stood still (design page, 4.8)."""
+        self.core.events.record(EventKind.PAUSE_DETECTED, paused_ms=paused_ms)
+        self.pools.discard_all()
+        self.target.discard_connections()
+        self.control.refresh()
+
+
+def make_node(
+    settings: Settings,
+    clock: Clock | None = None,
+    make_control: Callable[..., ControlPlane] = make_control_plane,
+) -> Node:
+    """Return the node that ``settings`` describe; nothing listens before its ``start``."""
+    clock = clock or SystemClock()
+    events = EventLog(settings.node, clock)
+    core = NodeCore(settings, clock, events, Metrics())
+    pools = Pools(clock, settings.connection_max_age_ms)
+    target = TargetGateway(
+        settings.target_address,
+        clock,
+        max_age_ms=settings.connection_max_age_ms,
+        answer_limit_bytes=settings.body_limit_bytes,
+    )
+    sender = AttemptSender(core, pools)
+    return Node(
+        settings=settings,
+        core=core,
+        pools=pools,
+        target=target,
+        control=make_control(settings, core, events, clock, core.incarnation),
+        sender=sender,
+        checker=SlowCallChecker.start(core, sender),
+        canceller=CancellationActor.start(core, target),
+    )
+
+
+def run_node(settings: Settings, clock: Clock | None = None) -> int:
+    """Run a node until it has left; return the exit status.
+
+    SIGTERM and SIGINT make it leave, as does the state of its target, the VM list or a policy
+    record without it. The status is 1 if work was still in progress after the drain timeout.
+    """
+    configure_logs(settings.node, settings.log_level)
+    asked_to_leave = threading.Event()
+
+    def on_signal(_number: int, _frame: FrameType | None) -> None:
+        asked_to_leave.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    node = make_node(settings, clock)
+    node.start()
+    _log.info("node started", caller=settings.caller_address, peer=settings.peer_address)
+    while node.core.state() is not NodeState.LEAVING:
+        if asked_to_leave.wait(TICK_MS / 1000):
+            node.leave("sigterm")
+    _log.info("node leaving", reason=node.core.leave_reason())
+    is_idle = node.wait_until_idle()
+    node.stop()
+    _log.info("node stopped", finished_all=is_idle)
+    return 0 if is_idle else 1
--- /dev/null
+++ b/tests/node_fixtures.py
@@ -0,0 +1,235 @@
+"""In-process nodes, targets and callers for the tests of the data path."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socketserver
+import threading
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler
+
+from attrs import define, field, frozen
+
+from cottonlink.decisions import TargetState
+from cottonlink.node._process import Node, make_node
+from cottonlink.node._settings import Settings
+from cottonlink.policy import Kind, Policy, RetryPolicy, Service, Upstream
+
+# Guards a test against hanging; no result depends on it.
+TIMEOUT_S = 20
+TIMEOUT_MS = 15_000
+
+READ = Kind("read", ("GET", "HEAD", "PUT"), "/", 3, True, TIMEOUT_MS)
+BOOK = Kind("book", ("POST",), "/", 9, False, TIMEOUT_MS)
+
+
+@frozen
+class Seen:
+    """A request as the target received it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@frozen
+class Reply:
+    """An answer of the target or of a caller's call."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def problem(self) -> dict:
+        return json.loads(self.body)
+
+    @property
+    def code(self) -> str:
+        return self.problem["code"]
+
+
+class FakeTarget:
+    """An HTTP server that answers with ``behave``, or by default repeats the request's body."""
+
+    def __init__(self) -> None:
+        self.seen: list[Seen] = []
+        self.behave: Callable[[BaseHTTPRequestHandler, Seen], None] = answer_echo
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def handle_one_request(self) -> None:
+                try:
+                    super().handle_one_request()
+                except OSError:
+                    self.close_connection = True
+
+            def serve(self) -> None:
+                length = int(self.headers.get("Content-Length") or 0)
+                headers = {name.lower(): value for name, value in self.headers.items()}
+                seen = Seen(self.command, self.path, headers, self.rfile.read(length))
+                if not seen.path.startswith("/_"):
+                    outer.seen.append(seen)
+                    outer.behave(self, seen)
+                else:
+                    send(self, 200, b"")
+
+            def log_message(self, *_: object) -> None:
+                """Keep the test's output clean."""
+
+        for method in ("GET", "HEAD", "POST", "PUT"):
+            setattr(Handler, f"do_{method}", Handler.serve)
+
+        class Server(socketserver.ThreadingTCPServer):
+            daemon_threads = True
+            allow_reuse_address = True
+
+        self._server = Server(("127.0.0.1", 0), Handler)
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def send(
+    handler: BaseHTTPRequestHandler, status: int, body: bytes, length: int | None = None
+) -> None:
+    """Send an answer; ``length`` overrides the true length."""
+    handler.send_response(status)
+    handler.send_header("Content-Length", str(len(body) if length is None else length))
+    handler.send_header("Keep-Alive", "timeout=5")
+    handler.send_header("Cottonlink-Executed", "no")
+    handler.end_headers()
+    handler.wfile.write(body)
+
+
+def answer_echo(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+    """Answer with the body of the request."""
+    send(handler, 200, seen.body)
+
+
+def answer_cut_short(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+    """Announce more than is sent, and close the connection."""
+    send(handler, 200, b"half", length=100)
+    handler.close_connection = True
+
+
+def drop_connection(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+    """Close the connection without an answer."""
+    handler.close_connection = True
+
+
+class FakeControl:
+    """Control plane without peers."""
+
+    def __init__(self, *_: object) -> None:
+        self.state = self
+        self.handlers = None
+        self.crashes: list[tuple[str, int]] = []
+
+    def members(self) -> tuple:
+        return ()
+
+    def announce_crash(self, fingerprint: str, level: int) -> None:
+        self.crashes.append((fingerprint, level))
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    stop = refresh = announce_leaving = start
+
+
+@define
+class Fleet:
+    """Nodes in this process with one target each, all of the service ``desk``."""
+
+    nodes: dict[str, Node] = field(factory=dict)
+    targets: dict[str, FakeTarget] = field(factory=dict)
+    policy: Policy | None = None
+
+    def node(self, name: str) -> Node:
+        return self.nodes[name]
+
+    def call(self, node: str, method: str, path: str, **options: object) -> Reply:
+        """Send one request to the caller listener of ``node``."""
+        return call(self.nodes[node].caller_listener.address, method, path, **options)
+
+    def stop(self) -> None:
+        for node in self.nodes.values():
+            node.stop()
+        for target in self.targets.values():
+            target.stop()
+
+
+def call(
+    address: str, method: str, path: str, *, body: bytes = b"", headers: dict | None = None
+) -> Reply:
+    """Send one request on its own connection."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    try:
+        connection.request(method, path, body=body or None, headers=headers or {})
+        response = connection.getresponse()
+        content = response.read()
+        fields = {name.lower(): value for name, value in response.getheaders()}
+        return Reply(response.status, fields, content)
+    finally:
+        connection.close()
+
+
+def start_fleet(*names: str, slots: int = 8, **overrides: object) -> Fleet:
+    """Start nodes that serve ``desk``; the first name is the ingress, which serves ``front``."""
+    fleet = Fleet()
+    for name in names:
+        fleet.targets[name] = FakeTarget()
+        settings = _make_settings(name, fleet.targets[name].address, overrides)
+        fleet.nodes[name] = make_node(settings, make_control=FakeControl)
+        fleet.nodes[name].start()
+    upstreams = {name: _make_upstream(name, node, slots) for name, node in fleet.nodes.items()}
+    front = Service("front", (upstreams[names[0]],), (READ, BOOK))
+    desk = Service("desk", tuple(upstreams[name] for name in names[1:]), (READ, BOOK))
+    fleet.policy = Policy(1, (front, desk), RetryPolicy())
+    for node in fleet.nodes.values():
+        node.core.apply_policy(fleet.policy)
+        node.core.target_state(TargetState.OK)
+    return fleet
+
+
+def _make_settings(name: str, target_address: str, overrides: dict) -> Settings:
+    values = {
+        "caller_limit": 16,
+        "peer_limit": 16,
+        "control_threads": 4,
+        **overrides,
+    }
+    return Settings(
+        node=name,
+        data_centre="lalitpur",
+        caller_address="127.0.0.1:0",
+        peer_address="127.0.0.1:0",
+        control_address="127.0.0.1:0",
+        target_address=target_address,
+        seed_control_addresses=(),
+        config_service_address="127.0.0.1:9",
+        vm_list_address="127.0.0.1:9",
+        **values,
+    )
+
+
+def _make_upstream(name: str, node: Node, slots: int) -> Upstream:
+    return Upstream(
+        name,
+        "lalitpur",
+        node.peer_listener.address,
+        node.control_listener.address,
+        slots,
+        connections=100,
+    )
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,40 @@
+"""The data path of nodes in this process, over TCP, with a fake target."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.node_fixtures import Fleet, start_fleet
+
+
+class PathTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.fleet: Fleet = start_fleet("a", "b")
+        self.addCleanup(self.fleet.stop)
+        self.target = self.fleet.targets["b"]
+
+    def test_body(self) -> None:
+        """Guards against changed bodies, forwarded hop-by-hop headers and a foreign Host."""
+        body = bytes(range(256)) * 300
+        headers = {"Connection": "X-Hop", "X-Hop": "1", "X-Kept": "2", "Cottonlink-Depth": "9"}
+        reply = self.fleet.call("a", "PUT", "/desk/a%2Fb?q=%20", body=body, headers=headers)
+        self.assertEqual((reply.status, reply.body), (200, body))
+        self.assertEqual(reply.headers["cottonlink-executed"], "yes")
+        self.assertNotIn("keep-alive", reply.headers)
+        (seen,) = self.target.seen
+        self.assertEqual((seen.path, seen.headers["x-kept"]), ("/a%2Fb?q=%20", "2"))
+        self.assertEqual(seen.headers["host"], self.target.address)
+        self.assertEqual(seen.headers["cottonlink-depth"], "0")
+        self.assertNotIn("x-hop", seen.headers)
+
+    def test_permit(self) -> None:
+        """Guards against a booking that runs without a permit, twice, or without its answer."""
+        key = {"Idempotency-Key": "k"}
+        first = self.fleet.call("a", "POST", "/desk/book", body=b"chair", headers=key)
+        self.assertEqual((first.status, self.target.seen), (428, []))
+        key["Cottonlink-Permit"] = first.headers["cottonlink-permit"]
+        replies = [
+            self.fleet.call("a", "POST", "/desk/book", body=b"chair", headers=key) for _ in range(2)
+        ]
+        self.assertEqual([(r.status, r.body) for r in replies], [(200, b"chair")] * 2)
+        self.assertEqual(len(self.target.seen), 1)
