Run the control actors against the stand-ins, and measure their cost

Cause: the actors had not been run yet, and the limits on traffic, processor time and reads of the service need figures before they can be stated on the capacity page. A fault of one peer is also no longer forgotten when the service answers, which would have reported it again every 2 s.

--- /dev/null
+++ b/bench/control_cost.py
@@ -0,0 +1,301 @@
+"""Cost of the control plane: spread of a change, traffic, processor time, reads of the service.
+
+Run it with ``python -m bench.control_cost [--json FILE]``. The spread, the traffic and the reads
+are computed in virtual time and are equal on each machine; the processor times are measured.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import statistics
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+
+from bench.control_fleet import ControlFleet, make_policy, make_record, spread_names
+from cottonlink._clock import SystemClock
+from cottonlink.decisions import dump_gossip, make_membership, parse_gossip
+from cottonlink.decisions._gossip import Member
+from cottonlink.node._actors._client import ControlClient, parse_json
+from cottonlink.node._listeners import start_listener
+from cottonlink.policy import load_policy
+
+FLEET_SIZES = (12, 50, 100, 200, 400, 740)
+READ_SIZES = (100, 200, 400, 740)
+RECORD_SIZES = (12, 100, 370, 740)
+SERVICE_COUNT = 140
+SEEDS = (1, 2, 3)
+
+CHANGES_PER_DAY = 3_200
+SECONDS_PER_DAY = 86_400
+EXCHANGES_PER_SECOND = 2
+
+# Packets of one exchange on a new TCP connection: 3 to open, 2 with data, 2 acknowledgements and
+# 4 to close, each with 52 bytes of IP and TCP head; a node sees them once for each exchange.
+TCP_BYTES_PER_EXCHANGE = 11 * 52
+
+# Bounds from the requirements, section 1.5 of the design page.
+FORCE_BOUND_MS = 17_000
+TRAFFIC_BOUND_BYTES = 24_000
+CORE_BOUND_PERCENT = 2.1
+READ_BOUND = 2_000
+
+
+def make_varied_record(size: int) -> dict:
+    """Return a record whose addresses, slots and paths don't repeat, so that it compresses as a
+    real one does and not as one from a template."""
+    rng = random.Random(size)
+    record = make_record(1, spread_names(size), services=min(size, SERVICE_COUNT))
+    for service in record["services"]:
+        service["name"] = f"{service['name']}-{rng.randbytes(4).hex()}"
+        for upstream in service["upstreams"]:
+            host = f"10.{rng.randrange(256)}.{rng.randrange(256)}.{rng.randrange(1, 255)}"
+            upstream["peer_address"] = f"{host}:{rng.randrange(1_024, 65_536)}"
+            upstream["control_address"] = f"{host}:{rng.randrange(1_024, 65_536)}"
+            upstream |= {"slots": rng.randrange(15, 141), "connections": rng.randrange(180, 901)}
+        service["kinds"] = [
+            kind | {"path": f"{kind['path']}/{rng.randbytes(6).hex()}"} for kind in service["kinds"]
+        ]
+    return record
+
+
+def start_fleet(size: int, seed: int) -> tuple[ControlFleet, dict[str, list[str]]]:
+    """Return a fleet with policy 1 in force everywhere, after 8 s of gossip."""
+    names = spread_names(size)
+    policy = make_policy(1, names, services=min(size, SERVICE_COUNT))
+    fleet = ControlFleet(seed, checks_messages=False)
+    fleet.publish(policy)
+    for centre, members in names.items():
+        for name in members:
+            fleet.offer(fleet.start(name, centre), policy, "setup")
+    fleet.run(8_000)
+    return fleet, names
+
+
+def measure_spread(size: int, seed: int, fault: str) -> dict:
+    """Publish version 2 and return what it took until each live node has it in force."""
+    fleet, names = start_fleet(size, seed)
+    now_ms = int(fleet.now_ms)
+    any_node = next(iter(fleet.nodes.values()))
+    chosen = [name for centre in names for name in any_node.membership.watchers(centre, now_ms)]
+    if fault == "dead":
+        for name in chosen:
+            fleet.kill(name)
+    if fault == "cut_off":
+        fleet.reaches_service = lambda name: name not in chosen
+    fleet.message_sizes.clear()
+    fleet.fetch_count = 0
+    bytes_before = _all_bytes(fleet)
+    fleet.publish(make_policy(2, names, services=min(size, SERVICE_COUNT)))
+    is_done = fleet.run(60_000, lambda: min(fleet.live_versions()) == 2)
+    return {
+        "upstreams": size,
+        "fault": fault,
+        "seed": seed,
+        "is_done": is_done,
+        "time_ms": round(fleet.now_ms - now_ms),
+        "messages": len(fleet.message_sizes),
+        "fetches": fleet.fetch_count,
+        "bytes": _all_bytes(fleet) - bytes_before,
+    }
+
+
+def measure_traffic(size: int) -> dict:
+    """Return bytes a second of one node with gossip and 3,200 changes a day."""
+    fleet, _ = start_fleet(size, seed=1)
+    seconds = 20
+    before = {name: node.sent_bytes + node.received_bytes for name, node in fleet.nodes.items()}
+    fleet.message_sizes.clear()
+    fleet.run(seconds * 1_000)
+    rates = [
+        (node.sent_bytes + node.received_bytes - before[name]) / seconds
+        for name, node in fleet.nodes.items()
+    ]
+    tcp = len(fleet.message_sizes) / len(rates) / seconds * TCP_BYTES_PER_EXCHANGE
+    body = len(load_policy(make_varied_record(size)).body)
+    # Each node receives each body once and on average sends it once.
+    bodies = 2 * body * CHANGES_PER_DAY / SECONDS_PER_DAY
+    return {
+        "upstreams": size,
+        "gossip_mean": round(statistics.mean(rates)),
+        "gossip_max": round(max(rates)),
+        "tcp": round(tcp),
+        "bodies": round(bodies),
+        "total_max": round(max(rates) + tcp + bodies),
+        "message_mean": round(statistics.mean(fleet.message_sizes)),
+        "message_max": max(fleet.message_sizes),
+    }
+
+
+def measure_reads(size: int) -> dict:
+    """Return the busiest second at the service in four phases."""
+    fleet, names = start_fleet(size, seed=1)
+    result = {"upstreams": size}
+    result["steady"] = _peak_reads(fleet, 20_000)
+    fleet.service.is_up = False
+    result["outage"] = _peak_reads(fleet, 30_000)
+    fleet.service.is_up = True
+    result["return"] = _peak_reads(fleet, 20_000)
+    for centre, members in names.items():
+        for name in members:
+            fleet.start(name, centre, ("n-0", "n-1", "n-2", "n-3", "n-4"))
+    result["mass_restart"] = _peak_reads(fleet, 20_000)
+    result["all_have_policy"] = min(fleet.live_versions()) == 1
+    result["bound"] = READ_BOUND
+    return result
+
+
+def measure_record(size: int) -> dict:
+    """Return sizes of a record and the processor time to load it and take its members."""
+    text = json.dumps(make_varied_record(size))
+    own = Member("n-0", "r1-0", "10.0.0.1:80", "10.0.0.1:80")
+    membership = make_membership(own, (), random.Random(1), 0)
+    policy = load_policy(text)
+    load_ms = _cpu_ms(lambda: load_policy(text), 10)
+    apply_ms = _cpu_ms(lambda: membership.apply_policy(policy), 10)
+    return {
+        "upstreams": size,
+        "plain_bytes": len(text.encode()),
+        "compressed_bytes": len(policy.body),
+        "load_ms": round(load_ms, 2),
+        "apply_members_ms": round(apply_ms, 2),
+        "core_percent": round((load_ms + apply_ms) / 10 * CHANGES_PER_DAY / SECONDS_PER_DAY, 4),
+    }
+
+
+def measure_message(size: int) -> dict:
+    """Return the processor time of one gossip message, and of a whole exchange over HTTP."""
+    fleet, _ = start_fleet(size, seed=1)
+    node, other = list(fleet.nodes.values())[:2]
+    now_ms = int(fleet.now_ms)
+
+    def one_message() -> None:
+        text = json.dumps(dump_gossip(node.membership.make_gossip(now_ms)))
+        other.membership.receive(parse_gossip(json.loads(text)), now_ms)
+
+    message_ms = _cpu_ms(one_message, 200)
+    round_ms = _cpu_ms(lambda: node.membership.gossip_peers(2, now_ms), 200)
+    exchange_ms = _measure_exchange(node.membership, other.membership, now_ms)
+    # A node is at both ends of as many exchanges: it asks two peers and two peers ask it.
+    percent = (EXCHANGES_PER_SECOND * exchange_ms + round_ms) / 10
+    return {
+        "upstreams": size,
+        "message_ms": round(message_ms, 3),
+        "choose_peers_ms": round(round_ms, 3),
+        "http_exchange_both_ends_ms": round(exchange_ms, 3),
+        "core_percent": round(percent, 3),
+    }
+
+
+def _measure_exchange(node, other, now_ms: int) -> float:
+    """Each exchange has a connection of its own, as with random peers."""
+
+    def serve(environ: dict, start_response: Callable) -> list[bytes]:
+        raw = environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"]))
+        gossip = parse_gossip(json.loads(raw))
+        other.receive(gossip, now_ms)
+        body = json.dumps(dump_gossip(other.make_gossip(now_ms, gossip))).encode()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    listener = start_listener(
+        serve,
+        "127.0.0.1:0",
+        threads=2,
+        connection_limit=100,
+        body_limit_bytes=1_000_000,
+        header_limit_bytes=16_384,
+        name="bench",
+    )
+
+    def exchange() -> None:
+        client = ControlClient(SystemClock())
+        message = dump_gossip(node.make_gossip(now_ms))
+        answer = client.post(listener.address, "/v1/gossip", message)
+        node.receive(parse_gossip(parse_json(answer, listener.address)), now_ms)
+        client.close()
+
+    exchange_ms = _cpu_ms(exchange, 100)
+    listener.stop()
+    return exchange_ms
+
+
+def _cpu_ms(action: Callable[[], object], count: int) -> float:
+    """Return the processor time of one call, the least of three series of ``count``."""
+    series = []
+    for _ in range(3):
+        started_s = time.process_time()
+        for _ in range(count):
+            action()
+        series.append((time.process_time() - started_s) * 1_000 / count)
+    return min(series)
+
+
+def _peak_reads(fleet: ControlFleet, duration_ms: int) -> int:
+    fleet.service.reads.clear()
+    fleet.run(duration_ms)
+    seconds: dict[int, int] = {}
+    for read_ms in fleet.service.reads:
+        seconds[read_ms // 1_000] = seconds.get(read_ms // 1_000, 0) + 1
+    return max(seconds.values(), default=0)
+
+
+def _all_bytes(fleet: ControlFleet) -> int:
+    return sum(node.sent_bytes for node in fleet.nodes.values())
+
+
+def _print_table(title: str, rows: list[dict]) -> None:
+    click.echo(f"\n{title}")
+    widths = {name: max(len(name), *(len(str(row[name])) for row in rows)) for name in rows[0]}
+    click.echo("  ".join(name.rjust(width) for name, width in widths.items()))
+    for row in rows:
+        click.echo("  ".join(str(row[name]).rjust(width) for name, width in widths.items()))
+
+
+def _spread_rows(sizes: tuple[int, ...]) -> list[dict]:
+    rows = []
+    for size in sizes:
+        # In the smallest fleet all nodes are watchers, so that no other could take over.
+        for fault in ("none", "dead", "cut_off") if size > 21 else ("none",):
+            runs = [measure_spread(size, seed, fault) for seed in SEEDS]
+            worst = max(runs, key=lambda run: run["time_ms"])
+            median = statistics.median(run["time_ms"] for run in runs)
+            row = {"upstreams": size, "watchers": fault, "median_ms": median}
+            row |= {"worst_ms": worst["time_ms"], "is_done": all(run["is_done"] for run in runs)}
+            row |= {"rounds": round(worst["time_ms"] / 1_000, 1)}
+            rows.append(row | {name: worst[name] for name in ("messages", "fetches", "bytes")})
+    return rows
+
+
+@click.command()
+@click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write results here.")
+@click.option("--quick", is_flag=True, help="Small fleets only, for a check that it runs.")
+def main(json_path: Path | None, quick: bool) -> None:
+    """Measure the control plane and print tables."""
+    count = 2 if quick else None
+    results = {
+        "spread": _spread_rows(FLEET_SIZES[:count]),
+        "traffic_bytes_per_second": [measure_traffic(size) for size in FLEET_SIZES[:count]],
+        "reads_per_second": [measure_reads(size) for size in READ_SIZES[: count and 1]],
+        "records": [measure_record(size) for size in RECORD_SIZES[:count]],
+        "messages": [measure_message(size) for size in RECORD_SIZES[:count]],
+        "bounds": [
+            {
+                "force_ms": FORCE_BOUND_MS,
+                "traffic_bytes_per_second": TRAFFIC_BOUND_BYTES,
+                "core_percent": CORE_BOUND_PERCENT,
+                "reads_per_second": READ_BOUND,
+            }
+        ],
+    }
+    for title, rows in results.items():
+        _print_table(title, rows)
+    if json_path:
+        json_path.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/emulator/long_poll.py
+++ b/emulator/long_poll.py
@@ -62,6 +62,7 @@
     faults: Faults = field(factory=Faults)
     _reads_by_second: collections.Counter[int] = field(factory=collections.Counter)
     _waiting_count: int = 0
+    _served_count: int = 0
 
     def publish(self, body: bytes, version: int | None = None) -> None:
         """Make ``body`` the current value. Without ``version``, it must be JSON that has one."""
@@ -88,14 +89,16 @@
                 min(wait_ms, MAX_WAIT_MS) / 1000,
             )
             self._waiting_count -= 1
+            self._served_count += isinstance(found, _Value)
         return found.body if isinstance(found, _Value) else None
 
     def reads(self) -> dict[str, int]:
-        """Return the number of reads, the most in one second and those that wait now."""
+        """Return the reads: all, those served a value, the busiest second, those waiting now."""
         with self._changed:
             counts = self._reads_by_second.values()
             return {
                 "total": sum(counts),
+                "served": self._served_count,
                 "peak_per_second": max(counts, default=0),
                 "waiting": self._waiting_count,
             }
--- a/src/cottonlink/node/_actors/_control_state.py
+++ b/src/cottonlink/node/_actors/_control_state.py
@@ -171,7 +171,10 @@
         """Take note that this node reached the configuration service."""
         with self._lock:
             self._membership.watch_succeeded(self._clock.monotonic_ms())
-        self._reported.clear()
+
+    def note_recovery(self, peer: str) -> None:
+        """Report the next fault of ``peer`` again, since the last one is over."""
+        self._reported.pop(peer, None)
 
     def announce_leaving(self) -> None:
         """Tell the fleet with the next gossip that this node leaves."""
--- a/src/cottonlink/node/_actors/_watcher.py
+++ b/src/cottonlink/node/_actors/_watcher.py
@@ -84,6 +84,7 @@
             self._state.report_error(error)
             return self._failures.fail()
         self._failures.succeed()
+        self._state.note_recovery(self._address)
         self.reached()
         return self._next_delay(answer, access, started_ms)
 
