--- a/emulator/relay.py
+++ b/emulator/relay.py
@@ -271,7 +271,7 @@
     def _mark(self, link: _Link, chunk: bytes) -> None:
         """Tie ``link`` to the gate if its request carries the gate's marker."""
         gate = self._gate
-        if gate is not None and link.gate is not gate and gate.marker in chunk and gate.claim():
+        if gate is not None and link.gate is not gate and gate.claim(chunk):
             link.gate = gate
             link.marked_bytes = 0
 
