Keep the process running when a drain was only reported

Cause: run_node ended the process as soon as its state was leaving, whatever the reason. A false 'draining' of a target, or a VM list that marks the wrong VM, would have ended nodes that nobody restarts in time. Ruled out: ignoring the reports; the owner still refuses new work while they last. Before: SIGTERM and three kinds of report ended the process.

--- a/src/cottonlink/node/_actors/_control_state.py
+++ b/src/cottonlink/node/_actors/_control_state.py
@@ -31,6 +31,7 @@
 
 GOSSIP_PEERS = 2
 SPREAD_PEERS = 4
+LISTED_LEAVING = "vm_list"
 
 
 class ControlState:
@@ -188,10 +189,12 @@
         for change in changes:
             match change:
                 case MemberLeft(name) if name == own_name:
-                    self._node.leave("vm_list")
+                    self._node.suspend(LISTED_LEAVING)
                 case MemberLeft(name):
                     self._node.member_left(name)
-                case MemberReturned(name) if name != own_name:
+                case MemberReturned(name) if name == own_name:
+                    self._node.resume(LISTED_LEAVING)
+                case MemberReturned(name):
                     self._node.member_returned(name)
                 case CrashLearned(fingerprint, crashes):
                     self._node.learn_suspicion(fingerprint, crashes)
--- a/src/cottonlink/node/_actors/_interfaces.py
+++ b/src/cottonlink/node/_actors/_interfaces.py
@@ -25,8 +25,11 @@
     def member_returned(self, name: str) -> None:
         """Offer work to ``name`` again; nothing says any longer that it is leaving."""
 
-    def leave(self, reason: str) -> None:
-        """Begin to drain, because the VM list says that this VM is leaving."""
+    def suspend(self, reason: str) -> None:
+        """Take no new work, because the VM list says that this VM is leaving."""
+
+    def resume(self, reason: str) -> None:
+        """Take work again; the VM list no longer says so."""
 
     def learn_suspicion(self, fingerprint: str, level: int) -> None:
         """Take in how many targets a request has crashed, as another node saw."""
--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -117,11 +117,23 @@
         self.newest_seen_version = max(self.newest_seen_version, version)
 
     def leave(self, reason: str) -> None:
-        """Stop accepting work; what has been accepted is finished."""
+        """Stop accepting work for good; what has been accepted is finished."""
         with self._lock:
             self._lifecycle.leave(reason, self.now_ms())
         self._note_state()
 
+    def suspend(self, reason: str) -> None:
+        """Stop accepting work until ``resume`` withdraws the reason."""
+        with self._lock:
+            self._lifecycle.suspend(reason, self.now_ms())
+        self._note_state()
+
+    def resume(self, reason: str) -> None:
+        """Withdraw a reason to accept no work."""
+        with self._lock:
+            self._lifecycle.resume(reason, self.now_ms())
+        self._note_state()
+
     def stop(self) -> None:
         """Record that all accepted work has finished."""
         with self._lock:
--- a/src/cottonlink/node/_owner_state.py
+++ b/src/cottonlink/node/_owner_state.py
@@ -47,6 +47,7 @@
 
 SECRET_BYTES = 32
 NOT_READY_RETRY_MS = 1_000
+NOT_IN_POLICY = "not_in_policy"
 
 
 Decision = Start | Refuse | Cancel
@@ -108,8 +109,9 @@
         own = policy.upstreams_by_name.get(self._node)
         if own is None:
             if self._siblings is not None:
-                self._lifecycle.leave("not_in_policy", now_ms)
+                self._lifecycle.suspend(NOT_IN_POLICY, now_ms)
             return ()
+        self._lifecycle.resume(NOT_IN_POLICY, now_ms)
         service = policy.service_by_upstream[self._node]
         siblings = frozenset(upstream.name for upstream in service.upstreams)
         if self._siblings is not None and self._siblings != siblings:
--- a/src/cottonlink/node/_process.py
+++ b/src/cottonlink/node/_process.py
@@ -13,7 +13,6 @@
 from attrs import define, field
 
 from cottonlink._clock import Clock, SystemClock
-from cottonlink.decisions import NodeState
 from cottonlink.node._actors._cancellation import (
     CancelAttempts,
     CancellationActor,
@@ -112,11 +111,12 @@
     def leave(self, reason: str) -> None:
         """Stop accepting work; ``wait_until_idle`` then returns once all work has ended."""
         self.core.leave(reason)
+        self.control.announce_leaving()
 
     def wait_until_idle(self) -> bool:
         """Wait until a leaving node has finished its work; False if the drain timed out."""
         clock = self.core.clock
-        deadline_ms = clock.monotonic_ms() + self.settings.drain_timeout_ms
+        deadline_ms = clock.monotonic_ms() + self._drain_limit_ms()
         idle_since_ms: int | None = None
         while clock.monotonic_ms() < deadline_ms:
             now_ms = clock.monotonic_ms()
@@ -129,6 +129,17 @@
             clock.sleep_ms(TICK_MS)
         return not self.core.in_flight()
 
+    def _drain_limit_ms(self) -> int:
+        """Return the longest time that accepted work may take.
+
+        A call may wait for its whole timeout and a non-repeatable one then runs for as long again.
+        The setting counts only if it is longer: a shorter one would cut off requests in flight.
+        """
+        policy = self.core.policy
+        kinds = [kind for service in policy.services for kind in service.kinds] if policy else []
+        longest_ms = max((kind.timeout_ms for kind in kinds), default=0)
+        return max(self.settings.drain_timeout_ms, 2 * longest_ms + LINGER_MS)
+
     def stop(self) -> None:
         """Close the listeners and end the control tasks."""
         self._stopped.set()
@@ -161,13 +172,9 @@
         """Drive what depends on time: queued calls, records, slow calls and lost callers."""
         check_interval_ms = max(TICK_MS, self.settings.silence_check_ms // 3)
         next_check_ms = 0
-        is_leaving = False
         while not self._stopped.wait(TICK_MS / 1000):
             for pause in self.core.tick():
                 self._recover_from_pause(pause.paused_ms)
-            if not is_leaving and self.core.state() is NodeState.LEAVING:
-                is_leaving = True
-                self.control.announce_leaving()
             now_ms = self.core.now_ms()
             if now_ms >= next_check_ms:
                 next_check_ms = now_ms + check_interval_ms
@@ -214,8 +221,9 @@
 def run_node(settings: Settings, clock: Clock | None = None) -> int:
     """Run a node until it has left; return the exit status.
 
-    SIGTERM and SIGINT make it leave, as does the state of its target, the VM list or a policy
-    record without it. The status is 1 if work was still in progress after the drain timeout.
+    Only SIGTERM and SIGINT end the process. A target that drains, the VM list or a policy record
+    without this node only stop new work, since such a report may be wrong or withdrawn. The status
+    is 1 if work was still in progress after the drain timeout.
     """
     configure_logs(settings.node, settings.log_level)
     asked_to_leave = threading.Event()
@@ -228,9 +236,10 @@
     node = make_node(settings, clock)
     node.start()
     _log.info("node started", caller=settings.caller_address, peer=settings.peer_address)
-    while node.core.state() is not NodeState.LEAVING:
-        if asked_to_leave.wait(TICK_MS / 1000):
-            node.leave("sigterm")
+    # The wait has a timeout because a wait without one can't be interrupted by the handler.
+    while not asked_to_leave.wait(TICK_MS / 1000):
+        pass
+    node.leave("sigterm")
     _log.info("node leaving", reason=node.core.leave_reason())
     is_idle = node.wait_until_idle()
     node.stop()
