Test the path against lost answers, silent connections, drain and bad input

The path was only tested with calls that succeed. The new tests run two nodes with fake targets and a relay on 127.0.0.1, and wait for events rather than for times. A caller that half-closes its connection counts as disconnected, as waitress reports it; the test client therefore leaves its side open.

--- a/tests/node_fixtures.py
+++ b/tests/node_fixtures.py
@@ -4,16 +4,18 @@
 
 import http.client
 import json
+import socket
 import socketserver
 import threading
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from cottonlink.decisions import TargetState
 from cottonlink.node._process import Node, make_node
 from cottonlink.node._settings import Settings
+from cottonlink.observe import Event, EventKind
 from cottonlink.policy import Kind, Policy, RetryPolicy, Service, Upstream
 
 # Guards a test against hanging; no result depends on it.
@@ -56,6 +58,7 @@
 
     def __init__(self) -> None:
         self.seen: list[Seen] = []
+        self.cancelled: list[str] = []
         self.behave: Callable[[BaseHTTPRequestHandler, Seen], None] = answer_echo
         outer = self
 
@@ -73,11 +76,12 @@
                 length = int(self.headers.get("Content-Length") or 0)
                 headers = {name.lower(): value for name, value in self.headers.items()}
                 seen = Seen(self.command, self.path, headers, self.rfile.read(length))
-                if not seen.path.startswith("/_"):
-                    outer.seen.append(seen)
-                    outer.behave(self, seen)
-                else:
+                if seen.path.startswith("/_cancel/"):
+                    outer.cancelled.append(seen.path.rpartition("/")[2])
                     send(self, 200, b"")
+                    return
+                outer.seen.append(seen)
+                outer.behave(self, seen)
 
             def log_message(self, *_: object) -> None:
                 """Keep the test's output clean."""
@@ -162,6 +166,34 @@
         """Send one request to the caller listener of ``node``."""
         return call(self.nodes[node].caller_listener.address, method, path, **options)
 
+    def events(self, node: str, kind: EventKind) -> list[Event]:
+        """Return the events of one kind at ``node``."""
+        return [e for e in self.nodes[node].core.events.events() if e.kind is kind]
+
+    def move(self, name: str, peer_address: str) -> None:
+        """Publish another peer address for an upstream of ``desk``."""
+        front, desk = self.policy.services
+        upstreams = tuple(
+            evolve(up, peer_address=peer_address) if up.name == name else up
+            for up in desk.upstreams
+        )
+        services = (front, evolve(desk, upstreams=upstreams))
+        self.policy = Policy(self.policy.version + 1, services, self.policy.retry)
+        for node in self.nodes.values():
+            node.core.apply_policy(self.policy)
+
+    def book(self, node: str, path: str = "/desk/book", **headers: str) -> Reply:
+        """Obtain a permit for key ``k`` and send a booking with it."""
+        fields = {"Idempotency-Key": "k", **headers}
+        if "Cottonlink-Permit" not in fields:
+            fields["Cottonlink-Permit"] = self.permit(node, path)
+        return self.call(node, "POST", path, body=b"chair", headers=fields)
+
+    def permit(self, node: str, path: str = "/desk/book") -> str:
+        """Return a permit for key ``k``."""
+        reply = self.call(node, "POST", path, headers={"Idempotency-Key": "k"})
+        return reply.headers["cottonlink-permit"]
+
     def stop(self) -> None:
         for node in self.nodes.values():
             node.stop()
@@ -169,6 +201,15 @@
             target.stop()
 
 
+def send_raw(address: str, request: bytes) -> bytes:
+    """Send bytes and return what comes back until the connection ends."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), TIMEOUT_S) as connection:
+        connection.sendall(request)
+        parts = iter(lambda: connection.recv(65_536), b"")
+        return b"".join(parts)
+
+
 def call(
     address: str, method: str, path: str, *, body: bytes = b"", headers: dict | None = None
 ) -> Reply:
--- /dev/null
+++ b/tests/test_path_faults.py
@@ -0,0 +1,296 @@
+"""Faults on the data path: lost, cut and foreign answers, silent connections, drain, bad input."""
+
+from __future__ import annotations
+
+import http.client
+import threading
+import time
+import unittest
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler
+
+from cottonlink.node._calls import CallState
+from cottonlink.observe import EventKind
+from emulator.addresses import PortReserver, split_address
+from emulator.relay import Relay
+from tests.node_fixtures import (
+    TIMEOUT_S,
+    FakeTarget,
+    Fleet,
+    Seen,
+    answer_cut_short,
+    answer_echo,
+    drop_connection,
+    send,
+    send_raw,
+    start_fleet,
+)
+
+GET_HEAD = b"GET /desk/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+
+
+def wait_until(condition: Callable[[], object]) -> None:
+    """Wait for a condition that must come true; the limit only guards against hanging."""
+    end_s = time.monotonic() + TIMEOUT_S
+    while not condition():
+        if time.monotonic() > end_s:
+            raise AssertionError("the condition did not come true")
+        time.sleep(0.005)
+
+
+def wait_until_vouched(fleet: Fleet) -> None:
+    """Wait until node ``b`` has run long enough to tell that it never saw the call ``w``."""
+    owner = fleet.nodes["b"].core.owner
+    age_ms = fleet.nodes["b"].settings.silence_check_ms
+    wait_until(lambda: owner.call_states({"w": 2 * age_ms})["w"] is CallState.NEVER_SEEN)
+
+
+class FaultCase(unittest.TestCase):
+    names = ("a", "b")
+    settings: dict[str, object] = {}
+
+    def setUp(self) -> None:
+        self.fleet: Fleet = start_fleet(*self.names, **self.settings)
+        self.addCleanup(self.fleet.stop)
+        self.target = self.fleet.targets["b"]
+        self.gate = threading.Event()
+        self.addCleanup(self.gate.set)
+
+    def hold(self, handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+        """Answer once the gate opens."""
+        self.gate.wait(TIMEOUT_S)
+        answer_echo(handler, seen)
+
+    def start_call(self, *arguments: str, **options: object) -> tuple[threading.Thread, list]:
+        """Send a call from another thread; return the thread and the list for its reply."""
+        replies: list = []
+        thread = threading.Thread(
+            target=lambda: replies.append(self.fleet.call(*arguments, **options)), daemon=True
+        )
+        thread.start()
+        return thread, replies
+
+
+class AnswerTest(FaultCase):
+    def test_answer_incomplete(self) -> None:
+        """Guards against a cut answer that reaches a caller as if it were whole."""
+        self.target.behave = answer_cut_short
+        reply = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual((reply.status, reply.code), (502, "answer_incomplete"))
+        self.assertEqual(reply.problem["executed"], "unknown")
+        self.assertEqual(len(self.target.seen), 1)
+
+    def test_call_id(self) -> None:
+        """Guards against the answer to another call, which a late or repeated answer may be."""
+        peer = FakeTarget()
+        self.addCleanup(peer.stop)
+        peer.behave = lambda handler, seen: send(handler, 200, b"of another caller")
+        self.fleet.move("b", peer.address)
+        reply = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual((reply.code, reply.problem["executed"]), ("answer_mismatch", "unknown"))
+
+    def test_execution_unknown(self) -> None:
+        """Guards against a second run of a booking whose first answer was lost."""
+        self.target.behave = drop_connection
+        permit = self.fleet.permit("a")
+        first = self.fleet.book("a", **{"Cottonlink-Permit": permit})
+        self.assertEqual((first.code, first.problem["executed"]), ("connection_lost", "unknown"))
+        self.target.behave = answer_echo
+        second = self.fleet.book("a", **{"Cottonlink-Permit": permit})
+        self.assertEqual((second.status, second.code), (409, "execution_unknown"))
+        self.assertEqual(len(self.target.seen), 1)
+
+    def test_crash(self) -> None:
+        """Guards against a crashed target that is taken for a lost connection, or counted twice."""
+
+        def crash(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+            self.target.stop()
+            handler.close_connection = True
+
+        self.target.behave = crash
+        reply = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual((reply.code, reply.problem["executed"]), ("target_crashed", "unknown"))
+        crashes = self.fleet.nodes["b"].control.crashes
+        self.assertEqual([level for _, level in crashes], [1])
+        refused = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual(
+            (refused.code, refused.problem["executed"]), ("upstream_unreachable", "no")
+        )
+
+
+class SilentConnectionTest(FaultCase):
+    def setUp(self) -> None:
+        super().setUp()
+        ports = PortReserver()
+        self.addCleanup(ports.close)
+        address = ports.reserve()
+        self.relay = Relay(address, self.fleet.nodes["b"].peer_listener.address)
+        self.addCleanup(self.relay.close)
+        self.fleet.move("b", address)
+        wait_until_vouched(self.fleet)
+
+    def test_never_seen(self) -> None:
+        """Guards against calls that hang on a reused connection which went silent."""
+        permit = self.fleet.permit("a")
+        self.assertEqual(self.fleet.call("a", "GET", "/desk/x").status, 200)
+        self.relay.freeze_open()
+        self.assertEqual(self.fleet.call("a", "GET", "/desk/x").status, 200)
+        self.relay.freeze_open()
+        self.assertEqual(self.fleet.book("a", **{"Cottonlink-Permit": permit}).status, 200)
+        self.assertEqual(len(self.target.seen), 3)
+        self.assertTrue(self.fleet.events("a", EventKind.POOL_DISCARDED))
+
+    def test_answer_lost(self) -> None:
+        """Guards against a second run when only the answer to a booking was lost."""
+        permit = self.fleet.permit("a")
+        self.target.behave = self.hold
+        thread, replies = self.start_call(
+            "a",
+            "POST",
+            "/desk/book",
+            body=b"chair",
+            headers={"Idempotency-Key": "k", "Cottonlink-Permit": permit},
+        )
+        wait_until(lambda: self.target.seen)
+        self.relay.freeze_open()
+        self.gate.set()
+        thread.join(TIMEOUT_S)
+        # The home of a new fleet is too young to grant the retry that would fetch the answer.
+        self.assertEqual(replies[0].code, "connection_lost")
+        again = self.fleet.book("a", **{"Cottonlink-Permit": permit})
+        self.assertEqual((again.status, again.body), (200, b"chair"))
+        self.assertEqual(len(self.target.seen), 1)
+
+
+class DrainTest(FaultCase):
+    def test_leaving(self) -> None:
+        """Guards against a drain that interrupts calls in flight or takes on new ones."""
+        self.target.behave = self.hold
+        thread, replies = self.start_call("a", "GET", "/desk/x", headers={"X-Call": "1"})
+        wait_until(lambda: self.target.seen)
+        node = self.fleet.nodes["b"]
+        node.leave("sigterm")
+        refused = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual((refused.code, refused.problem["executed"]), ("leaving", "no"))
+        self.assertEqual(self.fleet.call("b", "GET", "/desk/x").code, "leaving")
+        self.assertEqual(node.core.in_flight(), 1)
+        self.gate.set()
+        self.assertTrue(node.wait_until_idle())
+        thread.join(TIMEOUT_S)
+        self.assertEqual(replies[0].status, 200)
+
+    def test_children(self) -> None:
+        """Guards against a drain that cuts off the calls which an unfinished run still makes."""
+
+        def call_child(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+            self.fleet.nodes["a"].leave("sigterm")
+            token = {"Cottonlink-Call": seen.headers["cottonlink-call"]}
+            child = self.fleet.call("a", "GET", "/desk/child", headers=token)
+            send(handler, child.status, child.body)
+
+        self.fleet.targets["a"].behave = call_child
+        reply = self.fleet.call("b", "GET", "/front/x")
+        self.assertEqual(reply.status, 200)
+        (child,) = self.target.seen
+        self.assertEqual(child.headers["cottonlink-depth"], "1")
+
+
+class CancellationTest(FaultCase):
+    settings = {"caller_limit": 2}
+
+    def test_disconnected(self) -> None:
+        """Guards against work that goes on after its caller has gone."""
+        self.target.behave = self.hold
+        address = self.fleet.nodes["a"].caller_listener.address
+        connection = http.client.HTTPConnection(*split_address(address), timeout=TIMEOUT_S)
+        connection.request("GET", "/desk/x")
+        wait_until(lambda: self.target.seen)
+        connection.close()
+        wait_until(lambda: self.target.cancelled)
+        token = self.target.seen[0].headers["cottonlink-call"]
+        self.assertEqual(self.target.cancelled, [token])
+
+    def test_preempted(self) -> None:
+        """Guards against reads that keep a booking out of a full listener."""
+        permit = self.fleet.permit("a")
+        self.target.behave = self.hold
+        thread, replies = self.start_call("a", "GET", "/desk/x")
+        wait_until(lambda: self.target.seen)
+        refused = self.fleet.call("a", "GET", "/desk/y")
+        self.assertEqual((refused.code, refused.problem["executed"]), ("overloaded", "no"))
+        self.assertIn("retry-after", refused.headers)
+        booking, booked = self.start_call(
+            "a",
+            "POST",
+            "/desk/book",
+            headers={"Idempotency-Key": "k", "Cottonlink-Permit": permit},
+        )
+        wait_until(lambda: len(self.target.seen) == 2)
+        second, second_booked = self.start_call(
+            "a", "POST", "/desk/book", headers={"Idempotency-Key": "k2"}
+        )
+        second.join(TIMEOUT_S)
+        thread.join(TIMEOUT_S)
+        self.assertEqual((replies[0].code, second_booked[0].status), ("preempted", 428))
+        self.gate.set()
+        booking.join(TIMEOUT_S)
+        self.assertEqual(booked[0].status, 200)
+
+
+class BadInputTest(FaultCase):
+    def test_bad_request(self) -> None:
+        """Guards against malformed requests that are forwarded, or refused without a reason."""
+        requests = {
+            b"Content-Length: 1\r\nContent-Length: 2\r\n": (400, b"bad_request"),
+            b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n": (400, b"bad_request"),
+            b"Content-Length: 1000001\r\n": (413, b"body_too_large"),
+            b"X-Long: " + b"x" * 20_000 + b"\r\n": (400, b"bad_request"),
+            b"Cottonlink-Deadline-Ms: soon\r\n": (400, b"deadline_malformed"),
+            b"Cottonlink-Deadline-Ms: -5\r\n": (400, b"deadline_malformed"),
+            b"Cottonlink-Deadline-Ms: 0\r\n": (504, b"deadline_exceeded"),
+            b"traceparent: 00-0-0-0\r\n": (400, b"identity_malformed"),
+            b"traceparent: 00-"
+            + b"0" * 32
+            + b"-"
+            + b"1" * 16
+            + b"-01\r\n": (
+                400,
+                b"identity_malformed",
+            ),
+            b"Cottonlink-Call: x\r\n": (400, b"identity_malformed"),
+            b"Cottonlink-Call: 0.0.0\r\n": (409, b"execution_unknown"),
+        }
+        address = self.fleet.nodes["a"].caller_listener.address
+        for header, (status, code) in requests.items():
+            with self.subTest(header=header[:40]):
+                answer = send_raw(address, GET_HEAD + header + b"\r\n")
+                self.assertIn(b" %d " % status, answer.split(b"\r\n")[0])
+                self.assertIn(b'"code":"%s"' % code, answer)
+        for path, code in {"/nowhere/x": "unknown_service", "/": "unknown_service"}.items():
+            self.assertEqual(self.fleet.call("a", "GET", path).code, code)
+        self.assertEqual(self.fleet.call("a", "PATCH", "/desk/x").code, "unknown_kind")
+        self.assertEqual(self.fleet.call("a", "POST", "/desk/x").code, "idempotency_key_required")
+        self.assertEqual(self.target.seen, [])
+        self.assertEqual(self.fleet.nodes["a"].core.in_flight(), 0)
+
+    def test_executed(self) -> None:
+        """Guards against ``no`` for a request with a permit that an earlier send may have used."""
+        headers = {"Cottonlink-Permit": "x", "Idempotency-Key": "k"}
+        reply = self.fleet.call("a", "POST", "/desk/x", headers=headers)
+        self.assertEqual((reply.code, reply.problem["executed"]), ("permit_invalid", "unknown"))
+        headers["Cottonlink-Deadline-Ms"] = "x"
+        reply = self.fleet.call("a", "POST", "/desk/x", headers=headers)
+        self.assertEqual(reply.problem["executed"], "unknown")
+
+    def test_never_seen(self) -> None:
+        """Guards against a call that runs although its ingress was told that it never arrived."""
+        wait_until_vouched(self.fleet)
+        request = (
+            b"GET /desk/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            b"traceparent: 00-" + b"1" * 32 + b"-" + b"1" * 16 + b"-01\r\n"
+            b"Cottonlink-Call-Id: w\r\nCottonlink-Deadline-Ms: 9000\r\nCottonlink-Depth: 0\r\n"
+            b"Cottonlink-Importance: 3\r\nCottonlink-Kind: read\r\n\r\n"
+        )
+        answer = send_raw(self.fleet.nodes["b"].peer_listener.address, request)
+        self.assertIn(b'"code":"cancelled"', answer)
+        self.assertEqual(self.target.seen, [])
