Record importance and repeatability of calls at their owner

Need: the check that bookings are shed only after cheaper reads (I2) reads both from the events of the owner. After: every owner event of a call carries them.

--- a/src/cottonlink/node/_owner.py
+++ b/src/cottonlink/node/_owner.py
@@ -320,6 +320,8 @@
             call_id=owned.call_id,
             service=owned.call.service,
             peer=owned.ingress,
+            importance=owned.call.importance,
+            repeatable=int(owned.call.kind.repeatable),
             **details,
         )
 
