--- a/src/cottonlink/decisions/__init__.py
+++ b/src/cottonlink/decisions/__init__.py
@@ -82,6 +82,7 @@
     make_policy_state,
 )
 from cottonlink.decisions._quarantine import (
+    News,
     Quarantine,
     Verdict,
     make_quarantine,
@@ -155,6 +156,7 @@
     "MemberState",
     "Membership",
     "MembershipChange",
+    "News",
     "NoUpstream",
     "NodeState",
     "Outcome",
--- a/src/cottonlink/decisions/_quarantine.py
+++ b/src/cottonlink/decisions/_quarantine.py
@@ -1,9 +1,9 @@
 """Fingerprints of requests that were in flight when a target crashed.
 
 A fingerprint is suspect after one crash and refused after two. A level of suspicion spreads
-between nodes: 1 is a suspect, 2 a first quarantine, 3 a second one, and so on. For a while after
-a level has ended, a node ignores news of it; otherwise nodes that learn late would pass old news
-around for ever. Times are monotonic milliseconds of the node.
+between nodes with its age: 1 is a suspect, 2 a first quarantine, 3 a second one, and so on. For a
+while after a level has ended, a node ignores news of it; otherwise nodes that learn late would
+pass old news around for ever. Times are monotonic milliseconds of the node.
 """
 
 from __future__ import annotations
@@ -19,8 +19,8 @@
 LONGEST_QUARANTINE_MS = 3_600_000
 ENTRY_LIMIT = 1_024
 
-# News of a level that ended less than this long ago is taken to be old. It covers the spread by
-# gossip and answers of slow calls. Longer would hide a new crash elsewhere.
+# News of a level that ended less than this long ago is taken to be old. It covers several hops
+# between nodes of up to 10 s each. Longer would hide a new crash elsewhere.
 HOLD_OFF_MS = 60_000
 # A quarantine within this time after the end of the last one is a repeat and lasts longer.
 HISTORY_MS = 3_600_000
@@ -36,6 +36,14 @@
     refused: bool
 
 
+@frozen
+class News:
+    """A level in force, and for how long it has been so at the node that sends it."""
+
+    level: int
+    age_ms: int
+
+
 @define
 class _Entry:
     """``level`` is the highest one known; it is in force until ``until_ms``.
@@ -83,12 +91,24 @@
         entry = self._entries.get(fingerprint)
         return entry.in_force(now_ms) if entry else 0
 
+    def news(self, fingerprint: str, now_ms: int) -> News | None:
+        """Return what to tell other nodes of a fingerprint, or None if it is unsuspected."""
+        level = self.suspicion(fingerprint, now_ms)
+        if level == 0:
+            return None
+        entry = self._entries[fingerprint]
+        until_ms = entry.suspect_until_ms if level == 1 else entry.until_ms
+        return News(level, now_ms - until_ms + _duration_ms(level))
+
     def is_refused(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether requests with this fingerprint must not run."""
         return self.suspicion(fingerprint, now_ms) >= 2
 
     def learn(self, fingerprint: str, crashes: int, now_ms: int, age_ms: int = 0) -> None:
-        """Take in a level known to another node for ``age_ms``, unless it is no news here."""
+        """Take in a level known to another node for ``age_ms``, unless it is no news here.
+
+        News that passes through several nodes without its age lasts longer at each.
+        """
         level = min(crashes, _HIGHEST_LEVEL)
         entry = self._entries.get(fingerprint)
         known = _known_level(entry, now_ms) if entry else 0
