Keep refusals truthful between attempts and test forwarding over histories

Three faults of the path came up while it was read again. A call that was cancelled between two attempts reported executed "no" although the first attempt may have run. A non-repeatable run that outlived its deadline was cancelled at the target. An Expect header was forwarded after the listener had already answered it. The peer listener also accepts larger heads now, since a node adds its own headers to those of the caller.

Generated histories check that "no" is only said if no attempt may have run, that retries stay within the budget, that no booking is preempted, and that a call reported as never seen doesn't run.

--- a/src/cottonlink/_headers.py
+++ b/src/cottonlink/_headers.py
@@ -43,8 +43,8 @@
     )
 )
 
-# Headers that every sender of a message sets by itself.
-NEXT_HOP_HEADERS = HOP_BY_HOP | {"content-length", "host"}
+# Headers that every sender of a message sets by itself, or that its listener has dealt with.
+NEXT_HOP_HEADERS = HOP_BY_HOP | {"content-length", "expect", "host"}
 
 _TRACEPARENT_RE = re.compile(r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?")
 _DIGITS_RE = re.compile(r"[0-9]{1,9}", re.ASCII)
--- a/src/cottonlink/node/_attempt.py
+++ b/src/cottonlink/node/_attempt.py
@@ -18,7 +18,7 @@
     Threshold,
 )
 from cottonlink.errors import CallError, Executed, Step
-from cottonlink.node._calls import Abort, Attempt, ForwardedCall
+from cottonlink.node._calls import Abort, Attempt, ForwardedCall, make_cancelled
 from cottonlink.node._core import NodeCore
 from cottonlink.node._pool import (
     CONNECT_TIMEOUT_MS,
@@ -230,9 +230,7 @@
 def _classify(forwarded: ForwardedCall, attempt: Attempt, error: ExchangeError) -> AttemptError:
     executed = Executed.UNKNOWN if error.sent else Executed.NO
     code = "connection_lost"
-    if forwarded.cancel_code:
-        code = forwarded.cancel_code
-    elif attempt.abort is Abort.NEVER_SEEN:
+    if attempt.abort is Abort.NEVER_SEEN:
         executed = Executed.NO
     elif attempt.abort is not None:
         pass
@@ -242,6 +240,8 @@
         code = "deadline_exceeded"
     elif error.step is Step.BODY:
         code = "answer_incomplete"
+    if forwarded.cancel_code:
+        return AttemptError(make_cancelled(forwarded.cancel_code, executed))
     detail = str(attempt.abort or error.detail)
     failure = CallError(code, detail, step=error.step, peer=attempt.upstream, executed=executed)
     return AttemptError(failure, abort=attempt.abort)
--- a/src/cottonlink/node/_calls.py
+++ b/src/cottonlink/node/_calls.py
@@ -4,6 +4,7 @@
 
 import collections
 import enum
+import random
 import threading
 from collections.abc import Callable, Iterable
 
@@ -19,6 +20,9 @@
 CALL_MEMORY_MS = 120_000
 CALL_MEMORY_LIMIT = 65_536
 
+# Range of the jittered time after which the caller of a preempted read may come back.
+PREEMPTED_RETRY_MS = (500, 1_500)
+
 # The age of a call is told by its ingress and grows on the way.
 AGE_MARGIN_MS = 1_000
 
@@ -73,6 +77,18 @@
         return root_position(self.trace.trace_id)
 
 
+def make_cancelled(code: str, executed: Executed) -> CallError:
+    """Return the refusal of a call that was ended early: ``preempted`` or ``cancelled``."""
+    retry_after_ms = random.randint(*PREEMPTED_RETRY_MS) if code == "preempted" else None
+    return CallError(
+        code,
+        "the call was ended early",
+        step=Step.CANCEL,
+        executed=executed,
+        retry_after_ms=retry_after_ms,
+    )
+
+
 @define(eq=False)
 class Attempt:
     """One try of a forwarded call at one upstream."""
@@ -113,9 +129,7 @@
     def check_cancelled(self, executed: Executed) -> None:
         """Raise CallError if the call was cancelled."""
         if self.cancel_code:
-            raise CallError(
-                self.cancel_code, "the call was cancelled", step=Step.CANCEL, executed=executed
-            )
+            raise make_cancelled(self.cancel_code, executed)
 
     def cancel(self, code: str) -> Attempt | None:
         """End the call with ``code``; return the attempt whose owner must be told."""
@@ -188,9 +202,7 @@
 
     def cancelled(self, executed: Executed) -> CallError:
         """Return the refusal of the cancelled call."""
-        return CallError(
-            self.cancel_code, "the call was cancelled", step=Step.CANCEL, executed=executed
-        )
+        return make_cancelled(self.cancel_code, executed)
 
 
 @define(eq=False)
--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -100,6 +100,11 @@
         policy = self._policy
         return policy.version if policy else 0
 
+    def retry_budget(self) -> int:
+        """Return the number of retries that the policy allows each root request."""
+        policy = self._policy
+        return policy.retry.budget_per_request if policy else 0
+
     def apply_policy(self, policy: Policy) -> None:
         """Put an accepted policy in force; an older version changes nothing."""
         now_ms = self.now_ms()
--- a/src/cottonlink/node/_forward.py
+++ b/src/cottonlink/node/_forward.py
@@ -87,6 +87,9 @@
                 upstream, is_retry = self._next_upstream(
                     forwarded, service, upstream, error, progress
                 )
+            except CallError as error:
+                # Cancelled between two attempts; the earlier ones may have run.
+                raise self._final(error, progress) from error
 
     def _next_upstream(
         self,
@@ -230,7 +233,7 @@
     def _is_late(self, call: Call) -> bool:
         return self.core.now_ms() >= call.deadline_ms
 
-    def _final(self, error: AttemptError, progress: _Progress) -> CallError:
+    def _final(self, error: CallError, progress: _Progress) -> CallError:
         error.executed = progress.executed
         return error
 
--- a/src/cottonlink/node/_ingress.py
+++ b/src/cottonlink/node/_ingress.py
@@ -84,7 +84,8 @@
         finally:
             self._core.ingress.leave(forwarded, number)
         self._record(EventKind.ANSWERED, call, status=answer.status)
-        return answer
+        budget = (_headers.RETRY_BUDGET, str(self._core.retry_budget()))
+        return evolve(answer, headers=(*answer.headers, budget))
 
     def _identify(self, environ: dict, trace: TraceContext) -> _Incoming:
         service_name, path = read_target(environ)
--- a/src/cottonlink/node/_owner.py
+++ b/src/cottonlink/node/_owner.py
@@ -219,7 +219,7 @@
         started_ms = self._core.now_ms()
         outcome = Outcome.FAILED
         try:
-            answer = self._target.run(owned, self._retry_budget())
+            answer = self._target.run(owned, self._core.retry_budget())
             ok = answer.status < SERVER_ERROR_STATUS
             outcome = Outcome.OK if ok else Outcome.FAILED
         except CallError as error:
@@ -258,7 +258,8 @@
             self._cancel_run(owned.token)
             return Outcome.CANCELLED
         if error.code == "deadline_exceeded":
-            self._cancel_run(owned.token)
+            if owned.call.kind.repeatable:
+                self._cancel_run(owned.token)
             return Outcome.TIMED_OUT
         return Outcome.FAILED
 
@@ -299,10 +300,6 @@
         if time is not None:
             self._core.events.observe(time)
 
-    def _retry_budget(self) -> int:
-        policy = self._core.policy
-        return policy.retry.budget_per_request if policy else 0
-
     def _record_refusal(self, owned: OwnedCall | None, error: CallError) -> None:
         if owned is None:
             self._core.events.record(EventKind.REFUSED, code=error.code, step=str(error.step))
--- a/src/cottonlink/node/_pool.py
+++ b/src/cottonlink/node/_pool.py
@@ -158,6 +158,8 @@
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
             self.close()
             timed_out = isinstance(error, TimeoutError) or "timed out" in str(error)
+            if step is Step.FIRST_BYTE and not isinstance(error, OSError):
+                step = Step.BODY  # bytes came, but they are no valid head
             raise ExchangeError(step, _explain(error), sent=True, timed_out=timed_out) from error
         except ExchangeError:
             self.close()
--- a/src/cottonlink/node/_process.py
+++ b/src/cottonlink/node/_process.py
@@ -43,6 +43,8 @@
 # A leaving node goes on refusing calls for this time, so that its peers learn of its state from
 # answers rather than from broken connections. It also lets the last answers go out.
 LINGER_MS = 1_000
+# Room for the headers that a node adds to those of a caller.
+NODE_HEADERS_BYTES = 4_096
 # Gossip and policy messages are larger than the calls of callers.
 CONTROL_BODY_LIMIT_BYTES = 2_000_000
 # The parser of a pooled message needs a small stack only; the default of 8 MB is reserved for
@@ -75,16 +77,14 @@
         threading.stack_size(THREAD_STACK_BYTES)
         settings = self.settings
         limit = settings.connection_limit
-        start = functools.partial(
-            start_listener,
-            connection_limit=limit,
-            header_limit_bytes=settings.header_limit_bytes,
-        )
+        start = functools.partial(start_listener, connection_limit=limit)
+        peer_header_limit = settings.header_limit_bytes + NODE_HEADERS_BYTES
         self.control_listener = start(
             ControlApp(self.core, self.control),
             settings.control_address,
             threads=settings.control_threads,
             body_limit_bytes=CONTROL_BODY_LIMIT_BYTES,
+            header_limit_bytes=settings.header_limit_bytes,
             name="control",
         )
         owner_app = OwnerApp(
@@ -95,6 +95,7 @@
             settings.peer_address,
             threads=settings.peer_limit + SPARE_THREADS,
             body_limit_bytes=settings.body_limit_bytes,
+            header_limit_bytes=peer_header_limit,
             name="peer",
         )
         forwarder = Forwarder(self.core, self.sender, PermitClient(self.core))
@@ -103,6 +104,7 @@
             settings.caller_address,
             threads=settings.caller_limit + SPARE_THREADS,
             body_limit_bytes=settings.body_limit_bytes,
+            header_limit_bytes=settings.header_limit_bytes,
             name="caller",
         )
         self.control.start()
--- a/tests/node_fixtures.py
+++ b/tests/node_fixtures.py
@@ -231,7 +231,7 @@
     fleet = Fleet()
     for name in names:
         fleet.targets[name] = FakeTarget()
-        settings = _make_settings(name, fleet.targets[name].address, overrides)
+        settings = make_settings(name, fleet.targets[name].address, overrides)
         fleet.nodes[name] = make_node(settings, make_control=FakeControl)
         fleet.nodes[name].start()
     upstreams = {name: _make_upstream(name, node, slots) for name, node in fleet.nodes.items()}
@@ -244,12 +244,13 @@
     return fleet
 
 
-def _make_settings(name: str, target_address: str, overrides: dict) -> Settings:
+def make_settings(name: str, target_address: str, overrides: dict | None = None) -> Settings:
+    """Return settings of a node on any free ports."""
     values = {
         "caller_limit": 16,
         "peer_limit": 16,
         "control_threads": 4,
-        **overrides,
+        **(overrides or {}),
     }
     return Settings(
         node=name,
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,161 @@
+"""Retries, truth of refusals, listener shares and the call table, over generated histories."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from attrs import define, field
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cottonlink._clock import ManualClock
+from cottonlink._headers import TraceContext
+from cottonlink._problem import Answer
+from cottonlink.decisions import home_node
+from cottonlink.errors import CallError, Executed, Step
+from cottonlink.node._attempt import AttemptError
+from cottonlink.node._calls import (
+    CALL_MEMORY_MS,
+    Abort,
+    Call,
+    CallState,
+    CallTable,
+    ForwardedCall,
+    OwnedCall,
+)
+from cottonlink.node._core import NodeCore
+from cottonlink.node._forward import RESEND_LIMIT, Forwarder
+from cottonlink.node._shares import PREEMPTION_LIMIT, ListenerShares, Occupant
+from cottonlink.observe import EventLog, Metrics
+from cottonlink.policy import Kind, Policy, Service, Upstream
+from tests.node_fixtures import make_settings
+
+BUDGET = 3
+NAMES = tuple(f"n{number}" for number in range(9))
+CODES = (
+    "connection_lost",
+    "leaving",
+    "overloaded",
+    "target_crashed",
+    "upstream_unreachable",
+    "deadline_exceeded",
+)
+OUTCOMES = st.lists(
+    st.tuples(st.sampled_from(CODES), st.booleans(), st.booleans()), min_size=1, max_size=12
+)
+STEPS = st.tuples(st.sampled_from("abc"), st.sampled_from(["add", "ask", "end", "wait"]))
+READ = Kind("read", ("GET",), "/", 3, True, 60_000)
+
+
+@define
+class ScriptedSender:
+    """Fails as the script says, then answers."""
+
+    script: list[tuple[str, bool, bool]]
+    used: list[tuple[str, bool, Executed]] = field(factory=list)
+
+    def send(self, forwarded: ForwardedCall, upstream: Upstream, *, is_retry: bool) -> Answer:
+        if len(self.used) == len(self.script):
+            return Answer(200, (), b"")
+        code, ran, never_seen = self.script[len(self.used)]
+        executed = Executed.UNKNOWN if ran and not never_seen else Executed.NO
+        self.used.append((upstream.name, is_retry, executed))
+        error = CallError(code, "", step=Step.BODY, executed=executed)
+        raise AttemptError(error, abort=Abort.NEVER_SEEN if never_seen else None)
+
+
+def make_core(clock: ManualClock) -> NodeCore:
+    """Return a node that may grant retries, with one service of all names."""
+    core = NodeCore(make_settings("n0", "127.0.0.1:1"), clock, EventLog("n0", clock), Metrics())
+    upstreams = tuple(Upstream(name, "lalitpur", "h:1", "h:2", 4, 40) for name in NAMES)
+    core.apply_policy(Policy(1, (Service("desk", upstreams, (READ,)),)))
+    clock.advance_ms(400_000)
+    return core
+
+
+def make_call(trace_id: str, deadline_ms: int) -> Call:
+    """Return a read of ``desk``."""
+    trace = TraceContext(trace_id, "1" * 16)
+    return Call(trace, "desk", READ, "GET", "/", (), b"", 3, 0, deadline_ms, "f")
+
+
+class ForwardingTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(OUTCOMES)
+    def test_executed(self, script: list[tuple[str, bool, bool]]) -> None:
+        """Guards against ``no`` when any attempt may have run, and against retries over budget."""
+        clock = ManualClock()
+        core = make_core(clock)
+        policy = core.policy
+        ids = (f"{number:032x}" for number in range(1, 1000))
+        trace_id = next(i for i in ids if home_node(i, policy) == "n0")
+        sender = ScriptedSender(script)
+        forwarder = Forwarder(core, sender, None)
+        call = make_call(trace_id, clock.monotonic_ms() + 60_000)
+        try:
+            forwarder.forward(ForwardedCall(call), policy.services[0])
+        except CallError as error:
+            ran = any(executed is not Executed.NO for _, _, executed in sender.used)
+            self.assertEqual(error.executed, Executed.UNKNOWN if ran else Executed.NO)
+        retries = [name for name, is_retry, _ in sender.used if is_retry]
+        self.assertLessEqual(len(retries), BUDGET)
+        self.assertLessEqual(len(sender.used), 1 + BUDGET + 1 + RESEND_LIMIT)
+        self.assertEqual(len(retries), len(set(retries)))
+
+
+class ListenerSharesTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(st.integers(), st.integers(1, 40))
+    def test_enter(self, seed: int, limit: int) -> None:
+        """Guards against reads in the room of bookings, and against preempted bookings."""
+        rng = Random(seed)
+        shares = ListenerShares(limit)
+        held: dict[int, Occupant] = {}
+        preempted = 0
+        for _ in range(200):
+            if held and rng.random() < 0.3:
+                number = rng.choice(sorted(held))
+                shares.leave(number)
+                del held[number]
+            occupant = Occupant(rng.randint(1, 9), rng.random() < 0.8, lambda: None)
+            entry = shares.enter(occupant)
+            if entry is None:
+                self.assertGreaterEqual(len(shares), shares.allowed(occupant.importance))
+                continue
+            number, victim = entry
+            if victim is not None:
+                preempted += 1
+                self.assertTrue(victim.repeatable and victim.importance < occupant.importance)
+            held[number] = occupant
+            self.assertLessEqual(len(shares), max(limit, 1))
+            self.assertLessEqual(len(held) - len(shares), PREEMPTION_LIMIT)
+
+
+class CallTableTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(
+        st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(["add", "ask", "end", "wait"])))
+    )
+    def test_never_seen(self, steps: list[tuple[str, str]]) -> None:
+        """Guards against a call that is reported as never seen and runs before or after that."""
+        now_ms = 10_000
+        table = CallTable(0)
+        owned: dict[str, OwnedCall] = {}
+        ran: dict[str, int] = {}
+        denied: dict[str, int] = {}
+        for call_id, step in steps:
+            if step == "wait":
+                now_ms += CALL_MEMORY_MS // 2
+            elif step == "add":
+                call = make_call("1" * 32, 0)
+                run = OwnedCall(call, call_id, "a", f"t{now_ms}{call_id}", call_id, now_ms)
+                if table.add(run, now_ms):
+                    self.assertGreater(now_ms - denied.get(call_id, -(10**9)), CALL_MEMORY_MS)
+                    owned[call_id] = run
+                    ran[call_id] = now_ms
+            elif step == "end" and call_id in owned:
+                table.remove(owned.pop(call_id))
+            elif step == "ask" and table.state(call_id, 500, now_ms) is CallState.NEVER_SEEN:
+                self.assertGreater(now_ms - ran.get(call_id, -(10**9)), CALL_MEMORY_MS)
+                denied[call_id] = now_ms
--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -74,11 +74,28 @@
 class AnswerTest(FaultCase):
     def test_answer_incomplete(self) -> None:
         """Guards against a cut answer that reaches a caller as if it were whole."""
-        self.target.behave = answer_cut_short
-        reply = self.fleet.call("a", "GET", "/desk/x")
-        self.assertEqual((reply.status, reply.code), (502, "answer_incomplete"))
-        self.assertEqual(reply.problem["executed"], "unknown")
-        self.assertEqual(len(self.target.seen), 1)
+
+        def raw(head: bytes) -> Callable[[BaseHTTPRequestHandler, Seen], None]:
+            def behave(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+                handler.wfile.write(b"HTTP/1.1 200 OK\r\n" + head)
+                handler.close_connection = True
+
+            return behave
+
+        behaviours = (
+            answer_cut_short,
+            raw(b"\r\nno length"),
+            raw(b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+            raw(b"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"),
+            raw(b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nhalf"),
+        )
+        for behave in behaviours:
+            self.target.seen.clear()
+            self.target.behave = behave
+            reply = self.fleet.call("a", "GET", "/desk/x")
+            self.assertEqual((reply.status, reply.code), (502, "answer_incomplete"))
+            self.assertEqual(reply.problem["executed"], "unknown")
+            self.assertEqual(len(self.target.seen), 1)
 
     def test_call_id(self) -> None:
         """Guards against the answer to another call, which a late or repeated answer may be."""
