Bound idle connections, and keep forwarding while the own target drains

The ticker now expires them, survives an unexpected error, expires execution records every 5 s instead of 20 times a second, and leaves the checker and the canceller alone while no call is in progress.

Since a drain may only be reported and later withdrawn, a node whose target drains must go on carrying calls to others. Before: its caller listener refused every root call.

--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -62,6 +62,7 @@
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._lock = threading.Lock()
         self.newest_seen_version = 0
+        self.is_shutting_down = False
         self._policy: Policy | None = None
         self._lifecycle = make_lifecycle(clock.monotonic_ms())
         self._last_state = NodeState.STARTING
@@ -123,6 +124,7 @@
 
     def leave(self, reason: str) -> None:
         """Stop accepting work for good; what has been accepted is finished."""
+        self.is_shutting_down = True
         with self._lock:
             self._lifecycle.leave(reason, self.now_ms())
         self._note_state()
--- a/src/cottonlink/node/_ingress.py
+++ b/src/cottonlink/node/_ingress.py
@@ -12,7 +12,7 @@
 from cottonlink import _headers
 from cottonlink._headers import TraceContext, end_to_end, environ_headers
 from cottonlink._problem import Answer, make_problem
-from cottonlink.decisions import NodeState, request_fingerprint
+from cottonlink.decisions import request_fingerprint
 from cottonlink.errors import CallError, Executed, Step
 from cottonlink.node._calls import Call, ForwardedCall, OwnedCall
 from cottonlink.node._core import NodeCore
@@ -154,10 +154,12 @@
         raise _refusal("cancelled", "the run that made this call has ended")
 
     def _check_accepts(self, forwarded: ForwardedCall) -> None:
-        """A leaving node still carries the calls that its unfinished runs make."""
-        if forwarded.parent is not None:
-            return
-        if self._core.state() in (NodeState.LEAVING, NodeState.STOPPED):
+        """Refuse new roots once the process is to end.
+
+        It still carries the calls that its unfinished runs make. A node whose target takes no work
+        for the time being goes on forwarding to others.
+        """
+        if self._core.is_shutting_down and forwarded.parent is None:
             raise _refusal("leaving", "the node is leaving; use another one")
 
     def _refuse(self, environ: dict, trace: TraceContext | None, error: CallError) -> Answer:
--- a/src/cottonlink/node/_owner_state.py
+++ b/src/cottonlink/node/_owner_state.py
@@ -47,6 +47,8 @@
 
 SECRET_BYTES = 32
 NOT_READY_RETRY_MS = 1_000
+# Expiry looks at every record of an execution, of which there may be thousands.
+RECORD_EXPIRY_INTERVAL_MS = 5_000
 NOT_IN_POLICY = "not_in_policy"
 
 
@@ -99,6 +101,7 @@
         self._run_ends: dict[int, threading.Event] = {}
         self._calls = CallTable(now_ms)
         self._last_serial = 0
+        self._next_expiry_ms = now_ms
         self._shares = ListenerShares(limit)
 
     def __len__(self) -> int:
@@ -124,7 +127,9 @@
 
     def locked_tick(self, now_ms: int) -> tuple[_Action, ...]:
         """Expire queued calls and records; return the actions that this demands."""
-        self._registry.expire(now_ms)
+        if now_ms >= self._next_expiry_ms:
+            self._next_expiry_ms = now_ms + RECORD_EXPIRY_INTERVAL_MS
+            self._registry.expire(now_ms)
         return self._resolve(self._admission.expire(now_ms)) if self._admission else ()
 
     def locked_report(self, now_ms: int) -> tuple[Load | None, Threshold | None]:
--- a/src/cottonlink/node/_pool.py
+++ b/src/cottonlink/node/_pool.py
@@ -264,6 +264,15 @@
             connection.close()
         return len(idle)
 
+    def expire(self) -> None:
+        """Close the idle connections that are too old, which their peer may have closed too."""
+        oldest_ms = self.clock.monotonic_ms() - self.max_age_ms
+        with self._lock:
+            expired = [c for c in self._idle if c.created_ms < oldest_ms]
+            self._idle = [c for c in self._idle if c.created_ms >= oldest_ms]
+        for connection in expired:
+            connection.close()
+
     def _pop(self) -> Connection | None:
         with self._lock:
             return self._idle.pop() if self._idle else None
@@ -299,10 +308,12 @@
             pools = tuple(self._pools.values())
         return sum(pool.discard() for pool in pools)
 
-    def keep_only(self, addresses: frozenset[str]) -> None:
-        """Forget the pools of addresses that the policy no longer lists."""
+    def expire(self, addresses: frozenset[str]) -> None:
+        """Close connections that are too old, and all to addresses other than ``addresses``."""
         with self._lock:
-            gone = [address for address in self._pools if address not in addresses]
-            pools = [self._pools.pop(address) for address in gone]
-        for pool in pools:
+            gone = [self._pools.pop(a) for a in self._pools.keys() - addresses]
+            kept = tuple(self._pools.values())
+        for pool in gone:
             pool.discard()
+        for pool in kept:
+            pool.expire()
--- a/src/cottonlink/node/_process.py
+++ b/src/cottonlink/node/_process.py
@@ -39,6 +39,7 @@
 # Threads above the cap of a listener refuse calls while the others are busy.
 SPARE_THREADS = 16
 TICK_MS = 50
+EXPIRY_INTERVAL_MS = 10_000
 # A leaving node goes on refusing calls for this time, so that its peers learn of its state from
 # answers rather than from broken connections. It also lets the last answers go out.
 LINGER_MS = 1_000
@@ -174,14 +175,35 @@
         """Drive what depends on time: queued calls, records, slow calls and lost callers."""
         check_interval_ms = max(TICK_MS, self.settings.silence_check_ms // 3)
         next_check_ms = 0
+        next_expiry_ms = 0
         while not self._stopped.wait(TICK_MS / 1000):
-            for pause in self.core.tick():
-                self._recover_from_pause(pause.paused_ms)
             now_ms = self.core.now_ms()
-            if now_ms >= next_check_ms:
-                next_check_ms = now_ms + check_interval_ms
-                self.checker.tell(CheckSlowCalls())
-                self.canceller.tell(SweepDisconnected())
+            try:
+                self._tick()
+                if now_ms >= next_check_ms:
+                    next_check_ms = now_ms + check_interval_ms
+                    self._check_calls()
+                if now_ms >= next_expiry_ms:
+                    next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
+                    self._expire_connections()
+            except Exception:
+                # Without its ticker a node would never notice a late call or a pause again.
+                _log.exception("periodic work failed")
+
+    def _tick(self) -> None:
+        for pause in self.core.tick():
+            self._recover_from_pause(pause.paused_ms)
+
+    def _check_calls(self) -> None:
+        if len(self.core.ingress):
+            self.checker.tell(CheckSlowCalls())
+            self.canceller.tell(SweepDisconnected())
+
+    def _expire_connections(self) -> None:
+        policy = self.core.policy
+        if policy is not None:
+            upstreams = policy.upstreams_by_name.values()
+            self.pools.expire(frozenset(upstream.peer_address for upstream in upstreams))
 
     def _recover_from_pause(self, paused_ms: int) -> None:
         """Drop what may be outdated after the process stood still (design page, 4.8)."""
--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -196,6 +196,12 @@
         thread.join(TIMEOUT_S)
         self.assertEqual(replies[0].status, 200)
 
+    def test_suspended(self) -> None:
+        """Guards against an ingress that turns callers away because its own target drains."""
+        self.fleet.nodes["a"].core.suspend("target_draining")
+        self.assertEqual(self.fleet.call("a", "GET", "/desk/x").status, 200)
+        self.assertEqual(self.fleet.call("b", "GET", "/front/x").code, "leaving")
+
     def test_children(self) -> None:
         """Guards against a drain that cuts off the calls which an unfinished run still makes."""
 
