Don't take an overloaded ingress for a silent peer

The ingress was too busy to send a request within 300 ms, asked the owner about it, heard "never seen" and thereby had the owner refuse the request when it came. The time of silence now starts when the request has been sent, a given-up attempt whose refusal arrives first is sent again like any other, and that happens once instead of twice, since resends add to an overload.

--- a/src/cottonlink/node/_attempt.py
+++ b/src/cottonlink/node/_attempt.py
@@ -199,6 +199,12 @@
         executed = by_name.get(_headers.EXECUTED.lower(), "")
         if executed != Executed.YES:
             refusal = parse_problem(raw.status, executed, raw.body, attempt.upstream)
+            # The peer had told the slow-call checker that it never saw this call, and the call has
+            # arrived there before the checker could end this attempt.
+            is_given_up = refusal.code == "cancelled" and not forwarded.cancel_code
+            if is_given_up:
+                refusal.code = "connection_lost"
+                raise AttemptError(refusal, from_peer=True, abort=Abort.NEVER_SEEN)
             raise AttemptError(refusal, from_peer=True)
         headers = answer_headers(forwarded.call.method, raw.status, raw.headers)
         executed_yes = (_headers.EXECUTED, str(Executed.YES))
--- a/src/cottonlink/node/_calls.py
+++ b/src/cottonlink/node/_calls.py
@@ -20,6 +20,9 @@
 CALL_MEMORY_MS = 120_000
 CALL_MEMORY_LIMIT = 65_536
 
+# A request that takes longer to connect and send than this is taken for sent.
+SENDING_TIME_MS = 1_000
+
 # Range of the jittered time after which the caller of a preempted read may come back.
 PREEMPTED_RETRY_MS = (500, 1_500)
 
@@ -103,6 +106,15 @@
     abort: Abort | None = None
     finished_count: int = 0
 
+    @property
+    def waiting_since_ms(self) -> int:
+        """Return when the request was sent, or the time by which it should have been.
+
+        An overloaded process may take long to send it, which is no sign of a silent peer.
+        """
+        sent_ms = self.connection.sent_ms
+        return self.started_ms + SENDING_TIME_MS if sent_ms is None else sent_ms
+
 
 @define(eq=False)
 class ForwardedCall:
--- a/src/cottonlink/node/_forward.py
+++ b/src/cottonlink/node/_forward.py
@@ -26,9 +26,9 @@
 from cottonlink.policy import Service, Upstream
 
 DRAW_TIMEOUT_MS = 300
-# A request that never arrived is sent again without a token, since it did not run. Each time it
-# went over a new connection, so a second loss means that the peer can't be reached.
-RESEND_LIMIT = 2
+# A request that never arrived is sent again without a token, since it did not run. The second
+# send goes over a new connection; if that is lost too, the peer is cut off or overloaded.
+RESEND_LIMIT = 1
 
 
 @define
--- a/src/cottonlink/node/_ingress_state.py
+++ b/src/cottonlink/node/_ingress_state.py
@@ -120,10 +120,12 @@
             return tuple(self._forwarded)
 
     def waiting(self, older_than_ms: int) -> tuple[tuple[ForwardedCall, Attempt], ...]:
-        """Return the calls whose current attempt began before ``older_than_ms``."""
+        """Return the calls that have waited for an answer since before ``older_than_ms``."""
         with self._lock:
             pairs = [(call, call.attempt) for call in self._forwarded]
-        return tuple((c, a) for c, a in pairs if a is not None and a.started_ms < older_than_ms)
+        return tuple(
+            (c, a) for c, a in pairs if a is not None and a.waiting_since_ms < older_than_ms
+        )
 
     def choose(self, service: str, request: RouteRequest) -> Choice | NoUpstream:
         """Choose an upstream of ``service``."""
--- a/src/cottonlink/node/_pool.py
+++ b/src/cottonlink/node/_pool.py
@@ -91,6 +91,7 @@
         self.created_ms = clock.monotonic_ms()
         self.answered_ms: int | None = None
         self.answer_began = False
+        self.sent_ms: int | None = None
 
     def connect(self, timeout_ms: int) -> None:
         """Open the connection. Raises ExchangeError; nothing has been sent then."""
@@ -149,6 +150,7 @@
         self.answer_began = False
         try:
             self._send(request, deadline_ms)
+            self.sent_ms = self._clock.monotonic_ms()
             step = Step.FIRST_BYTE
             self._http.timeout = self._remaining_s(deadline_ms)
             response = self._http.getresponse()
@@ -165,6 +167,7 @@
             self.close()
             raise
         self.answered_ms = self._clock.monotonic_ms()
+        self.sent_ms = None
         headers = tuple(response.headers.items())
         return Answer(response.status, headers, body, response.reason or "")
 
--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
 
+from cottonlink._problem import make_problem
+from cottonlink.errors import CallError, Executed, Step
 from cottonlink.node._calls import CallState
 from cottonlink.observe import EventKind
 from emulator.addresses import PortReserver, split_address
@@ -106,6 +108,27 @@
         reply = self.fleet.call("a", "GET", "/desk/x")
         self.assertEqual((reply.code, reply.problem["executed"]), ("answer_mismatch", "unknown"))
 
+    def test_cancelled(self) -> None:
+        """Guards against a caller that is told of the end of an attempt which was given up."""
+        peer = FakeTarget()
+        self.addCleanup(peer.stop)
+
+        def refuse_first(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+            is_first = len(peer.seen) == 1
+            refusal = CallError("cancelled", "", step=Step.IDENTIFY, executed=Executed.NO)
+            body = make_problem(refusal, "").body if is_first else b"whole"
+            handler.send_response(503 if is_first else 200)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.send_header("Cottonlink-Executed", "no" if is_first else "yes")
+            handler.send_header("Cottonlink-Call-Id", seen.headers["cottonlink-call-id"])
+            handler.end_headers()
+            handler.wfile.write(body)
+
+        peer.behave = refuse_first
+        self.fleet.move("b", peer.address)
+        reply = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual((reply.status, reply.body, len(peer.seen)), (200, b"whole", 2))
+
     def test_execution_unknown(self) -> None:
         """Guards against a second run of a booking whose first answer was lost."""
         self.target.behave = drop_connection
