--- a/src/cottonlink/node/_process.py
+++ b/src/cottonlink/node/_process.py
@@ -39,9 +39,12 @@
 # Threads above the cap of a listener refuse calls while the others are busy.
 SPARE_THREADS = 16
 TICK_MS = 50
+EXPIRY_INTERVAL_MS = 10_000
 # A leaving node goes on refusing calls for this time, so that its peers learn of its state from
 # answers rather than from broken connections. It also lets the last answers go out.
 LINGER_MS = 1_000
+# Room for the headers that a node adds to those of a caller.
+NODE_HEADERS_BYTES = 4_096
 # Gossip and policy messages are larger than the calls of callers.
 CONTROL_BODY_LIMIT_BYTES = 2_000_000
 # The parser of a pooled message needs a small stack only; the default of 8 MB is reserved for
@@ -74,16 +77,14 @@
         threading.stack_size(THREAD_STACK_BYTES)
         settings = self.settings
         limit = settings.connection_limit
-        start = functools.partial(
-            start_listener,
-            connection_limit=limit,
-            header_limit_bytes=settings.header_limit_bytes,
-        )
+        start = functools.partial(start_listener, connection_limit=limit)
+        peer_header_limit = settings.header_limit_bytes + NODE_HEADERS_BYTES
         self.control_listener = start(
             ControlApp(self.core, self.control),
             settings.control_address,
             threads=settings.control_threads,
             body_limit_bytes=CONTROL_BODY_LIMIT_BYTES,
+            header_limit_bytes=settings.header_limit_bytes,
             name="control",
         )
         owner_app = OwnerApp(
@@ -94,6 +95,7 @@
             settings.peer_address,
             threads=settings.peer_limit + SPARE_THREADS,
             body_limit_bytes=settings.body_limit_bytes,
+            header_limit_bytes=peer_header_limit,
             name="peer",
         )
         forwarder = Forwarder(self.core, self.sender, PermitClient(self.core))
@@ -102,6 +104,7 @@
             settings.caller_address,
             threads=settings.caller_limit + SPARE_THREADS,
             body_limit_bytes=settings.body_limit_bytes,
+            header_limit_bytes=settings.header_limit_bytes,
             name="caller",
         )
         self.control.start()
@@ -172,14 +175,35 @@
         """Drive what depends on time: queued calls, records, slow calls and lost callers."""
         check_interval_ms = max(TICK_MS, self.settings.silence_check_ms // 3)
         next_check_ms = 0
+        next_expiry_ms = 0
         while not self._stopped.wait(TICK_MS / 1000):
-            for pause in self.core.tick():
-                self._recover_from_pause(pause.paused_ms)
             now_ms = self.core.now_ms()
-            if now_ms >= next_check_ms:
-                next_check_ms = now_ms + check_interval_ms
-                self.checker.tell(CheckSlowCalls())
-                self.canceller.tell(SweepDisconnected())
+            try:
+                self._tick()
+                if now_ms >= next_check_ms:
+                    next_check_ms = now_ms + check_interval_ms
+                    self._check_calls()
+                if now_ms >= next_expiry_ms:
+                    next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
+                    self._expire_connections()
+            except Exception:
+                # Without its ticker a node would never notice a late call or a pause again.
+                _log.exception("periodic work failed")
+
+    def _tick(self) -> None:
+        for pause in self.core.tick():
+            self._recover_from_pause(pause.paused_ms)
+
+    def _check_calls(self) -> None:
+        if len(self.core.ingress):
+            self.checker.tell(CheckSlowCalls())
+            self.canceller.tell(SweepDisconnected())
+
+    def _expire_connections(self) -> None:
+        policy = self.core.policy
+        if policy is not None:
+            upstreams = policy.upstreams_by_name.values()
+            self.pools.expire(frozenset(upstream.peer_address for upstream in upstreams))
 
     def _recover_from_pause(self, paused_ms: int) -> None:
         """Drop what may be outdated after the process stood still (design page, 4.8)."""
