--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -62,6 +62,7 @@
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self._lock = threading.Lock()
         self.newest_seen_version = 0
+        self.is_shutting_down = False
         self._policy: Policy | None = None
         self._lifecycle = make_lifecycle(clock.monotonic_ms())
         self._last_state = NodeState.STARTING
@@ -100,6 +101,11 @@
         policy = self._policy
         return policy.version if policy else 0
 
+    def retry_budget(self) -> int:
+        """Return the number of retries that the policy allows each root request."""
+        policy = self._policy
+        return policy.retry.budget_per_request if policy else 0
+
     def apply_policy(self, policy: Policy) -> None:
         """Put an accepted policy in force; an older version changes nothing."""
         now_ms = self.now_ms()
@@ -117,11 +123,24 @@
         self.newest_seen_version = max(self.newest_seen_version, version)
 
     def leave(self, reason: str) -> None:
-        """Stop accepting work; what has been accepted is finished."""
+        """Stop accepting work for good; what has been accepted is finished."""
+        self.is_shutting_down = True
         with self._lock:
             self._lifecycle.leave(reason, self.now_ms())
         self._note_state()
 
+    def suspend(self, reason: str) -> None:
+        """Stop accepting work until ``resume`` withdraws the reason."""
+        with self._lock:
+            self._lifecycle.suspend(reason, self.now_ms())
+        self._note_state()
+
+    def resume(self, reason: str) -> None:
+        """Withdraw a reason to accept no work."""
+        with self._lock:
+            self._lifecycle.resume(reason, self.now_ms())
+        self._note_state()
+
     def stop(self) -> None:
         """Record that all accepted work has finished."""
         with self._lock:
--- a/src/cottonlink/node/_owner.py
+++ b/src/cottonlink/node/_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import random
 import secrets
 from collections.abc import Callable, Iterable
 
@@ -122,7 +123,7 @@
             call_id=call_id,
             ingress=header(environ, _headers.INGRESS),
             token=f"{self._core.incarnation}.{serial}.{secrets.token_hex(RANDOM_BYTES)}",
-            span_id=secrets.token_hex(RANDOM_BYTES),
+            span_id=f"{random.getrandbits(64) or 1:016x}",
             arrived_ms=now_ms,
             told_suspicion=read_count(environ, _headers.SUSPICION) or 0,
         )
@@ -218,7 +219,7 @@
         started_ms = self._core.now_ms()
         outcome = Outcome.FAILED
         try:
-            answer = self._target.run(owned, self._retry_budget())
+            answer = self._target.run(owned, self._core.retry_budget())
             ok = answer.status < SERVER_ERROR_STATUS
             outcome = Outcome.OK if ok else Outcome.FAILED
         except CallError as error:
@@ -257,7 +258,8 @@
             self._cancel_run(owned.token)
             return Outcome.CANCELLED
         if error.code == "deadline_exceeded":
-            self._cancel_run(owned.token)
+            if owned.call.kind.repeatable:
+                self._cancel_run(owned.token)
             return Outcome.TIMED_OUT
         return Outcome.FAILED
 
@@ -298,10 +300,6 @@
         if time is not None:
             self._core.events.observe(time)
 
-    def _retry_budget(self) -> int:
-        policy = self._core.policy
-        return policy.retry.budget_per_request if policy else 0
-
     def _record_refusal(self, owned: OwnedCall | None, error: CallError) -> None:
         if owned is None:
             self._core.events.record(EventKind.REFUSED, code=error.code, step=str(error.step))
@@ -319,6 +317,8 @@
             call_id=owned.call_id,
             service=owned.call.service,
             peer=owned.ingress,
+            importance=owned.call.importance,
+            repeatable=int(owned.call.kind.repeatable),
             **details,
         )
 
--- a/src/cottonlink/node/_owner_state.py
+++ b/src/cottonlink/node/_owner_state.py
@@ -47,6 +47,9 @@
 
 SECRET_BYTES = 32
 NOT_READY_RETRY_MS = 1_000
+# Expiry looks at every record of an execution, of which there may be thousands.
+RECORD_EXPIRY_INTERVAL_MS = 5_000
+NOT_IN_POLICY = "not_in_policy"
 
 
 Decision = Start | Refuse | Cancel
@@ -98,6 +101,7 @@
         self._run_ends: dict[int, threading.Event] = {}
         self._calls = CallTable(now_ms)
         self._last_serial = 0
+        self._next_expiry_ms = now_ms
         self._shares = ListenerShares(limit)
 
     def __len__(self) -> int:
@@ -108,8 +112,9 @@
         own = policy.upstreams_by_name.get(self._node)
         if own is None:
             if self._siblings is not None:
-                self._lifecycle.leave("not_in_policy", now_ms)
+                self._lifecycle.suspend(NOT_IN_POLICY, now_ms)
             return ()
+        self._lifecycle.resume(NOT_IN_POLICY, now_ms)
         service = policy.service_by_upstream[self._node]
         siblings = frozenset(upstream.name for upstream in service.upstreams)
         if self._siblings is not None and self._siblings != siblings:
@@ -122,7 +127,9 @@
 
     def locked_tick(self, now_ms: int) -> tuple[_Action, ...]:
         """Expire queued calls and records; return the actions that this demands."""
-        self._registry.expire(now_ms)
+        if now_ms >= self._next_expiry_ms:
+            self._next_expiry_ms = now_ms + RECORD_EXPIRY_INTERVAL_MS
+            self._registry.expire(now_ms)
         return self._resolve(self._admission.expire(now_ms)) if self._admission else ()
 
     def locked_report(self, now_ms: int) -> tuple[Load | None, Threshold | None]:
--- a/src/cottonlink/node/_pool.py
+++ b/src/cottonlink/node/_pool.py
@@ -62,12 +62,27 @@
         self.refused = refused
 
 
+class _HeaderWriter(HTTPConnection):
+    """Connection that writes the headers of a request without checking each of them twice.
+
+    The names and values come from parsed messages; only a line break could break the framing.
+    """
+
+    def putheader(self, header: str, *values: str) -> None:
+        if values == (SKIP_HEADER,):
+            return
+        line = f"{header}: {', '.join(values)}"
+        if "\r" in line or "\n" in line:
+            raise ValueError(f"line break in header {header!r}")
+        self._output(line.encode("latin-1"))
+
+
 class Connection:
     """One TCP connection. ``abort`` may be called from any thread."""
 
     def __init__(self, address: str, clock: Clock, generation: int = 0) -> None:
         host, _, port = address.rpartition(":")
-        self._http = HTTPConnection(host, int(port))
+        self._http = _HeaderWriter(host, int(port))
         self._clock = clock
         self._lock = threading.Lock()
         self._socket: socket.socket | None = None
@@ -76,6 +91,7 @@
         self.created_ms = clock.monotonic_ms()
         self.answered_ms: int | None = None
         self.answer_began = False
+        self.sent_ms: int | None = None
 
     def connect(self, timeout_ms: int) -> None:
         """Open the connection. Raises ExchangeError; nothing has been sent then."""
@@ -134,6 +150,7 @@
         self.answer_began = False
         try:
             self._send(request, deadline_ms)
+            self.sent_ms = self._clock.monotonic_ms()
             step = Step.FIRST_BYTE
             self._http.timeout = self._remaining_s(deadline_ms)
             response = self._http.getresponse()
@@ -143,11 +160,14 @@
         except (HTTPError, http.client.HTTPException, OSError, ValueError) as error:
             self.close()
             timed_out = isinstance(error, TimeoutError) or "timed out" in str(error)
+            if step is Step.FIRST_BYTE and not isinstance(error, OSError):
+                step = Step.BODY  # bytes came, but they are no valid head
             raise ExchangeError(step, _explain(error), sent=True, timed_out=timed_out) from error
         except ExchangeError:
             self.close()
             raise
         self.answered_ms = self._clock.monotonic_ms()
+        self.sent_ms = None
         headers = tuple(response.headers.items())
         return Answer(response.status, headers, body, response.reason or "")
 
@@ -247,6 +267,15 @@
             connection.close()
         return len(idle)
 
+    def expire(self) -> None:
+        """Close the idle connections that are too old, which their peer may have closed too."""
+        oldest_ms = self.clock.monotonic_ms() - self.max_age_ms
+        with self._lock:
+            expired = [c for c in self._idle if c.created_ms < oldest_ms]
+            self._idle = [c for c in self._idle if c.created_ms >= oldest_ms]
+        for connection in expired:
+            connection.close()
+
     def _pop(self) -> Connection | None:
         with self._lock:
             return self._idle.pop() if self._idle else None
@@ -282,10 +311,12 @@
             pools = tuple(self._pools.values())
         return sum(pool.discard() for pool in pools)
 
-    def keep_only(self, addresses: frozenset[str]) -> None:
-        """Forget the pools of addresses that the policy no longer lists."""
+    def expire(self, addresses: frozenset[str]) -> None:
+        """Close connections that are too old, and all to addresses other than ``addresses``."""
         with self._lock:
-            gone = [address for address in self._pools if address not in addresses]
-            pools = [self._pools.pop(address) for address in gone]
-        for pool in pools:
+            gone = [self._pools.pop(a) for a in self._pools.keys() - addresses]
+            kept = tuple(self._pools.values())
+        for pool in gone:
             pool.discard()
+        for pool in kept:
+            pool.expire()
--- a/src/cottonlink/node/_process.py
+++ b/src/cottonlink/node/_process.py
@@ -13,7 +13,6 @@
 from attrs import define, field
 
 from cottonlink._clock import Clock, SystemClock
-from cottonlink.decisions import NodeState
 from cottonlink.node._actors._cancellation import (
     CancelAttempts,
     CancellationActor,
@@ -40,9 +39,12 @@
 # Threads above the cap of a listener refuse calls while the others are busy.
 SPARE_THREADS = 16
 TICK_MS = 50
+EXPIRY_INTERVAL_MS = 10_000
 # A leaving node goes on refusing calls for this time, so that its peers learn of its state from
 # answers rather than from broken connections. It also lets the last answers go out.
 LINGER_MS = 1_000
+# Room for the headers that a node adds to those of a caller.
+NODE_HEADERS_BYTES = 4_096
 # Gossip and policy messages are larger than the calls of callers.
 CONTROL_BODY_LIMIT_BYTES = 2_000_000
 # The parser of a pooled message needs a small stack only; the default of 8 MB is reserved for
@@ -75,16 +77,14 @@
         threading.stack_size(THREAD_STACK_BYTES)
         settings = self.settings
         limit = settings.connection_limit
-        start = functools.partial(
-            start_listener,
-            connection_limit=limit,
-            header_limit_bytes=settings.header_limit_bytes,
-        )
+        start = functools.partial(start_listener, connection_limit=limit)
+        peer_header_limit = settings.header_limit_bytes + NODE_HEADERS_BYTES
         self.control_listener = start(
             ControlApp(self.core, self.control),
             settings.control_address,
             threads=settings.control_threads,
             body_limit_bytes=CONTROL_BODY_LIMIT_BYTES,
+            header_limit_bytes=settings.header_limit_bytes,
             name="control",
         )
         owner_app = OwnerApp(
@@ -95,6 +95,7 @@
             settings.peer_address,
             threads=settings.peer_limit + SPARE_THREADS,
             body_limit_bytes=settings.body_limit_bytes,
+            header_limit_bytes=peer_header_limit,
             name="peer",
         )
         forwarder = Forwarder(self.core, self.sender, PermitClient(self.core))
@@ -103,6 +104,7 @@
             settings.caller_address,
             threads=settings.caller_limit + SPARE_THREADS,
             body_limit_bytes=settings.body_limit_bytes,
+            header_limit_bytes=settings.header_limit_bytes,
             name="caller",
         )
         self.control.start()
@@ -112,11 +114,12 @@
     def leave(self, reason: str) -> None:
         """Stop accepting work; ``wait_until_idle`` then returns once all work has ended."""
         self.core.leave(reason)
+        self.control.announce_leaving()
 
     def wait_until_idle(self) -> bool:
         """Wait until a leaving node has finished its work; False if the drain timed out."""
         clock = self.core.clock
-        deadline_ms = clock.monotonic_ms() + self.settings.drain_timeout_ms
+        deadline_ms = clock.monotonic_ms() + self._drain_limit_ms()
         idle_since_ms: int | None = None
         while clock.monotonic_ms() < deadline_ms:
             now_ms = clock.monotonic_ms()
@@ -129,6 +132,17 @@
             clock.sleep_ms(TICK_MS)
         return not self.core.in_flight()
 
+    def _drain_limit_ms(self) -> int:
+        """Return the longest time that accepted work may take.
+
+        A call may wait for its whole timeout and a non-repeatable one then runs for as long again.
+        The setting counts only if it is longer: a shorter one would cut off requests in flight.
+        """
+        policy = self.core.policy
+        kinds = [kind for service in policy.services for kind in service.kinds] if policy else []
+        longest_ms = max((kind.timeout_ms for kind in kinds), default=0)
+        return max(self.settings.drain_timeout_ms, 2 * longest_ms + LINGER_MS)
+
     def stop(self) -> None:
         """Close the listeners and end the control tasks."""
         self._stopped.set()
@@ -161,18 +175,35 @@
         """Drive what depends on time: queued calls, records, slow calls and lost callers."""
         check_interval_ms = max(TICK_MS, self.settings.silence_check_ms // 3)
         next_check_ms = 0
-        is_leaving = False
+        next_expiry_ms = 0
         while not self._stopped.wait(TICK_MS / 1000):
-            for pause in self.core.tick():
-                self._recover_from_pause(pause.paused_ms)
-            if not is_leaving and self.core.state() is NodeState.LEAVING:
-                is_leaving = True
-                self.control.announce_leaving()
             now_ms = self.core.now_ms()
-            if now_ms >= next_check_ms:
-                next_check_ms = now_ms + check_interval_ms
-                self.checker.tell(CheckSlowCalls())
-                self.canceller.tell(SweepDisconnected())
+            try:
+                self._tick()
+                if now_ms >= next_check_ms:
+                    next_check_ms = now_ms + check_interval_ms
+                    self._check_calls()
+                if now_ms >= next_expiry_ms:
+                    next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
+                    self._expire_connections()
+            except Exception:
+                # Without its ticker a node would never notice a late call or a pause again.
+                _log.exception("periodic work failed")
+
+    def _tick(self) -> None:
+        for pause in self.core.tick():
+            self._recover_from_pause(pause.paused_ms)
+
+    def _check_calls(self) -> None:
+        if len(self.core.ingress):
+            self.checker.tell(CheckSlowCalls())
+            self.canceller.tell(SweepDisconnected())
+
+    def _expire_connections(self) -> None:
+        policy = self.core.policy
+        if policy is not None:
+            upstreams = policy.upstreams_by_name.values()
+            self.pools.expire(frozenset(upstream.peer_address for upstream in upstreams))
 
     def _recover_from_pause(self, paused_ms: int) -> None:
         """Drop what may be outdated after the process stood still (design page, 4.8)."""
@@ -214,8 +245,9 @@
 def run_node(settings: Settings, clock: Clock | None = None) -> int:
     """Run a node until it has left; return the exit status.
 
-    SIGTERM and SIGINT make it leave, as does the state of its target, the VM list or a policy
-    record without it. The status is 1 if work was still in progress after the drain timeout.
+    Only SIGTERM and SIGINT end the process. A target that drains, the VM list or a policy record
+    without this node only stop new work, since such a report may be wrong or withdrawn. The status
+    is 1 if work was still in progress after the drain timeout.
     """
     configure_logs(settings.node, settings.log_level)
     asked_to_leave = threading.Event()
@@ -228,9 +260,10 @@
     node = make_node(settings, clock)
     node.start()
     _log.info("node started", caller=settings.caller_address, peer=settings.peer_address)
-    while node.core.state() is not NodeState.LEAVING:
-        if asked_to_leave.wait(TICK_MS / 1000):
-            node.leave("sigterm")
+    # The wait has a timeout because a wait without one can't be interrupted by the handler.
+    while not asked_to_leave.wait(TICK_MS / 1000):
+        pass
+    node.leave("sigterm")
     _log.info("node leaving", reason=node.core.leave_reason())
     is_idle = node.wait_until_idle()
     node.stop()
