Adapt the control plane test to reported drains

Cause: the fake node of the test still offered 'leave' for a VM that the VM list marks as leaving; the actors call 'suspend' and 'resume' now. The check is as strict as before and also covers a list that withdraws the mark, which must let the node take work again.

--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -55,9 +55,12 @@
     def member_returned(self, name: str) -> None:
         self.left.remove(name)
 
-    def leave(self, reason: str) -> None:
+    def suspend(self, reason: str) -> None:
         self.left.append("self")
 
+    def resume(self, reason: str) -> None:
+        self.left.remove("self")
+
     def learn_suspicion(self, fingerprint: str, level: int) -> None:
         self.suspicions[fingerprint] = level
 
@@ -188,6 +191,9 @@
         vm["control_address"] = self.nodes[2].listener.address
         self.vm_list.store.publish(json.dumps({"version": 1, "vms": [vm]}).encode())
         self.wait_until(lambda: "self" in self.nodes[2].left and "n-2" in self.nodes[0].left)
+        vm["state"] = "live"
+        self.vm_list.store.publish(json.dumps({"version": 2, "vms": [vm]}).encode())
+        self.wait_until(lambda: "self" not in self.nodes[2].left)
 
     def test_refreshed(self):
         """Guards against a paused node that counts as refreshed without asking anybody."""
