--- a/src/cottonlink/decisions/_admission.py
+++ b/src/cottonlink/decisions/_admission.py
@@ -9,7 +9,12 @@
 
 from cottonlink.decisions._limits import LimitAlgorithm, ServiceTimes, make_limit
 from cottonlink.decisions._queue import Arrival, CallQueue, QueuedCall, QueueOrder, rank_key
-from cottonlink.decisions._threshold import RetryAdvice, Threshold, ThresholdTracker
+from cottonlink.decisions._threshold import (
+    OPEN_THRESHOLD,
+    RetryAdvice,
+    Threshold,
+    ThresholdTracker,
+)
 
 # Calls that may wait for each slot. A full queue then holds about two service times of work.
 QUEUE_CALLS_PER_SLOT = 2
@@ -73,6 +78,27 @@
     started_ms: int
     cancelled: bool = False
 
+    @property
+    def is_preemptible(self) -> bool:
+        return self.call.arrival.repeatable and not self.cancelled
+
+
+class _ImportanceCounts:
+    """Number of preemptible runs of each importance."""
+
+    def __init__(self) -> None:
+        self._counts: dict[int, int] = {}
+
+    def add(self, importance: int, change: int) -> None:
+        count = self._counts.get(importance, 0) + change
+        if count:
+            self._counts[importance] = count
+        else:
+            self._counts.pop(importance, None)
+
+    def lowest(self) -> int | None:
+        return min(self._counts, default=None)
+
 
 def make_admission(
     slots: int,
@@ -112,6 +138,7 @@
         self._queue = CallQueue()
         self._running: dict[str, _Run] = {}
         self._running_suspects = 0
+        self._preemptible_counts = _ImportanceCounts()
         self._service_times = ServiceTimes()
         self._advice = RetryAdvice(rng)
         self._threshold = ThresholdTracker()
@@ -137,6 +164,8 @@
         if run is None:
             return ()
         self._measure(run, outcome, now_ms)
+        if run.is_preemptible:
+            self._preemptible_counts.add(run.call.arrival.importance, -1)
         del self._running[call_id]
         self._running_suspects -= run.call.arrival.suspect
         return self._settle(now_ms)
@@ -146,10 +175,9 @@
         if self._queue.remove(call_id) is not None:
             return (Refuse(call_id, CANCELLED, None), *self._settle(now_ms))
         run = self._running.get(call_id)
-        if run is None or run.cancelled or not run.call.arrival.repeatable:
+        if run is None or not run.is_preemptible:
             return ()
-        run.cancelled = True
-        return (Cancel(call_id),)
+        return (self._cancel_run(run),)
 
     def expire(self, now_ms: int) -> tuple[Decision, ...]:
         """Refuse queued calls that are too late and start urgent ones in place of lesser calls."""
@@ -177,10 +205,15 @@
         """Return the rank below which calls would be refused now."""
         worst = self._queue.worst()
         if worst is None:
-            return self._threshold.current(None)
+            return OPEN_THRESHOLD
         arrival = worst.arrival
         position = arrival.position if self._order is QueueOrder.HASH else 0
-        return self._threshold.current(Threshold(arrival.importance, position))
+        rank = Threshold(arrival.importance, position)
+        lowest = self._preemptible_counts.lowest()
+        if lowest is not None:
+            # A call above the lowest preemptible run takes its slot instead of being refused.
+            rank = min(rank, Threshold(lowest + 1, 0))
+        return self._threshold.current(rank)
 
     def _queue_capacity(self, slots: int) -> int:
         if self._fixed_capacity is not None:
@@ -212,8 +245,15 @@
     def _start(self, call: QueuedCall, now_ms: int) -> Start:
         self._running[call.arrival.call_id] = _Run(call, now_ms)
         self._running_suspects += call.arrival.suspect
+        if call.arrival.repeatable:
+            self._preemptible_counts.add(call.arrival.importance, 1)
         return Start(call.arrival.call_id)
 
+    def _cancel_run(self, run: _Run) -> Cancel:
+        self._preemptible_counts.add(run.call.arrival.importance, -1)
+        run.cancelled = True
+        return Cancel(run.call.arrival.call_id)
+
     def _shed_one(self, now_ms: int) -> tuple[Decision, ...]:
         """Remove one call from a queue that is too long.
 
@@ -234,8 +274,7 @@
         started = self._start_best(now_ms)
         if not any(isinstance(decision, Start) for decision in started):
             return started
-        victim.cancelled = True
-        return (Cancel(victim.call.arrival.call_id), *started)
+        return (self._cancel_run(victim), *started)
 
     def _preempt_for(self, call: QueuedCall, now_ms: int) -> tuple[Decision, ...]:
         """Start an urgent call in place of a less important run, if there is one."""
@@ -245,19 +284,15 @@
         if victim is None:
             return ()
         self._queue.remove(call.arrival.call_id)
-        victim.cancelled = True
-        return (Cancel(victim.call.arrival.call_id), self._start(call, now_ms))
+        return (self._cancel_run(victim), self._start(call, now_ms))
 
     def _preemptible(self, importance: int) -> _Run | None:
         """Return the last repeatable run in order that is less important, or None."""
-        runs = (
-            run
-            for run in self._running.values()
-            if run.call.arrival.importance < importance
-            and run.call.arrival.repeatable
-            and not run.cancelled
-        )
-        return min(runs, key=lambda run: run.call.key, default=None)
+        lowest = self._preemptible_counts.lowest()
+        if lowest is None or lowest >= importance:
+            return None
+        runs = (run for run in self._running.values() if run.is_preemptible)
+        return min(runs, key=lambda run: run.call.key)
 
     def _refuse(self, call: QueuedCall, code: str, now_ms: int) -> Refuse:
         self._advice.refused(now_ms)
--- a/src/cottonlink/decisions/_threshold.py
+++ b/src/cottonlink/decisions/_threshold.py
@@ -110,8 +110,6 @@
         if queued <= capacity // 2:
             self._saturated = False
 
-    def current(self, worst: Threshold | None) -> Threshold:
-        """Return the threshold; ``worst`` is the rank of the queued call shed next."""
-        if not self._saturated or worst is None:
-            return OPEN_THRESHOLD
-        return worst
+    def current(self, rank: Threshold) -> Threshold:
+        """Return the threshold; ``rank`` is the lowest one that a full queue would admit."""
+        return rank if self._saturated else OPEN_THRESHOLD
