--- /dev/null
+++ b/src/cottonlink/decisions/_quarantine.py
@@ -0,0 +1,171 @@
+"""Fingerprints of requests that were in flight when a target crashed.
+
+A fingerprint is suspect after one crash and refused after two. A level of suspicion spreads
+between nodes with its age: 1 is a suspect, 2 a first quarantine, 3 a second one, and so on. For a
+while after a level has ended, a node ignores news of it; otherwise nodes that learn late would
+pass old news around for ever. Times are monotonic milliseconds of the node.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+import xxhash
+from attrs import define, frozen
+
+SUSPECT_MS = 60_000
+FIRST_QUARANTINE_MS = 60_000
+LONGEST_QUARANTINE_MS = 3_600_000
+ENTRY_LIMIT = 1_024
+
+# News of a level that ended less than this long ago is taken to be old. It covers several hops
+# between nodes of up to 10 s each. Longer would hide a new crash elsewhere.
+HOLD_OFF_MS = 60_000
+# A quarantine within this time after the end of the last one is a repeat and lasts longer.
+HISTORY_MS = 3_600_000
+_HIGHEST_LEVEL = 8
+
+
+@frozen
+class Verdict:
+    """What a crash means for a fingerprint that was in flight. ``level`` goes to other nodes."""
+
+    fingerprint: str
+    level: int
+    refused: bool
+
+
+@frozen
+class News:
+    """A level in force, and for how long it has been so at the node that sends it."""
+
+    level: int
+    age_ms: int
+
+
+@define
+class _Entry:
+    """``level`` is the highest one known; it is in force until ``until_ms``.
+
+    A quarantine is followed by a time as suspect, until ``suspect_until_ms``.
+    """
+
+    level: int
+    until_ms: int
+    suspect_until_ms: int
+
+    def in_force(self, now_ms: int) -> int:
+        if now_ms < self.until_ms:
+            return self.level
+        return 1 if now_ms < self.suspect_until_ms else 0
+
+
+class Quarantine:
+    """Suspect and refused fingerprints known to one node."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def crashed(self, in_flight_fingerprints: Iterable[str], now_ms: int) -> tuple[Verdict, ...]:
+        """Record a crash of the target with these requests in flight."""
+        unique = [*dict.fromkeys(in_flight_fingerprints)][:ENTRY_LIMIT]
+        levels = {f: _next_level(self._entries.get(f), now_ms) for f in unique}
+        for fingerprint, level in levels.items():
+            self._set_level(fingerprint, level, now_ms, now_ms)
+        self._trim(now_ms)
+        return tuple(Verdict(f, level, level >= 2) for f, level in levels.items())
+
+    def completed(self, fingerprint: str, now_ms: int) -> None:
+        """Clear a suspect that ran to its end. A quarantine stays in force."""
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.in_force(now_ms) == 1:
+            entry.until_ms = min(entry.until_ms, now_ms)
+            entry.suspect_until_ms = now_ms
+
+    def suspicion(self, fingerprint: str, now_ms: int) -> int:
+        """Return the level in force: 0 is unsuspected, 1 suspect, 2 or more refused."""
+        entry = self._entries.get(fingerprint)
+        return entry.in_force(now_ms) if entry else 0
+
+    def news(self, fingerprint: str, now_ms: int) -> News | None:
+        """Return what to tell other nodes of a fingerprint, or None if it is unsuspected."""
+        level = self.suspicion(fingerprint, now_ms)
+        if level == 0:
+            return None
+        entry = self._entries[fingerprint]
+        until_ms = entry.suspect_until_ms if level == 1 else entry.until_ms
+        return News(level, now_ms - until_ms + _duration_ms(level))
+
+    def is_refused(self, fingerprint: str, now_ms: int) -> bool:
+        """Return whether requests with this fingerprint must not run."""
+        return self.suspicion(fingerprint, now_ms) >= 2
+
+    def learn(self, fingerprint: str, crashes: int, now_ms: int, age_ms: int = 0) -> None:
+        """Take in a level known to another node for ``age_ms``, unless it is no news here.
+
+        News that passes through several nodes without its age lasts longer at each.
+        """
+        level = min(crashes, _HIGHEST_LEVEL)
+        entry = self._entries.get(fingerprint)
+        known = _known_level(entry, now_ms) if entry else 0
+        started_ms = now_ms - age_ms
+        if level > known and now_ms < started_ms + _duration_ms(level):
+            self._set_level(fingerprint, level, started_ms, now_ms)
+            self._trim(now_ms)
+
+    def _set_level(self, fingerprint: str, level: int, started_ms: int, now_ms: int) -> None:
+        entry = self._entries.get(fingerprint)
+        until_ms = started_ms + _duration_ms(level)
+        if level >= 2:
+            self._entries[fingerprint] = _Entry(level, until_ms, until_ms + SUSPECT_MS)
+        elif entry is not None and now_ms < entry.suspect_until_ms + HISTORY_MS:
+            entry.suspect_until_ms = until_ms
+        else:
+            self._entries[fingerprint] = _Entry(level, until_ms, until_ms)
+
+    def _trim(self, now_ms: int) -> None:
+        excess = len(self._entries) - ENTRY_LIMIT
+        if excess <= 0:
+            return
+        order = {f: (e.in_force(now_ms), e.suspect_until_ms) for f, e in self._entries.items()}
+        for fingerprint in heapq.nsmallest(excess, order, key=order.__getitem__):
+            del self._entries[fingerprint]
+
+
+def make_quarantine() -> Quarantine:
+    """Return the empty quarantine of a starting node."""
+    return Quarantine()
+
+
+def request_fingerprint(service: str, method: str, path: str, body: bytes) -> str:
+    """Return the hash that identifies equal requests at every node."""
+    digest = xxhash.xxh3_128()
+    for part in (service.encode(), method.encode(), path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _next_level(entry: _Entry | None, now_ms: int) -> int:
+    in_force = entry.in_force(now_ms) if entry else 0
+    if in_force == 0:
+        return 1
+    if in_force >= 2:
+        return in_force  # a copy that was running when the quarantine began
+    return min(entry.level + 1, _HIGHEST_LEVEL)
+
+
+def _known_level(entry: _Entry, now_ms: int) -> int:
+    if entry.level >= 2 and now_ms < entry.until_ms + SUSPECT_MS + HOLD_OFF_MS:
+        return entry.level
+    return 1 if now_ms < entry.suspect_until_ms + HOLD_OFF_MS else 0
+
+
+def _duration_ms(level: int) -> int:
+    if level == 1:
+        return SUSPECT_MS
+    return min(FIRST_QUARANTINE_MS * 2 ** (level - 2), LONGEST_QUARANTINE_MS)
