Let a fractional concurrency limit rise again

Cause: a window counted as unused if its calls in flight stayed below 0.8 of the limit as a fraction, but the limit admits whole calls. At 1.59 one call may run, 1 < 1.27, and the limit never rose again. In the demo the lookup service stayed at 1 of 2 slots on all three upstreams for the 8 s after the surge, although its latency was back at its baseline. Ruled out, from the windows recorded at each node: a baseline that drifts (27 ms throughout), single timed-out calls (one in 45 windows), and too few samples (a window closed every 0.4 s). Conclusion: the comparison uses the whole limit.

--- a/src/cottonlink/decisions/_limits.py
+++ b/src/cottonlink/decisions/_limits.py
@@ -130,7 +130,7 @@
         if window.is_complete(now_ms):
             self._window = None
             slowness = self._slowness(window)
-            used = window.max_in_flight >= MIN_USE_TO_GROW * self._limit
+            used = window.max_in_flight >= MIN_USE_TO_GROW * self.limit
             self._set_limit(self._next_limit(slowness, used, window.timed_out > 0))
 
     def _add_sample(self, window: _Window, kind: str, latency_ms: float) -> None:
