--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,7 +4,9 @@
 
 import unittest
 
-from tests.node_fixtures import Fleet, start_fleet
+from cottonlink._clock import ManualClock
+from cottonlink.node._pool import ANSWERED_LATELY_MS, OutgoingRequest, Pool
+from tests.node_fixtures import FakeTarget, Fleet, start_fleet
 
 
 class PathTest(unittest.TestCase):
@@ -38,3 +40,37 @@
         ]
         self.assertEqual([(r.status, r.body) for r in replies], [(200, b"chair")] * 2)
         self.assertEqual(len(self.target.seen), 1)
+
+
+class PoolTest(unittest.TestCase):
+    def test_take(self) -> None:
+        """Guards against bookings on connections that may have gone silent, and old connections."""
+        target = FakeTarget()
+        self.addCleanup(target.stop)
+        clock = ManualClock()
+        pool = Pool(target.address, clock, 60_000)
+
+        def exchange() -> None:
+            connection = pool.take()
+            self.addCleanup(connection.close)
+            if connection.is_new:
+                connection.connect(1_000)
+            request = OutgoingRequest("GET", "/", (), b"")
+            connection.exchange(request, clock.monotonic_ms() + 10_000, 1_000)
+            pool.give_back(connection)
+
+        def take(**options: bool) -> bool:
+            connection = pool.take(**options)
+            pool.give_back(connection)
+            return connection.is_new
+
+        exchange()
+        self.assertFalse(take(answered_lately=True))
+        clock.advance_ms(ANSWERED_LATELY_MS + 1)
+        self.assertFalse(take())
+        self.assertTrue(take(answered_lately=True))
+        exchange()
+        clock.advance_ms(60_000)
+        self.assertTrue(take())
+        exchange()
+        self.assertEqual((pool.discard(), take()), (1, True))
