--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -70,7 +70,7 @@
         self.assertFalse(take())
         self.assertTrue(take(answered_lately=True))
         exchange()
-        clock.advance_ms(60_000)
+        clock.advance_ms(60_001)
         self.assertTrue(take())
         exchange()
         self.assertEqual((pool.discard(), take()), (1, True))
