--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
 
+from cottonlink._problem import make_problem
+from cottonlink.errors import CallError, Executed, Step
 from cottonlink.node._calls import CallState
 from cottonlink.observe import EventKind
 from emulator.addresses import PortReserver, split_address
@@ -74,11 +76,28 @@
 class AnswerTest(FaultCase):
     def test_answer_incomplete(self) -> None:
         """Guards against a cut answer that reaches a caller as if it were whole."""
-        self.target.behave = answer_cut_short
-        reply = self.fleet.call("a", "GET", "/desk/x")
-        self.assertEqual((reply.status, reply.code), (502, "answer_incomplete"))
-        self.assertEqual(reply.problem["executed"], "unknown")
-        self.assertEqual(len(self.target.seen), 1)
+
+        def raw(head: bytes) -> Callable[[BaseHTTPRequestHandler, Seen], None]:
+            def behave(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+                handler.wfile.write(b"HTTP/1.1 200 OK\r\n" + head)
+                handler.close_connection = True
+
+            return behave
+
+        behaviours = (
+            answer_cut_short,
+            raw(b"\r\nno length"),
+            raw(b"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+            raw(b"Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"),
+            raw(b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nhalf"),
+        )
+        for behave in behaviours:
+            self.target.seen.clear()
+            self.target.behave = behave
+            reply = self.fleet.call("a", "GET", "/desk/x")
+            self.assertEqual((reply.status, reply.code), (502, "answer_incomplete"))
+            self.assertEqual(reply.problem["executed"], "unknown")
+            self.assertEqual(len(self.target.seen), 1)
 
     def test_call_id(self) -> None:
         """Guards against the answer to another call, which a late or repeated answer may be."""
@@ -89,6 +108,27 @@
         reply = self.fleet.call("a", "GET", "/desk/x")
         self.assertEqual((reply.code, reply.problem["executed"]), ("answer_mismatch", "unknown"))
 
+    def test_cancelled(self) -> None:
+        """Guards against a caller that is told of the end of an attempt which was given up."""
+        peer = FakeTarget()
+        self.addCleanup(peer.stop)
+
+        def refuse_first(handler: BaseHTTPRequestHandler, seen: Seen) -> None:
+            is_first = len(peer.seen) == 1
+            refusal = CallError("cancelled", "", step=Step.IDENTIFY, executed=Executed.NO)
+            body = make_problem(refusal, "").body if is_first else b"whole"
+            handler.send_response(503 if is_first else 200)
+            handler.send_header("Content-Length", str(len(body)))
+            handler.send_header("Cottonlink-Executed", "no" if is_first else "yes")
+            handler.send_header("Cottonlink-Call-Id", seen.headers["cottonlink-call-id"])
+            handler.end_headers()
+            handler.wfile.write(body)
+
+        peer.behave = refuse_first
+        self.fleet.move("b", peer.address)
+        reply = self.fleet.call("a", "GET", "/desk/x")
+        self.assertEqual((reply.status, reply.body, len(peer.seen)), (200, b"whole", 2))
+
     def test_execution_unknown(self) -> None:
         """Guards against a second run of a booking whose first answer was lost."""
         self.target.behave = drop_connection
@@ -179,6 +219,12 @@
         thread.join(TIMEOUT_S)
         self.assertEqual(replies[0].status, 200)
 
+    def test_suspended(self) -> None:
+        """Guards against an ingress that turns callers away because its own target drains."""
+        self.fleet.nodes["a"].core.suspend("target_draining")
+        self.assertEqual(self.fleet.call("a", "GET", "/desk/x").status, 200)
+        self.assertEqual(self.fleet.call("b", "GET", "/front/x").code, "leaving")
+
     def test_children(self) -> None:
         """Guards against a drain that cuts off the calls which an unfinished run still makes."""
 
