Send calls to a restarted node as soon as gossip reports it

A node that announces that it leaves is not chosen for 60 s. In a trial with processes, a node that was drained with SIGTERM and started again under its name got no call in this time, so a service with one upstream was down for a minute. Gossip knows better, since it tells two incarnations of a name apart. Ruled out: a shorter hold, which would send calls back to a node that still drains.

--- a/src/cottonlink/decisions/_upstreams.py
+++ b/src/cottonlink/decisions/_upstreams.py
@@ -142,7 +142,9 @@
         if hint is UpstreamHint.LEAVING:
             self.listed_leaving = True
         elif hint is UpstreamHint.LIVE:
+            # A new process of the node may be up long before the hold on the old one ends.
             self.listed_leaving = False
+            self.announced_leaving_ms = None
         elif hint is UpstreamHint.DRAINING:
             self.announced_leaving_ms = now_ms
         else:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,7 +12,7 @@
 from cottonlink._clock import ManualClock
 from cottonlink._headers import TraceContext
 from cottonlink._problem import Answer
-from cottonlink.decisions import home_node
+from cottonlink.decisions import CallOutcome, NoUpstream, RouteRequest, RouteResult, home_node
 from cottonlink.errors import CallError, Executed, Step
 from cottonlink.node._attempt import AttemptError
 from cottonlink.node._calls import (
@@ -103,6 +103,15 @@
         self.assertLessEqual(len(sender.used), 1 + BUDGET + 1 + RESEND_LIMIT)
         self.assertEqual(len(retries), len(set(retries)))
 
+    def test_member_returned(self) -> None:
+        """Guards against a restarted node that gets no calls until the hold on the old one ends."""
+        core = make_core(ManualClock())
+        request = RouteRequest(3, 0, frozenset(NAMES) - {"n1"})
+        core.ingress.attempt_ended("desk", RouteResult("n1", CallOutcome.LEAVING))
+        self.assertIsInstance(core.ingress.choose("desk", request), NoUpstream)
+        core.member_returned("n1")
+        self.assertEqual(core.ingress.choose("desk", request).name, "n1")
+
 
 class ListenerSharesTest(unittest.TestCase):
     @settings(max_examples=150, deadline=None)
