Run the fault matrix on real processes

The ingress's clock is moved on between cells, because one retry to an upstream is allowed per 10 s window.

--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -18,7 +18,7 @@
 import yaml
 
 from emulator.addresses import PortReserver
-from emulator.journal import Run, parse_run
+from emulator.journal import Run, RunOutcome, parse_run
 from emulator.plans import FleetPlan, ServicePlan, UpstreamAddresses, make_policy_record
 from emulator.processes import ChildProcess
 from emulator.relay import Relay
@@ -141,16 +141,23 @@
         """Return all events kept so far."""
         return list(self._events.values())
 
+    def state(self, node: str) -> str:
+        """Return the lifecycle state that a node reports, or an empty text."""
+        return str((self.control(node, "/v1/status") or {}).get("state", ""))
+
+    def version_of(self, node: str) -> int:
+        """Return the policy version that a node reports, or 0."""
+        return int((self.control(node, "/v1/status") or {}).get("policy_version", 0))
+
     def versions(self) -> dict[str, int]:
         """Return the policy version that each live node reports."""
-        return {
-            name: int((self.control(name, "/v1/status") or {}).get("policy_version", 0))
-            for name, child in self.nodes.items()
-            if child.is_running
-        }
+        live = [name for name, child in self.nodes.items() if child.is_running]
+        return {name: self.version_of(name) for name in live}
 
     def is_ready(self, node: str) -> bool:
-        """Whether the node takes calls."""
+        """Whether the node takes calls. Raises FleetError if its process has ended."""
+        if not self.nodes[node].is_running:
+            raise FleetError(f"{node} has ended: {self.nodes[node].log[-2_000:]}")
         url = f"http://{self.upstreams[node].control}/readyz"
         try:
             return self._http.request("GET", url, timeout=2).status == 200
@@ -176,6 +183,10 @@
 
     def restart_target(self, name: str) -> None:
         """Start a target that has ended, and wait until it answers."""
+        with self._runs_lock:
+            for run in self._runs.values():
+                if run.target == name and run.outcome is RunOutcome.RUNNING:
+                    run.outcome = RunOutcome.CRASHED
         self.targets[name].start()
         wait_until(lambda: self._answers(name), f"{name} to answer")
 
--- a/emulator/gates.py
+++ b/emulator/gates.py
@@ -30,36 +30,41 @@
 
 @define(eq=False)
 class Gate:
-    """Holds the first connection whose request contains each of ``markers``.
+    """Holds the first connection whose request contains each of its markers.
 
     Bytes are counted from the chunk that contains the marker, so earlier requests on the same
     connection don't matter. A later connection with the same marker passes.
     """
 
-    markers: tuple[bytes, ...]
     direction: Direction
     after_bytes: int = 0
-    held_count: int = field(default=0, init=False)
-    _unclaimed: list[bytes] = field(init=False)
+    _markers: list[bytes] = field(factory=list, init=False)
+    _held: set[bytes] = field(factory=set, init=False)
     _release: Release | None = field(default=None, init=False)
     _changed: threading.Condition = field(factory=threading.Condition, init=False)
 
-    def __attrs_post_init__(self) -> None:
-        self._unclaimed = list(self.markers)
+    def add_marker(self, marker: bytes) -> None:
+        """Hold one connection whose request contains ``marker``."""
+        with self._changed:
+            self._markers.append(marker)
+
+    def claim(self, chunk: bytes) -> bytes:
+        """Return the marker for which a connection is to be held, or nothing."""
+        with self._changed:
+            found = next((marker for marker in self._markers if marker in chunk), b"")
+            if found:
+                self._markers.remove(found)
+            return found
 
-    def claim(self, chunk: bytes) -> bool:
-        """Whether a connection whose request has ``chunk`` is to be held."""
+    def holds(self, marker: bytes) -> bool:
+        """Whether a connection with ``marker`` has been held."""
         with self._changed:
-            found = next((marker for marker in self._unclaimed if marker in chunk), None)
-            if found is None:
-                return False
-            self._unclaimed.remove(found)
-            return True
-
-    def wait_release(self) -> Release:
-        """Block the connection until it is released."""
+            return marker in self._held
+
+    def wait_release(self, marker: bytes) -> Release:
+        """Block the connection with ``marker`` until it is released."""
         with self._changed:
-            self.held_count += 1
+            self._held.add(marker)
             self._changed.wait_for(lambda: self._release is not None, HOLD_TIMEOUT_S)
             return self._release or Release.PASS
 
--- a/emulator/journal.py
+++ b/emulator/journal.py
@@ -18,12 +18,13 @@
 
 
 class RunOutcome(enum.StrEnum):
-    """How a run ended; ``RUNNING`` stays in the journal of a target that crashed."""
+    """How a run ended. The process that started a target notes ``CRASHED`` after its end."""
 
     RUNNING = "running"
     FINISHED = "finished"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    CRASHED = "crashed"
 
 
 @define
--- a/emulator/jumping_node.py
+++ b/emulator/jumping_node.py
@@ -6,37 +6,38 @@
 
 from __future__ import annotations
 
-import runpy
 import signal
-import time
+import sys
 
 from cottonlink._clock import SystemClock
+from cottonlink.node._process import run_node
+from cottonlink.node._settings import load_settings
 
 WALL_JUMP_MS = 3_600_000
 MONOTONIC_JUMP_MS = 310_000
 
-_wall_lead_ms = 0
-_monotonic_lead_ms = 0
 
+class JumpingClock(SystemClock):
+    """The system clock with a lead that signals increase."""
 
-def _jump_wall(*_: object) -> None:
-    global _wall_lead_ms
-    _wall_lead_ms += WALL_JUMP_MS
+    def __init__(self) -> None:
+        self._wall_lead_ms = 0
+        self._monotonic_lead_ms = 0
+        signal.signal(signal.SIGUSR1, self._jump_wall)
+        signal.signal(signal.SIGUSR2, self._jump_monotonic)
 
+    def monotonic_ms(self) -> int:
+        return super().monotonic_ms() + self._monotonic_lead_ms
 
-def _jump_monotonic(*_: object) -> None:
-    global _monotonic_lead_ms
-    _monotonic_lead_ms += MONOTONIC_JUMP_MS
+    def wall_ms(self) -> int:
+        return super().wall_ms() + self._wall_lead_ms
 
+    def _jump_wall(self, *_: object) -> None:
+        self._wall_lead_ms += WALL_JUMP_MS
 
-def main() -> None:
-    """Replace the readings of the system clock and run the node."""
-    SystemClock.wall_ms = lambda self: time.time_ns() // 1_000_000 + _wall_lead_ms
-    SystemClock.monotonic_ms = lambda self: time.monotonic_ns() // 1_000_000 + _monotonic_lead_ms
-    signal.signal(signal.SIGUSR1, _jump_wall)
-    signal.signal(signal.SIGUSR2, _jump_monotonic)
-    runpy.run_module("cottonlink.node", run_name="__main__", alter_sys=True)
+    def _jump_monotonic(self, *_: object) -> None:
+        self._monotonic_lead_ms += MONOTONIC_JUMP_MS
 
 
 if __name__ == "__main__":
-    main()
+    sys.exit(run_node(load_settings(sys.argv[1]), JumpingClock()))
--- a/emulator/relay.py
+++ b/emulator/relay.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import re
 import socket
 import struct
 import threading
@@ -17,9 +18,10 @@
 
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 5
+LENGTH_PATTERN = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 # Closing a socket with a linger time of 0 sends a reset instead of an orderly end.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-SLOW_CHUNK_BYTES = 64
+SLOW_CHUNK_BYTES = 1_024
 SLOW_PAUSE_S = 0.01
 
 
@@ -74,8 +76,8 @@
 class _Link:
     """One relayed connection. ``spec`` is replaced when a fault strikes open connections.
 
-    ``gate`` is the gate whose marker the connection has sent; ``marked_bytes`` counts the bytes
-    of the gate's direction since then.
+    ``gate`` is the gate whose ``marker`` the connection has sent; ``marked_bytes`` counts the
+    bytes of the gate's direction since then, and ``seen`` holds them.
     """
 
     near: socket.socket
@@ -85,7 +87,9 @@
     thawed: threading.Event = field(factory=threading.Event)
     closed: threading.Event = field(factory=threading.Event)
     gate: Gate | None = None
+    marker: bytes = b""
     marked_bytes: int = 0
+    seen: bytes = b""
 
     def close(self, *, with_reset: bool = False) -> None:
         self.closed.set()
@@ -254,7 +258,8 @@
                 link.closed.wait(link.spec.delay_ms / 1000)
             if fault in (Fault.TRUNCATE_ANSWER, Fault.RESET_IN_ANSWER):
                 chunk = chunk[: max(0, link.spec.after_bytes - passed_bytes)]
-            chunk = chunk * 2 if fault is Fault.DUPLICATE_ANSWER else chunk
+            if fault is Fault.DUPLICATE_ANSWER:
+                chunk = _read_answer(link.far, chunk) * 2
             if not self._pass(link, link.near, chunk, Direction.ANSWER):
                 return
             passed_bytes += len(chunk)
@@ -271,9 +276,12 @@
     def _mark(self, link: _Link, chunk: bytes) -> None:
         """Tie ``link`` to the gate if its request carries the gate's marker."""
         gate = self._gate
-        if gate is not None and link.gate is not gate and gate.claim(chunk):
+        marker = gate.claim(chunk) if gate is not None else b""
+        if marker:
             link.gate = gate
+            link.marker = marker
             link.marked_bytes = 0
+            link.seen = b""
 
     def _pass(self, link: _Link, to: socket.socket, chunk: bytes, direction: Direction) -> bool:
         """Send ``chunk`` on, through the gate if it applies; return whether the link goes on."""
@@ -281,13 +289,14 @@
         if gate is None or gate.direction is not direction:
             _send(to, chunk)
             return True
+        link.seen += chunk
         room = gate.after_bytes - link.marked_bytes
         link.marked_bytes += len(chunk)
         if room < 0 or len(chunk) <= room:
             _send(to, chunk)
             return True
         _send(to, chunk[:room])
-        return self._go_on(link, to, chunk, room, gate.wait_release())
+        return self._go_on(link, to, chunk, room, gate.wait_release(link.marker))
 
     def _go_on(self, link: _Link, to: socket.socket, chunk: bytes, room: int, how: Release) -> bool:
         rest = chunk[room:]
@@ -305,9 +314,16 @@
                 _send(to, rest[start : start + SLOW_CHUNK_BYTES])
                 time.sleep(SLOW_PAUSE_S)
             return True
-        _send(to, rest + chunk if how is Release.DUPLICATE else rest)
+        _send(to, rest)
+        if how is Release.DUPLICATE:
+            self._duplicate(link, to)
         return True
 
+    def _duplicate(self, link: _Link, to: socket.socket) -> None:
+        """Send the whole answer a second time."""
+        whole = _read_answer(link.far, link.seen)
+        _send(to, whole[len(link.seen) :] + whole)
+
 
 def _receive(connection: socket.socket) -> bytes:
     try:
@@ -316,6 +332,23 @@
         return b""
 
 
+def _read_answer(connection: socket.socket, start: bytes) -> bytes:
+    """Return the whole HTTP answer that begins with ``start``."""
+    answer = start
+    while not _is_whole(answer):
+        chunk = _receive(connection)
+        if not chunk:
+            break
+        answer += chunk
+    return answer
+
+
+def _is_whole(answer: bytes) -> bool:
+    head, separator, body = answer.partition(b"\r\n\r\n")
+    length = LENGTH_PATTERN.search(head)
+    return bool(separator) and len(body) >= (int(length.group(1)) if length else 0)
+
+
 def _send(connection: socket.socket, chunk: bytes) -> None:
     with contextlib.suppress(OSError):
         connection.sendall(chunk)
--- a/emulator/strikes.py
+++ b/emulator/strikes.py
@@ -11,8 +11,8 @@
 from emulator.fleet import Fleet, FleetError
 from emulator.gates import Release
 from emulator.load import Call, Caller, CallerOptions, CallPlan
-from emulator.matrix import STEPS, Cell, MatrixFault, Place
-from emulator.plans import make_policy_record
+from emulator.long_poll import Faults
+from emulator.matrix import CALL_STEPS, OTHER_STEPS, STEPS, Cell, MatrixFault, Place
 from emulator.relay import Fault, FaultSpec, Relay
 from emulator.target import CRASH_MARKER
 
@@ -38,11 +38,30 @@
 )
 
 
+# Steps at which a gate holds the connections of the calls.
+GATED_STEPS = frozenset(CALL_STEPS) - {Step.ROUTE, Step.QUEUE, Step.RUN}
+# Faults of connections at steps where no gate holds the call.
+SPECS = {
+    MatrixFault.REFUSED: FaultSpec(Fault.REFUSE),
+    MatrixFault.RESET: FaultSpec(Fault.RESET_ON_ACCEPT),
+    MatrixFault.SILENT: FaultSpec(Fault.SILENT_REQUEST),
+    MatrixFault.SLOW: FaultSpec(Fault.DELAY_ANSWER, delay_ms=200),
+    MatrixFault.TRUNCATED: FaultSpec(Fault.TRUNCATE_ANSWER, after_bytes=20),
+    MatrixFault.DUPLICATE: FaultSpec(Fault.DUPLICATE_ANSWER),
+}
+# Steps with a call in progress whose connection stays as it is after one strike.
+ONE_OFF_STEPS = frozenset({Step.QUEUE, Step.RUN, Step.DRAIN})
+
+
 def relays_of(fleet: Fleet, cell: Cell) -> list[Relay]:
-    """Return the relays at which the calls of ``cell`` are held.
+    """Return the relays at which the calls of ``cell`` are held, or its messages pass.
 
     For the same fault twice, the relays on the way through the other node follow.
     """
+    if cell.step is Step.POLICY_READ:
+        return [fleet.platform_relays["config"]]
+    if cell.step in (Step.CANCEL, Step.POLICY_SPREAD):
+        return [fleet.control_relays[OWNER]]
     relays, names = {
         Place.CALLER: (fleet.caller_relays, (INGRESS, OTHER)),
         Place.PEER: (fleet.peer_relays, (OWNER, OTHER)),
@@ -61,6 +80,12 @@
     return (cell.fault,)
 
 
+def restart_aged(fleet: Fleet, name: str) -> None:
+    """Start a node that has ended, and make it old enough to grant retries."""
+    fleet.restart_node(name)
+    fleet.nodes[name].signal(signal.SIGUSR2)
+
+
 class Strike:
     """The faults of one cell. ``release`` says how held connections go on."""
 
@@ -71,7 +96,7 @@
         self._repairs: list[Callable[[], object]] = []
         self.victim = INGRESS if cell.place is Place.CALLER else OWNER
         self.release = Release.PASS
-        self.is_target_up = True
+        self._restarts_node = True
 
     @property
     def broken_addresses(self) -> list[str]:
@@ -84,6 +109,10 @@
         """Strike."""
         for fault in self._faults:
             self._apply(fault)
+        if self._cell.fault is MatrixFault.TWICE and self._cell.step in OTHER_STEPS:
+            for relay in relays_of(self._fleet, self._cell):
+                relay.heal()
+            self._apply(MatrixFault.RESET)
 
     def wait_for(self, threads: Sequence[threading.Thread]) -> None:
         """Wait until the calls have ended."""
@@ -92,68 +121,65 @@
             if thread.is_alive():
                 raise FleetError(f"{self._cell.name}: a call does not end")
 
-    def repair(self) -> None:
-        """Undo everything."""
+    def repair(self, *, is_node_restarted: bool = True) -> None:
+        """Undo everything; leave the start of a killed node to the caller if told so."""
+        self._restarts_node = is_node_restarted
         for relay in self._fleet.relays():
             relay.heal()
         for repair in reversed(self._repairs):
             repair()
 
     def _apply(self, fault: MatrixFault) -> None:
+        if fault in SPECS:
+            self._strike_connections(fault)
+            return
         strike = {
             MatrixFault.KILL: self._kill,
             MatrixFault.PAUSE: self._pause,
-            MatrixFault.REFUSED: self._refuse,
-            MatrixFault.RESET: self._reset,
-            MatrixFault.SILENT: self._silence,
-            MatrixFault.DUPLICATE: self._delay,
             MatrixFault.HEALTH: self._mislead,
             MatrixFault.VM_LIST: self._spoil_vm_list,
             MatrixFault.CONFIG: self._spoil_config,
             MatrixFault.PARTITION: self._part,
             MatrixFault.CRASH: self._crash,
             MatrixFault.CLOCK: self._jump,
-        }.get(fault)
-        self.release = RELEASES.get(fault, self.release)
-        if strike is not None:
-            strike()
+        }[fault]
+        strike()
+
+    def _strike_connections(self, fault: MatrixFault) -> None:
+        relays = relays_of(self._fleet, self._cell)
+        if self._cell.step in GATED_STEPS and fault is not MatrixFault.REFUSED:
+            self.release = RELEASES[fault]
+            if fault is MatrixFault.DUPLICATE:
+                time.sleep(LATE_S)
+        elif self._cell.step in ONE_OFF_STEPS and fault is MatrixFault.SILENT:
+            relays[0].freeze_open()
+        elif self._cell.step is Step.ROUTE:
+            self._inject(relays, FaultSpec(Fault.REFUSE))
+        else:
+            self._inject(relays, SPECS[fault])
+            if self._cell.step in ONE_OFF_STEPS and fault is MatrixFault.RESET:
+                for relay in relays:
+                    relay.heal()
+
+    def _inject(self, relays: Sequence[Relay], spec: FaultSpec) -> None:
+        for relay in relays:
+            relay.inject(spec, on_open=True)
 
     def _kill(self) -> None:
         self._fleet.collect_events()
         node = self._fleet.nodes[self.victim]
         node.kill()
-        self._repairs.append(lambda: self._restart(self.victim))
+        self._repairs.append(self._restart)
 
-    def _restart(self, name: str) -> None:
-        self._fleet.restart_node(name)
-        self._fleet.nodes[name].signal(signal.SIGUSR2)
+    def _restart(self) -> None:
+        if self._restarts_node:
+            restart_aged(self._fleet, self.victim)
 
     def _pause(self) -> None:
         node = self._fleet.nodes[self.victim]
         node.pause()
         self._repairs.append(node.resume)
 
-    def _refuse(self) -> None:
-        for relay in relays_of(self._fleet, self._cell):
-            relay.inject(FaultSpec(Fault.REFUSE), on_open=True)
-
-    def _reset(self) -> None:
-        """Reset connections that no gate holds; a gate resets its own."""
-        if self._cell.step is Step.ROUTE:
-            self._refuse()
-        elif self._cell.step in (Step.QUEUE, Step.RUN):
-            for relay in relays_of(self._fleet, self._cell):
-                relay.inject(FaultSpec(Fault.RESET_ON_ACCEPT), on_open=True)
-                relay.heal()
-
-    def _silence(self) -> None:
-        if self._cell.step in (Step.QUEUE, Step.RUN):
-            self._fleet.peer_relays[OWNER].freeze_open()
-
-    def _delay(self) -> None:
-        """Hold the answer until the ingress has begun to ask about the call."""
-        time.sleep(LATE_S)
-
     def _mislead(self) -> None:
         self._fleet.switch(OWNER, health="failing")
         self._repairs.append(lambda: self._fleet.switch(OWNER, health=""))
@@ -165,24 +191,21 @@
         if STEPS.index(self._cell.step) % 2:
             stand_ins.list_vms({INGRESS: "live"}, upstreams)
         else:
-            stand_ins.vm_list.stop()
+            stand_ins.set_vm_list_faults(Faults(is_down=True))
         everyone = {name: "live" for name in upstreams}
         self._repairs.append(lambda: stand_ins.list_vms(everyone, upstreams))
-        self._repairs.append(stand_ins.vm_list.start)
+        self._repairs.append(lambda: stand_ins.set_vm_list_faults(Faults()))
 
     def _spoil_config(self) -> None:
-        """Take the service down, roll it back, or do both."""
-        fleet = self._fleet
-        listed = {name: up for name, up in fleet.upstreams.items() if name == INGRESS}
-        older = make_policy_record(fleet.plan, listed, fleet.version - 1)
-        kind = STEPS.index(self._cell.step) % 3
-        if kind != 1:
-            fleet.stand_ins.config.stop()
-        if kind != 0:
-            fleet.stand_ins.publish(older)
-        current = make_policy_record(fleet.plan, fleet.upstreams, fleet.version)
-        self._repairs.append(lambda: fleet.stand_ins.publish(current))
-        self._repairs.append(fleet.stand_ins.config.start)
+        """Take the service down, make it stale, or roll it back."""
+        stand_ins = self._fleet.stand_ins
+        faults = (
+            Faults(is_down=True),
+            Faults(is_stale=True),
+            Faults(rolled_back_to=self._fleet.version - 1, ignores_after_version=True),
+        )
+        stand_ins.set_config_faults(faults[STEPS.index(self._cell.step) % len(faults)])
+        self._repairs.append(lambda: stand_ins.set_config_faults(Faults()))
 
     def _part(self) -> None:
         """Cut the victim off from all other nodes."""
@@ -191,7 +214,7 @@
             sources = others if name == self.victim else frozenset({self.victim})
             self._fleet.peer_relays[name].cut(sources)
             self._fleet.control_relays[name].cut(sources)
-        if self._cell.place is Place.PEER:
+        if self._cell.step in GATED_STEPS and self._cell.place is Place.PEER:
             self.release = Release.SILENT
 
     def _crash(self) -> None:
--- /dev/null
+++ b/tests/test_fault_matrix.py
@@ -0,0 +1,139 @@
+"""Every fault at every step, on real processes over loopback.
+
+The cells come from ``emulator.matrix``. Cells with the same step share a fleet; the groups run on a
+few threads. Each cell checks the outcomes of a read and of a non-repeatable write, that both kinds
+work again afterwards, and all invariants over the recorded events and journals.
+"""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+import traceback
+import unittest
+
+from cottonlink.errors import Step
+from emulator.checker import check_invariants, wall_ms
+from emulator.fleet import Fleet
+from emulator.load import Call, CallOutcome
+from emulator.matrix import CALL_STEPS, POLICY_STEPS, STEPS, Cell, MatrixFault, Place, make_cells
+from emulator.scenario import MATRIX_PLAN, CallScenario, Result
+from emulator.scenario_fleet import FleetScenario
+
+THREAD_COUNT = 4
+WHOLE = frozenset({CallOutcome.WHOLE})
+UNKNOWN = frozenset({CallOutcome.UNKNOWN})
+WHOLE_OR_UNKNOWN = WHOLE | UNKNOWN
+ANY = frozenset(CallOutcome)
+# None of these touches the path of a call, so both calls must be answered as if nothing was wrong.
+HARMLESS = frozenset(
+    {
+        MatrixFault.SLOW,
+        MatrixFault.HEALTH,
+        MatrixFault.VM_LIST,
+        MatrixFault.CONFIG,
+        MatrixFault.CLOCK,
+    }
+)
+BEFORE_RUN = frozenset(CALL_STEPS[: CALL_STEPS.index(Step.RUN)])
+
+
+def allowed_reads(cell: Cell) -> frozenset[CallOutcome]:
+    """A read is retried elsewhere within its budget, so it must be answered whole."""
+    if cell.step is Step.CANCEL:
+        # The caller leaves; after a crash, the retry may be answered before it does.
+        return WHOLE_OR_UNKNOWN if cell.fault is MatrixFault.CRASH else UNKNOWN
+    if cell.step is Step.ROUTE and cell.fault is MatrixFault.TWICE:
+        # Both upstreams refuse connections.
+        return frozenset({CallOutcome.REFUSED_NOT_RUN})
+    if cell.fault is MatrixFault.TWICE:
+        return WHOLE_OR_UNKNOWN
+    if cell.fault is MatrixFault.SILENT and cell.place is Place.TARGET:
+        # Only a peer can be asked about a silent connection; a target uses up the deadline.
+        return WHOLE_OR_UNKNOWN
+    return WHOLE
+
+
+def allowed_writes(cell: Cell) -> frozenset[CallOutcome]:
+    """A write may end as unknown, but as refused only if it can't have run."""
+    if cell.step is Step.CANCEL:
+        return UNKNOWN
+    if cell.fault in HARMLESS or cell.step in POLICY_STEPS:
+        return WHOLE
+    return ANY if cell.step in BEFORE_RUN else WHOLE_OR_UNKNOWN
+
+
+def describe(result: Result, call: Call) -> str:
+    """Return what happened to a call, for the message of a failed check."""
+    sends = [
+        f"send {send.status} {send.code} {send.executed} in {send.answered_ms - send.sent_ms} ms"
+        for send in call.sends
+    ]
+    events = sorted(result.evidence.events, key=wall_ms)
+    kinds = [
+        f"{event['node']} {event['kind']} {event['code']} {event['peer']}".strip()
+        for event in events
+        if event["request_id"] == call.plan.root_id
+    ]
+    return "; ".join(sends + kinds)
+
+
+def run_group(step: Step) -> dict[str, Result | str]:
+    """Run the possible cells of a step; a text stands for a scenario that broke off."""
+    results: dict[str, Result | str] = {}
+    cells = [cell for cell in make_cells([step]) if not cell.impossible]
+    try:
+        with Fleet(MATRIX_PLAN) as fleet:
+            fleet.publish()
+            for node in fleet.nodes.values():
+                node.signal(signal.SIGUSR2)
+            make_scenario = CallScenario if step in CALL_STEPS else FleetScenario
+            scenario = make_scenario(fleet, seed=STEPS.index(step))
+            scenario.recover()
+            for cell in cells:
+                results[cell.name] = scenario.run(cell)
+    except Exception:
+        broken = next(cell for cell in cells if cell.name not in results)
+        results[broken.name] = traceback.format_exc()
+    return results
+
+
+class FaultMatrixTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        with concurrent.futures.ThreadPoolExecutor(THREAD_COUNT) as pool:
+            cls.results = dict(zip(STEPS, pool.map(run_group, STEPS), strict=True))
+
+    def check_step(self, step: Step) -> None:
+        for cell in make_cells([step]):
+            if cell.impossible:
+                continue
+            with self.subTest(cell.name):
+                self.check_cell(cell, self.results[step].get(cell.name, "not reached"))
+
+    def check_cell(self, cell: Cell, result: Result | str) -> None:
+        self.assertIsInstance(result, Result, result)
+        self.assertIn(result.first_read, allowed_reads(cell), describe(result, result.read))
+        self.assertIn(result.first_write, allowed_writes(cell), describe(result, result.write))
+        self.assertEqual(check_invariants(result.evidence), [])
+
+
+def _add_step_tests() -> None:
+    for step in STEPS:
+
+        def test(self: FaultMatrixTest, step: Step = step) -> None:
+            self.check_step(step)
+
+        test.__doc__ = f"Guards against a fault at the step {step} that breaks an invariant."
+        setattr(FaultMatrixTest, f"test_{step}", test)
+
+
+_add_step_tests()
+
+
+class MatrixCellsTest(unittest.TestCase):
+    def test_impossible(self) -> None:
+        """Guards against cells that silently drop out of the matrix."""
+        cells = make_cells()
+        self.assertEqual(len(cells), len(STEPS) * len(MatrixFault))
+        self.assertEqual(len([cell for cell in cells if cell.impossible]), 35)
