--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -11,6 +11,7 @@
 from urllib.error import HTTPError
 
 from attrs import define, field
+from structlog.testing import capture_logs
 
 from bench.control_fleet import make_record
 from cottonlink._clock import ManualClock
@@ -55,9 +56,12 @@
     def member_returned(self, name: str) -> None:
         self.left.remove(name)
 
-    def leave(self, reason: str) -> None:
+    def suspend(self, reason: str) -> None:
         self.left.append("self")
 
+    def resume(self, reason: str) -> None:
+        self.left.remove("self")
+
     def learn_suspicion(self, fingerprint: str, level: int) -> None:
         self.suspicions[fingerprint] = level
 
@@ -70,6 +74,7 @@
 
 class ControlPlaneTest(unittest.TestCase):
     def setUp(self):
+        self.enterContext(capture_logs())
         self.clock = ManualClock()
         self.config = start_service(make_config_service())
         self.vm_list = start_service(make_vm_list())
@@ -188,6 +193,9 @@
         vm["control_address"] = self.nodes[2].listener.address
         self.vm_list.store.publish(json.dumps({"version": 1, "vms": [vm]}).encode())
         self.wait_until(lambda: "self" in self.nodes[2].left and "n-2" in self.nodes[0].left)
+        vm["state"] = "live"
+        self.vm_list.store.publish(json.dumps({"version": 2, "vms": [vm]}).encode())
+        self.wait_until(lambda: "self" not in self.nodes[2].left)
 
     def test_refreshed(self):
         """Guards against a paused node that counts as refreshed without asking anybody."""
