Start listener threads when they are needed

A node started all 800 threads of its caps at once. With several fleets on one machine (21,055 threads in all, pid_max 32,768) a node failed to start with "can't start new thread". The dispatcher of a listener now begins with 4 threads and adds one when none is idle, up to the cap; if the machine has no more, the tasks wait for the threads that run. Smaller caps were ruled out, since an overload needs the room.

A policy version that a peer tells on a call now makes the gossip task ask its peers at once.

--- a/src/cottonlink/cli/_commands.py
+++ b/src/cottonlink/cli/_commands.py
@@ -17,7 +17,6 @@
 @reports_errors
 def run(settings_file: str) -> None:
     """Run a node until SIGTERM; requests in flight are finished first."""
-    from cottonlink.node import run_node
-    from cottonlink.node._settings import load_settings
+    from cottonlink.node import load_settings, run_node
 
-    run_node(load_settings(settings_file))
+    raise SystemExit(run_node(load_settings(settings_file)))
--- a/src/cottonlink/node/_attempt.py
+++ b/src/cottonlink/node/_attempt.py
@@ -229,8 +229,7 @@
         if level:
             self.core.learn_suspicion(forwarded.call.fingerprint, level)
         version = parse_count(by_name.get(_headers.POLICY_VERSION.lower(), "")) or 0
-        if version > self.core.policy_version:
-            self.core.note_newer_policy(version)
+        self.core.note_newer_policy(version)
 
 
 def _classify(forwarded: ForwardedCall, attempt: Attempt, error: ExchangeError) -> AttemptError:
--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -119,7 +119,7 @@
         self._note_state()
 
     def note_newer_policy(self, version: int) -> None:
-        """Record that a peer has a newer policy; the gossip task then fetches it."""
+        """Record the version of a peer; if it is newer, gossip is asked to fetch it."""
         self.newest_seen_version = max(self.newest_seen_version, version)
 
     def leave(self, reason: str) -> None:
--- a/src/cottonlink/node/_listeners.py
+++ b/src/cottonlink/node/_listeners.py
@@ -5,11 +5,12 @@
 import threading
 from collections.abc import Callable
 
+import structlog
 from attrs import define, field
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import create_server
-from waitress.task import ErrorTask, WSGITask
+from waitress.task import ErrorTask, ThreadedTaskDispatcher, WSGITask
 
 from cottonlink._problem import make_problem
 from cottonlink.errors import CallError, Executed, Step
@@ -17,6 +18,42 @@
 # Waitress moves larger buffers to temporary files, but a VM has no disk.
 MEMORY_BUFFER_BYTES = 1 << 30
 BACKLOG = 1_024
+FIRST_THREADS = 4
+
+_log = structlog.get_logger()
+
+
+class GrowingDispatcher(ThreadedTaskDispatcher):
+    """Starts a thread when no other is idle, up to a limit.
+
+    The caps of the data listeners are for an overload. Most nodes never need that many threads,
+    and a machine that runs many nodes, as in tests, has a limit for all of them.
+    """
+
+    def __init__(self, limit: int) -> None:
+        super().__init__()
+        self._limit = limit
+
+    def add_task(self, task: object) -> None:
+        """Queue a task for an idle thread, or for a new one."""
+        with self.lock:
+            self.queue.append(task)
+            self.queue_cv.notify()
+            idle_count = len(self.threads) - self.stop_count - self.active_count
+            if len(self.queue) > idle_count and len(self.threads) < self._limit:
+                self._start_thread()
+
+    def _start_thread(self) -> None:
+        number = max(self.threads, default=-1) + 1
+        self.threads.add(number)
+        self.active_count += 1
+        try:
+            self.start_new_thread(self.handler_thread, number)
+        except RuntimeError:
+            # The machine has no more threads; those that run take the queued tasks in turn.
+            self.threads.discard(number)
+            self.active_count -= 1
+            _log.warning("can't start a thread", running=len(self.threads))
 
 
 class StrictParser(HTTPRequestParser):
@@ -74,7 +111,7 @@
 
 @define(eq=False)
 class Listener:
-    """A running HTTP server with a fixed number of threads."""
+    """A running HTTP server with a bounded number of threads."""
 
     address: str
     _server: object
@@ -98,13 +135,13 @@
     header_limit_bytes: int,
     name: str,
 ) -> Listener:
-    """Bind ``address`` (``ip:port``, port 0 for any) and serve ``app`` in ``threads`` threads."""
+    """Bind ``address`` (``ip:port``, port 0 for any) and serve ``app`` in up to ``threads``."""
     socket_map: dict = {}
     server = create_server(
         app,
         map=socket_map,
         listen=address,
-        threads=threads,
+        threads=1,
         backlog=BACKLOG,
         connection_limit=connection_limit,
         max_request_body_size=body_limit_bytes + 1,
@@ -118,6 +155,9 @@
         ident="cottonlink",
     )
     server.channel_class = Channel
+    server.task_dispatcher.shutdown()
+    server.task_dispatcher = GrowingDispatcher(threads)
+    server.task_dispatcher.set_thread_count(min(FIRST_THREADS, threads))
     host = address.rpartition(":")[0]
     stopping = threading.Event()
     thread = threading.Thread(
--- a/src/cottonlink/node/_owner.py
+++ b/src/cottonlink/node/_owner.py
@@ -10,7 +10,7 @@
 import structlog
 
 from cottonlink import _headers
-from cottonlink._headers import end_to_end, environ_headers
+from cottonlink._headers import end_to_end, environ_headers, parse_count
 from cottonlink._problem import Answer, make_problem
 from cottonlink.decisions import (
     Attach,
@@ -65,7 +65,7 @@
         owned: OwnedCall | None = None
         trace_id = ""
         try:
-            self._observe_time(environ)
+            self._learn(environ)
             owned = self._identify(environ)
             trace_id = owned.call.request_id
             answer = self._serve(owned)
@@ -295,7 +295,10 @@
             headers.append((_headers.SUSPICION, str(level)))
         return Answer(answer.status, (*answer.headers, *headers), answer.body, answer.reason)
 
-    def _observe_time(self, environ: dict) -> None:
+    def _learn(self, environ: dict) -> None:
+        """Take in what the headers tell about the ingress."""
+        version = parse_count(header(environ, _headers.POLICY_VERSION)) or 0
+        self._core.note_newer_policy(version)
         time = parse_hybrid_time(header(environ, _headers.TIME))
         if time is not None:
             self._core.events.observe(time)
--- a/src/cottonlink/node/_process.py
+++ b/src/cottonlink/node/_process.py
@@ -71,6 +71,7 @@
     control_listener: Listener | None = None
     _stopped: threading.Event = field(factory=threading.Event)
     _ticker: threading.Thread | None = None
+    _asked_for_version: int = 0
 
     def start(self) -> None:
         """Open the listeners and start the control tasks."""
@@ -193,6 +194,10 @@
     def _tick(self) -> None:
         for pause in self.core.tick():
             self._recover_from_pause(pause.paused_ms)
+        version = self.core.newest_seen_version
+        if version > max(self.core.policy_version, self._asked_for_version):
+            self._asked_for_version = version
+            self.control.refresh()
 
     def _check_calls(self) -> None:
         if len(self.core.ingress):
--- a/tests/node_fixtures.py
+++ b/tests/node_fixtures.py
@@ -141,6 +141,7 @@
         self.state = self
         self.handlers = None
         self.crashes: list[tuple[str, int]] = []
+        self.refreshes = 0
 
     def members(self) -> tuple:
         return ()
@@ -148,10 +149,13 @@
     def announce_crash(self, fingerprint: str, level: int) -> None:
         self.crashes.append((fingerprint, level))
 
+    def refresh(self) -> None:
+        self.refreshes += 1
+
     def start(self) -> None:
         """Do nothing."""
 
-    stop = refresh = announce_leaving = start
+    stop = announce_leaving = start
 
 
 @define
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import threading
 import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from attrs import evolve
 
 from cottonlink._clock import ManualClock
+from cottonlink.node._listeners import start_listener
 from cottonlink.node._pool import ANSWERED_LATELY_MS, OutgoingRequest, Pool
-from tests.node_fixtures import FakeTarget, Fleet, start_fleet
+from tests.node_fixtures import TIMEOUT_S, FakeTarget, Fleet, call, start_fleet, wait_until
 
 
 class PathTest(unittest.TestCase):
@@ -41,6 +47,42 @@
         self.assertEqual([(r.status, r.body) for r in replies], [(200, b"chair")] * 2)
         self.assertEqual(len(self.target.seen), 1)
 
+    def test_policy_version(self) -> None:
+        """Guards against a node that learns of a newer policy from a call and ignores it."""
+        newer = evolve(self.fleet.policy, version=2)
+        for old, new in (("a", "b"), ("b", "a")):
+            self.fleet.nodes[new].core.apply_policy(newer)
+            self.fleet.call("a", "GET", "/desk/x")
+            control = self.fleet.nodes[old].control
+            wait_until(lambda control=control: control.refreshes)
+            newer = evolve(newer, version=3)
+
+
+class ListenerTest(unittest.TestCase):
+    def test_threads(self) -> None:
+        """Guards against calls that wait for a thread although the limit allows more."""
+        count = 12
+        together = threading.Barrier(count, timeout=TIMEOUT_S)
+
+        def app(environ: dict, start_response: Callable) -> list[bytes]:
+            together.wait()
+            start_response("200 OK", [("Content-Length", "0")])
+            return []
+
+        listener = start_listener(
+            app,
+            "127.0.0.1:0",
+            threads=count,
+            connection_limit=100,
+            body_limit_bytes=1_000,
+            header_limit_bytes=1_000,
+            name="test",
+        )
+        self.addCleanup(listener.stop)
+        with ThreadPoolExecutor(count) as executor:
+            calls = [executor.submit(call, listener.address, "GET", "/") for _ in range(count)]
+        self.assertEqual([future.result().status for future in calls], [200] * count)
+
 
 class PoolTest(unittest.TestCase):
     def test_take(self) -> None:
