--- a/bench/path_latency.py
+++ b/bench/path_latency.py
@@ -153,11 +153,12 @@
     for name in nodes:
         _start(stack, "cottonlink.node", [str(directory / f"{name}.yaml")], log_path)
     for node in nodes.values():
-        _wait_until_ready(node.control_address)
+        wait_until_ready(node.control_address)
     return target, nodes["a"].caller_address
 
 
-def _wait_until_ready(address: str) -> None:
+def wait_until_ready(address: str) -> None:
+    """Wait until the node with this control address takes calls."""
     deadline_s = time.monotonic() + READY_TIMEOUT_S
     while time.monotonic() < deadline_s:
         try:
