--- a/src/cottonlink/decisions/_routing.py
+++ b/src/cottonlink/decisions/_routing.py
@@ -182,7 +182,11 @@
         return self._choose_of_two(names, now_ms)
 
     def _choose_of_two(self, names: list[str], now_ms: int) -> str:
-        """Draw two upstreams by weight and return the less loaded one."""
+        """Draw two upstreams by weight and return the less loaded one.
+
+        The weight decides only how often an upstream is drawn. If it also divided the load, an
+        upstream with a low weight would get nothing at all while the others are idle.
+        """
         if len(names) == 1:
             return names[0]
         weights = [self._weight(name, now_ms) for name in names]
@@ -192,15 +196,9 @@
         return min(
             names[first],
             names[second],
-            key=lambda name: self._score(name, now_ms),
+            key=lambda name: self._states[name].occupancy(now_ms),
         )
 
-    def _score(self, name: str, now_ms: int) -> float:
-        state = self._states[name]
-        # One more call is counted, so that the weight also matters for an idle upstream.
-        own_call = 1 / max(1, state.upstream.slots)
-        return (state.occupancy(now_ms) + own_call) / self._weight(name, now_ms)
-
     def _weight(self, name: str, now_ms: int) -> float:
         return self._states[name].weight(self._outliers.failures(name), now_ms)
 
