Measure admission in a surge and use the gradient limit by default

The default limit was AIMD, chosen without a measurement. bench.decisions_surge drives the decisions in virtual time: 3x arrivals, service times doubled, callers that resend. AIMD takes a plain slow-down for congestion and gives up slots.

--- /dev/null
+++ b/bench/decision_rates.py
@@ -0,0 +1,142 @@
+"""Decisions a second of the admission and routing modules; prints, without bounds.
+
+``python -m bench.decision_rates``. The figures depend on the machine and its load.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+from cottonlink.decisions import (
+    Arrival,
+    CallOutcome,
+    LimitAlgorithm,
+    Load,
+    Outcome,
+    RouteRequest,
+    RouteResult,
+    Start,
+    TargetState,
+    make_admission,
+    make_lifecycle,
+    make_router,
+)
+from cottonlink.decisions._limits import make_limit
+from cottonlink.decisions._outlier import make_outlier_detector
+from cottonlink.decisions._queue import CallQueue, QueuedCall, QueueOrder, rank_key
+from cottonlink.decisions._threshold import RetryAdvice
+from cottonlink.policy import Upstream
+
+ROUNDS = 20_000
+SLOTS = 140
+
+
+def make_arrival(index: int) -> Arrival:
+    """Return a call with a spread of importances and positions."""
+    position = index * 40_503 % 65_536
+    return Arrival(f"c{index}", 1 + index % 9, position, 10**9, 0, index % 3 > 0, "read")
+
+
+def admission_overloaded() -> None:
+    """Arrivals at three times the rate of finished runs, with a threshold query for each."""
+    admission = make_admission(SLOTS, rng=random.Random(1))
+    running = []
+    for index in range(ROUNDS):
+        decisions = admission.arrive(make_arrival(index), index)
+        running += [d.call_id for d in decisions if isinstance(d, Start)]
+        admission.threshold(index)
+        if index % 3 == 0 and running:
+            decisions = admission.finish(running.pop(0), Outcome.OK, index)
+            running += [d.call_id for d in decisions if isinstance(d, Start)]
+
+
+def admission_idle() -> None:
+    """One call at a time."""
+    admission = make_admission(SLOTS, rng=random.Random(1))
+    for index in range(ROUNDS):
+        admission.arrive(make_arrival(index), index)
+        admission.finish(f"c{index}", Outcome.OK, index)
+
+
+def queue() -> None:
+    """Push and pop with 280 calls in the queue."""
+    calls = CallQueue()
+    for index in range(ROUNDS):
+        arrival = make_arrival(index)
+        calls.push(QueuedCall(rank_key(arrival, QueueOrder.HASH, index), arrival))
+        if len(calls) > 2 * SLOTS:
+            calls.pop_best(allow_suspect=True)
+
+
+def limit(algorithm: LimitAlgorithm) -> None:
+    """Latency samples."""
+    concurrency = make_limit(algorithm, SLOTS)
+    for index in range(ROUNDS):
+        concurrency.observe("read", 20 + index % 7, SLOTS, False, index)
+
+
+def retry_advice() -> None:
+    """Refusals with their Retry-After value."""
+    advice = RetryAdvice(random.Random(1))
+    for index in range(ROUNDS):
+        advice.drained(index)
+        advice.refused(index)
+        advice.retry_after_ms(100, index)
+
+
+def routing() -> None:
+    """Choice, start and result of a call, three upstreams."""
+    upstreams = [Upstream(f"u{i}", f"dc{i % 2}", "a:1", "a:2", SLOTS, 900) for i in range(3)]
+    router = make_router(upstreams, "dc0", random.Random(1), 0)
+    load = Load(10, SLOTS, 0)
+    for index in range(ROUNDS):
+        name = router.choose(RouteRequest(5, 100), index).name
+        router.started(name, index)
+        router.observe(RouteResult(name, CallOutcome.ANSWERED, 20, load), index)
+
+
+def outliers() -> None:
+    """Failures and answers of three upstreams."""
+    detector = make_outlier_detector(random.Random(1))
+    detector.set_names(["u0", "u1", "u2"])
+    for index in range(ROUNDS):
+        detector.failed(f"u{index % 3}", index)
+        detector.succeeded(f"u{(index + 1) % 3}", index)
+
+
+def lifecycle() -> None:
+    """Ticks and queries of the state."""
+    node = make_lifecycle(0)
+    node.target_state(TargetState.OK, 0)
+    for index in range(ROUNDS):
+        node.tick(index)
+        node.accepts_non_repeatable(index)
+
+
+CASES: dict[str, Callable[[], None]] = {
+    "admission, overloaded": admission_overloaded,
+    "admission, idle": admission_idle,
+    "queue": queue,
+    "limit, AIMD": lambda: limit(LimitAlgorithm.AIMD),
+    "limit, gradient": lambda: limit(LimitAlgorithm.GRADIENT),
+    "retry advice": retry_advice,
+    "routing": routing,
+    "outlier detection": outliers,
+    "lifecycle": lifecycle,
+}
+
+
+def main() -> None:
+    """Time each case once."""
+    print(f"{'case':24}{'rounds a second':>16}{'us a round':>12}")
+    for name, case in CASES.items():
+        started = time.perf_counter()
+        case()
+        duration_s = time.perf_counter() - started
+        print(f"{name:24}{ROUNDS / duration_s:16,.0f}{duration_s / ROUNDS * 1e6:12.1f}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/decisions_surge.py
@@ -0,0 +1,193 @@
+"""Goodput and recovery time of one service in a surge, by choice of algorithm.
+
+``python -m bench.decisions_surge [--seed N] [--json FILE]`` prints a table and writes JSON. The
+result depends only on the seed. Goodput counts whole requests that were answered in time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+from pathlib import Path
+
+from attrs import asdict, evolve
+
+from bench.surge_model import (
+    BASE_LOAD,
+    SERVICE_MS,
+    SURGE_MS,
+    TIMEOUT_MS,
+    USERS,
+    WARM_UP_MS,
+    Model,
+    Scenario,
+)
+from cottonlink.decisions import LimitAlgorithm, QueueOrder
+
+WINDOW_MS = 500
+RECOVERED_SHARE = 0.95
+# Goodput has to stay above the share for this many windows, so that one lucky one doesn't count.
+STABLE_WINDOWS = 4
+
+DEFAULT = Scenario("default: gradient, hash, ingress")
+
+
+def make_scenarios() -> list[Scenario]:
+    """Return the compared scenarios; each differs from the default in the named part."""
+    scenarios = [
+        DEFAULT,
+        evolve(DEFAULT, name="no limits", limit=None),
+        evolve(DEFAULT, name="fixed limit", limit=LimitAlgorithm.FIXED),
+        evolve(DEFAULT, name="AIMD", limit=LimitAlgorithm.AIMD),
+        evolve(DEFAULT, name="arrival order", order=QueueOrder.ARRIVAL),
+        evolve(DEFAULT, name="newest first", order=QueueOrder.NEWEST),
+        evolve(DEFAULT, name="no ingress threshold", ingress=False),
+        evolve(DEFAULT, name="queue 1/slot", queue_per_slot=1),
+        evolve(DEFAULT, name="queue 4/slot", queue_per_slot=4),
+        evolve(DEFAULT, name="callers obey Retry-After", obey_retry_after=True),
+    ]
+    for limit in (None, LimitAlgorithm.FIXED, LimitAlgorithm.AIMD, LimitAlgorithm.GRADIENT):
+        for lost_slots in (0.5, 0.9):
+            name = f"{lost_slots:.0%} of slots lost: {limit or 'no limits'}"
+            lost = evolve(DEFAULT, name=name, limit=limit, slow_factor=1.0, lost_slots=lost_slots)
+            scenarios.append(lost)
+    persistent = evolve(DEFAULT, attempts=20)
+    scenarios += [
+        evolve(persistent, name="20 attempts, gradient, hash"),
+        evolve(persistent, name="20 attempts, fixed limit", limit=LimitAlgorithm.FIXED),
+        evolve(persistent, name="20 attempts, AIMD", limit=LimitAlgorithm.AIMD),
+        evolve(persistent, name="20 attempts, arrival order", order=QueueOrder.ARRIVAL),
+        evolve(persistent, name="20 attempts, newest first", order=QueueOrder.NEWEST),
+        evolve(persistent, name="20 attempts, no ingress threshold", ingress=False),
+        evolve(persistent, name="20 attempts, obey Retry-After", obey_retry_after=True),
+    ]
+    for calls in (1, 3, 5):
+        several = evolve(DEFAULT, calls=calls)
+        scenarios.append(evolve(several, name=f"k={calls}, shared position"))
+        scenarios.append(
+            evolve(several, name=f"k={calls}, independent position", shared_position=False)
+        )
+    return scenarios
+
+
+def recovery_ms(model: Model) -> float | None:
+    """Return the time from the end of the surge until goodput is back, or None if it never is.
+
+    Goodput is counted by completion, whatever the age of the request.
+    """
+    start_ms = WARM_UP_MS + SURGE_MS
+    calls = model.scenario.calls
+    needed = RECOVERED_SHARE * BASE_LOAD * model.user.slots / SERVICE_MS / calls * WINDOW_MS
+    count = int((model.end_ms - start_ms) // WINDOW_MS)
+    windows = [0] * count
+    for completed_ms, _, _ in model.completed:
+        count_in(windows, completed_ms - start_ms)
+    for index in range(count - STABLE_WINDOWS + 1):
+        if sum(windows[index : index + STABLE_WINDOWS]) >= needed * STABLE_WINDOWS:
+            return index * WINDOW_MS
+    return None
+
+
+def fresh_recovery_ms(model: Model) -> float | None:
+    """Return the time from the end of the surge until new requests succeed, or None.
+
+    A window counts if 95% of the requests born in it are answered within the caller's timeout.
+    Unlike ``recovery_ms``, resends that are left over from the surge don't count as goodput.
+    """
+    start_ms = WARM_UP_MS + SURGE_MS
+    count = int((model.end_ms - start_ms - TIMEOUT_MS) // WINDOW_MS)
+    offered = [0] * count
+    answered = [0] * count
+    for born_ms, _ in model.born:
+        count_in(offered, born_ms - start_ms)
+    for done_ms, born_ms, _ in model.completed:
+        if done_ms - born_ms <= TIMEOUT_MS:
+            count_in(answered, born_ms - start_ms)
+    for index in range(count - STABLE_WINDOWS + 1):
+        span = slice(index, index + STABLE_WINDOWS)
+        if sum(answered[span]) >= RECOVERED_SHARE * sum(offered[span]):
+            return index * WINDOW_MS
+    return None
+
+
+def count_in(windows: list[int], age_ms: float) -> None:
+    """Count an event ``age_ms`` after the end of the surge in its window, if there is one."""
+    index = int(age_ms // WINDOW_MS)
+    if 0 <= index < len(windows):
+        windows[index] += 1
+
+
+def goodput(model: Model, kind: str | None = None) -> float:
+    """Return the share of the requests born during the surge that were answered."""
+
+    def is_counted(born_ms: float, name: str) -> bool:
+        return 0 <= born_ms - WARM_UP_MS < SURGE_MS and kind in (None, name)
+
+    offered = sum(is_counted(*born) for born in model.born)
+    done = sum(is_counted(born_ms, name) for _, born_ms, name in model.completed)
+    return done / offered if offered else 0.0
+
+
+def completed_per_s(model: Model) -> float:
+    """Return whole requests completed a second during the surge."""
+    done = sum(0 <= done_ms - WARM_UP_MS < SURGE_MS for done_ms, _, _ in model.completed)
+    return done * 1_000 / SURGE_MS
+
+
+def measure(user, scenario: Scenario, seed: int) -> dict:
+    """Run one scenario and return its row."""
+    model = Model(user, scenario, seed)
+    model.run()
+    return {
+        "user": user.name,
+        "scenario": asdict(scenario),
+        "completed_per_s_in_surge": completed_per_s(model),
+        "goodput_share": goodput(model),
+        "booking_share": goodput(model, "booking"),
+        "lookup_share": goodput(model, "lookup"),
+        "read_share": goodput(model, "read"),
+        "wasted_calls": model.wasted_calls,
+        "recovery_ms": recovery_ms(model),
+        "fresh_recovery_ms": fresh_recovery_ms(model),
+    }
+
+
+def format_s(duration_ms: float | None) -> str:
+    """Return seconds, or a word if goodput did not recover."""
+    return "never" if duration_ms is None else f"{duration_ms / 1000:.1f}"
+
+
+def print_row(row: dict) -> None:
+    """Print one line of the table."""
+    recovery = format_s(row["recovery_ms"])
+    fresh = format_s(row["fresh_recovery_ms"])
+    print(
+        f"{row['user']:10} {row['scenario']['name']:38}"
+        f"{row['completed_per_s_in_surge']:9.0f}{row['goodput_share']:8.3f}"
+        f"{row['booking_share']:9.3f}{row['lookup_share']:8.3f}{row['read_share']:7.3f}"
+        f"{row['wasted_calls']:8}{recovery:>11}{fresh:>8}",
+        flush=True,
+    )
+
+
+def main() -> None:
+    """Run all scenarios for both users."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", type=Path, default=Path("dist/decisions_surge.json"))
+    arguments = parser.parse_args()
+    print(
+        f"{'user':10} {'scenario':38}{'done/s':>9}{'share':>8}{'booking':>9}"
+        f"{'lookup':>8}{'read':>7}{'wasted':>8}{'recovery s':>11}{'fresh s':>8}"
+    )
+    rows = []
+    for user in USERS:
+        for scenario in make_scenarios():
+            rows.append(measure(user, scenario, arguments.seed))
+            print_row(rows[-1])
+    arguments.json.parent.mkdir(parents=True, exist_ok=True)
+    arguments.json.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cottonlink/decisions/_admission.py
+++ b/src/cottonlink/decisions/_admission.py
@@ -104,7 +104,7 @@
     slots: int,
     *,
     rng: random.Random,
-    limit: LimitAlgorithm = LimitAlgorithm.AIMD,
+    limit: LimitAlgorithm = LimitAlgorithm.GRADIENT,
     queue_order: QueueOrder = QueueOrder.HASH,
     queue_capacity: int | None = None,
 ) -> Admission:
