Answer for known keys when an owner takes no new work

6,000 random histories found that an overloaded owner refused a request for a permit with "not run" although it had run the same key itself, for a caller that had lost its permit. The data path already asks has_record first; the method counted permits that were refused, however, so that an overloaded owner would have issued new ones. It now covers exactly the keys for which issue needs no new permit, and the model follows the same order. A parameter of issue was ruled out, because the path needs its own refusal with a time to return.

--- a/src/cottonlink/decisions/_once.py
+++ b/src/cottonlink/decisions/_once.py
@@ -147,8 +147,13 @@
         return self._offer(self._reserve(digest, now_ms), now_ms)
 
     def has_record(self, key: str) -> bool:
-        """Return whether a permit for ``key`` has been issued and is still remembered."""
-        return digest_key(key) in self._latest_by_key
+        """Return whether ``issue`` answers for ``key`` without a new permit.
+
+        An owner that is overloaded or leaving issues no new permits, but still answers for these
+        keys; otherwise it would report an operation that it ran as not run.
+        """
+        record = self._latest_by_key.get(digest_key(key))
+        return record is not None and record.state is not _State.REFUSED
 
     def begin(
         self, permit: str, key: str, call_id: str, now_ms: int
--- a/tests/once_model.py
+++ b/tests/once_model.py
@@ -191,7 +191,7 @@
     def _take_permit_request(self, owner: Node, message: Message) -> None:
         attempt = message.attempt
         now_ms = self.node_now(owner)
-        if owner.overloaded:
+        if owner.overloaded and not owner.registry.has_record(attempt.caller.key):
             owner.registry.change_owners(now_ms)
             result = RegistryFull()
         else:
--- a/tests/test_once_histories.py
+++ b/tests/test_once_histories.py
@@ -204,6 +204,16 @@
         with self.assertRaisesRegex(AssertionError, "but it ran"):
             self._call()
 
+    def test_has_record(self):
+        """Guards against a blind check: an overloaded owner that answers without a look-up."""
+        node, _ = self._run()
+        node.overloaded = True
+        self.model.nodes["a"].view = node.view = (self.owner,)
+        self.model.forget_permit(self.caller)
+        self._switch_off(_once.ExecutionRegistry, "has_record", lambda *args: False)
+        with self.assertRaisesRegex(AssertionError, "the owner ran it"):
+            self._call()
+
     def test_answer(self):
         """Guards against a blind check: the answer of another operation is replayed."""
         node, serial = self._run()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -77,6 +77,15 @@
         self.registry.change_owners(young_ms)
         self.assertTrue(self.registry.issue("key 2", 2 * young_ms - 1).owner_is_young)
 
+    def test_has_record(self):
+        """Guards against an overloaded owner that reports a key that it ran as not run."""
+        self.assertFalse(self.registry.has_record("key"))
+        issued = self.registry.issue("key", 0)
+        serial = self.registry.begin(issued.permit, "key", "call", 0).serial
+        self.assertTrue(self.registry.has_record("key"))
+        self.registry.refuse(serial, 0)
+        self.assertFalse(self.registry.has_record("key"))
+
     def test_expires_ms(self):
         """Guards against a permit that outlives its time, or a record that doesn't outlive it."""
         permit = self.registry.issue("key", 0).permit
