--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -190,6 +190,12 @@
         self.targets[name].start()
         wait_until(lambda: self._answers(name), f"{name} to answer")
 
+    def revive_targets(self) -> None:
+        """Start the targets that have crashed."""
+        for name, target in self.targets.items():
+            if not target.is_running:
+                self.restart_target(name)
+
     def close(self) -> None:
         """Stop the processes that this fleet started."""
         children = [*self.nodes.values(), *self.targets.values()]
--- a/emulator/norrsken.py
+++ b/emulator/norrsken.py
@@ -39,7 +39,10 @@
     kinds=(KindPlan("lookups", ("GET",), "/lookup", 2, True, 1_000),),
     work=(Work("/lookup", 20),),
 )
-NORRSKEN = FleetPlan(services=(PLAYLIST, BOOKING, CONFIG))
+NORRSKEN = FleetPlan(
+    services=(PLAYLIST, BOOKING, CONFIG),
+    node_settings={"caller_limit": 128, "peer_limit": 128},
+)
 MIXES = (
     Mix("GET", "/playlist/playlists", 0.8),
     Mix("POST", "/booking/bookings", 0.2, keyed=True),
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -16,7 +16,7 @@
 from cottonlink._hashing import rendezvous_first
 from cottonlink.errors import Step
 from cottonlink.observe import EventKind
-from emulator.checker import Evidence
+from emulator.checker import TAKEN_KINDS, Evidence
 from emulator.fleet import Fleet, wait_until
 from emulator.gates import Direction, Gate
 from emulator.load import Call, Caller, CallerOptions, CallOutcome, CallPlan
@@ -51,6 +51,8 @@
     KindPlan("slots", ("POST",), "/slots", 3, True, KIND_TIMEOUT_MS),
     KindPlan("bookings", ("POST",), "/bookings", 8, False, KIND_TIMEOUT_MS),
 )
+# Several fleets run at a time, and each place on a listener costs a thread.
+SMALL_LISTENERS = {"caller_limit": 48, "peer_limit": 48}
 MATRIX_PLAN = FleetPlan(
     services=(
         ServicePlan("edge", ("a",), 4, KINDS, (Work("/", 5),)),
@@ -58,6 +60,7 @@
     ),
     relayed=True,
     upstream_ratio=1.0,
+    node_settings=SMALL_LISTENERS,
     node_module="emulator.jumping_node",
 )
 
@@ -238,23 +241,22 @@
         thread = self._start(caller, blocker)
         self._blockers.append(thread)
         wait_until(
-            lambda: not thread.is_alive() or self._is_taken(blocker),
-            "a blocker to be queued or run",
+            lambda: not thread.is_alive() or self._kinds_at_owner(blocker) & TAKEN_KINDS,
+            "a blocker to be queued or admitted",
         )
         return self._is_queued(blocker)
 
-    def _is_taken(self, call: Call) -> bool:
-        return self._runs_at_owner(call) or self._is_queued(call)
-
     def _runs_at_owner(self, call: Call) -> bool:
         root_id = call.plan.root_id
         return any(run.root_id == root_id and run.target == OWNER for run in self._fleet.runs())
 
     def _is_queued(self, call: Call) -> bool:
-        return any(
-            event["kind"] == EventKind.QUEUED and event["request_id"] == call.plan.root_id
-            for event in self._fleet.events(OWNER)
-        )
+        return EventKind.QUEUED in self._kinds_at_owner(call)
+
+    def _kinds_at_owner(self, call: Call) -> set[str]:
+        root_id = call.plan.root_id
+        events = self._fleet.events(OWNER)
+        return {event["kind"] for event in events if event["request_id"] == root_id}
 
     def _let_go(self, strike: Strike) -> None:
         for _, gate in self._gates:
