Give the retry homes, the registry and the quarantine what they ask for

Cause: the node used these modules without parts of their interface. Every change of the list of upstreams made all homes refuse retries for a minute; a paused node went on granting; an owner that declined a permit did not note that the next owner is asked; and a crash told in a header had no age, so that two nodes could keep a suspicion alive by telling each other. After: a change concerns only roots of removed upstreams, a pause makes a home young, declining a permit makes the owner young, and Cottonlink-Suspicion is level:age_ms, in gossip as well. Seen red: without the removed names, test_changed_upstreams gets TOO_YOUNG; without the note of a pause, test_pause gets GRANTED.

--- a/src/cottonlink/decisions/_membership.py
+++ b/src/cottonlink/decisions/_membership.py
@@ -251,7 +251,7 @@
             if self._events.add_leaving(event.node, event.incarnation, event.age_ms, now_ms):
                 self._table.mark_leaving(event.node, event.incarnation, event.age_ms, now_ms)
         learned = [
-            CrashLearned(event.fingerprint, event.crashes)
+            CrashLearned(event.fingerprint, event.crashes, event.age_ms)
             for event in gossip.crashes
             if self._events.add_crash(event.fingerprint, event.crashes, event.age_ms, now_ms)
         ]
--- a/src/cottonlink/decisions/_membership_changes.py
+++ b/src/cottonlink/decisions/_membership_changes.py
@@ -48,10 +48,11 @@
 
 @frozen
 class CrashLearned:
-    """A fingerprint has crashed ``crashes`` targets, as another node saw."""
+    """A fingerprint has crashed ``crashes`` targets, as another node saw ``age_ms`` ago."""
 
     fingerprint: str
     crashes: int
+    age_ms: int = 0
 
 
 MembershipChange = (
--- a/src/cottonlink/node/_actors/_control_state.py
+++ b/src/cottonlink/node/_actors/_control_state.py
@@ -19,6 +19,7 @@
     MemberReturned,
     Membership,
     MembershipChange,
+    News,
     PolicyBehind,
     PolicyConflict,
     ServiceAccess,
@@ -208,8 +209,8 @@
                     self._node.resume(LISTED_LEAVING)
                 case MemberReturned(name):
                     self._node.member_returned(name)
-                case CrashLearned(fingerprint, crashes):
-                    self._node.learn_suspicion(fingerprint, crashes)
+                case CrashLearned(fingerprint, crashes, age_ms):
+                    self._node.learn_suspicion(fingerprint, News(crashes, age_ms))
                 case PolicyConflict(member, version):
                     self._report_once(member.name, "policy_conflict", version)
 
--- a/src/cottonlink/node/_attempt.py
+++ b/src/cottonlink/node/_attempt.py
@@ -27,6 +27,7 @@
     OutgoingRequest,
     Pools,
 )
+from cottonlink.node._suspicion import format_suspicion, parse_suspicion
 from cottonlink.observe import EventKind, parse_hybrid_time
 from cottonlink.policy import Upstream
 
@@ -171,7 +172,7 @@
             (_headers.DEPTH, str(call.depth)),
             (_headers.IMPORTANCE, str(call.importance)),
             (_headers.POLICY_VERSION, str(self.core.policy_version)),
-            (_headers.SUSPICION, str(self.core.suspicion(call.fingerprint))),
+            (_headers.SUSPICION, format_suspicion(self.core.suspicion(call.fingerprint))),
             (_headers.TIME, str(self.core.events.now())),
         ]
         if call.permit:
@@ -225,9 +226,9 @@
         time = parse_hybrid_time(by_name.get(_headers.TIME.lower(), ""))
         if time is not None:
             self.core.events.observe(time)
-        level = parse_count(by_name.get(_headers.SUSPICION.lower(), "")) or 0
-        if level:
-            self.core.learn_suspicion(forwarded.call.fingerprint, level)
+        news = parse_suspicion(by_name.get(_headers.SUSPICION.lower(), ""))
+        if news is not None:
+            self.core.learn_suspicion(forwarded.call.fingerprint, news)
         version = parse_count(by_name.get(_headers.POLICY_VERSION.lower(), "")) or 0
         self.core.note_newer_policy(version)
 
--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -11,6 +11,7 @@
 from cottonlink._clock import Clock
 from cottonlink.decisions import (
     Load,
+    News,
     NodeState,
     PauseDetected,
     TargetState,
@@ -72,6 +73,7 @@
             clock,
             events,
             rng,
+            node=settings.node,
             data_centre=settings.data_centre,
             limit=settings.caller_limit,
         )
@@ -171,6 +173,8 @@
         now_ms = self.now_ms()
         with self._lock:
             pauses = self._lifecycle.tick(now_ms)
+            if pauses:
+                self.ingress.locked_paused(now_ms)
             actions = self.owner.locked_tick(now_ms)
         self.owner.carry_out(actions)
         self._note_state()
@@ -199,15 +203,15 @@
             state = self._lifecycle.state(now_ms)
         return Report(load, threshold, state, self.policy_version)
 
-    def suspicion(self, fingerprint: str) -> int:
-        """Return the level of suspicion of a request."""
+    def suspicion(self, fingerprint: str) -> News | None:
+        """Return what to tell a peer of a request, or None if it is unsuspected."""
         with self._lock:
-            return self._quarantine.suspicion(fingerprint, self.now_ms())
+            return self._quarantine.news(fingerprint, self.now_ms())
 
-    def learn_suspicion(self, fingerprint: str, level: int) -> None:
+    def learn_suspicion(self, fingerprint: str, news: News) -> None:
         """Take in a level of suspicion known to another node."""
         with self._lock:
-            self._quarantine.learn(fingerprint, level, self.now_ms())
+            self._quarantine.learn(fingerprint, news.level, self.now_ms(), news.age_ms)
 
     def check_quarantine(self, fingerprint: str) -> None:
         """Raise CallError if the request has crashed two targets."""
--- a/src/cottonlink/node/_ingress_state.py
+++ b/src/cottonlink/node/_ingress_state.py
@@ -46,10 +46,12 @@
         events: EventLog,
         rng: random.Random,
         *,
+        node: str,
         data_centre: str,
         limit: int,
     ) -> None:
         self._lock = lock
+        self._node = node
         self._clock = clock
         self._events = events
         self._rng = rng
@@ -57,7 +59,7 @@
         self._policy: Policy | None = None
         self._routers: dict[str, Router] = {}
         self._ratios: dict[str, RetryRatio] = {}
-        self._budgets = make_retry_budgets(clock.monotonic_ms())
+        self._budgets = make_retry_budgets(clock.monotonic_ms(), node)
         self._bindings = make_child_bindings()
         self._shares = ListenerShares(limit)
         self._forwarded: set[ForwardedCall] = set()
@@ -83,8 +85,12 @@
             self._ratios.clear()
         for name in self._ratios.keys() - policy.upstreams_by_name.keys():
             del self._ratios[name]
-        if previous and previous.upstreams_by_name.keys() != policy.upstreams_by_name.keys():
-            self._budgets.change_homes(now_ms)
+        if previous is not None:
+            self._change_homes(previous, policy, now_ms)
+
+    def locked_paused(self, now_ms: int) -> None:
+        """Take note of a pause, in which others may have become homes for this node."""
+        self._budgets.change_homes(now_ms)
 
     def locked_close_bindings(self, token: str) -> None:
         """Forget the child keys of a run that has ended."""
@@ -191,6 +197,13 @@
         with self._lock:
             return {name: router.snapshot(now_ms) for name, router in self._routers.items()}
 
+    def _change_homes(self, previous: Policy, policy: Policy, now_ms: int) -> None:
+        """Tell the budgets which upstreams have gone, so that only their roots count as new."""
+        old, new = previous.upstreams_by_name.keys(), policy.upstreams_by_name.keys()
+        is_listed = self._node in old and self._node in new
+        if old != new:
+            self._budgets.change_homes(now_ms, removed=old - new if is_listed else None)
+
     def _ratio(self, name: str) -> RetryRatio:
         if name not in self._ratios:
             ratio = self._policy.retry.upstream_ratio if self._policy else 0.0
--- a/src/cottonlink/node/_owner.py
+++ b/src/cottonlink/node/_owner.py
@@ -24,6 +24,7 @@
 from cottonlink.errors import CallError, Executed, Step
 from cottonlink.node._calls import Call, ForwardedCall, OwnedCall
 from cottonlink.node._core import NodeCore
+from cottonlink.node._suspicion import format_suspicion, parse_suspicion
 from cottonlink.node._target import TargetGateway
 from cottonlink.node._wsgi import (
     bad_request,
@@ -125,7 +126,7 @@
             token=f"{self._core.incarnation}.{serial}.{secrets.token_hex(RANDOM_BYTES)}",
             span_id=f"{random.getrandbits(64) or 1:016x}",
             arrived_ms=now_ms,
-            told_suspicion=read_count(environ, _headers.SUSPICION) or 0,
+            told_suspicion=parse_suspicion(header(environ, _headers.SUSPICION)),
         )
 
     def _find_kind(self, service_name: str, kind_name: str, method: str, path: str) -> Kind:
@@ -183,7 +184,8 @@
 
     def _enter_and_run(self, owned: OwnedCall) -> Answer:
         call = owned.call
-        self._core.learn_suspicion(call.fingerprint, owned.told_suspicion)
+        if owned.told_suspicion is not None:
+            self._core.learn_suspicion(call.fingerprint, owned.told_suspicion)
         self._core.check_quarantine(call.fingerprint)
         number = self._core.owner.enter(owned, functools.partial(self._preempt, owned))
         try:
@@ -291,8 +293,8 @@
             text = f"{threshold.importance}:{threshold.position}"
             headers.append((_headers.THRESHOLD, text))
         if owned is not None:
-            level = self._core.suspicion(owned.call.fingerprint)
-            headers.append((_headers.SUSPICION, str(level)))
+            news = self._core.suspicion(owned.call.fingerprint)
+            headers.append((_headers.SUSPICION, format_suspicion(news)))
         return Answer(answer.status, (*answer.headers, *headers), answer.body, answer.reason)
 
     def _learn(self, environ: dict) -> None:
--- a/src/cottonlink/node/_owner_state.py
+++ b/src/cottonlink/node/_owner_state.py
@@ -241,6 +241,8 @@
             if not self._registry.has_record(key):
                 refusal = self._refuse_permit(importance, position, now_ms)
                 if refusal is not None:
+                    # The ingress now asks the next owner, so this one may miss uses of its keys.
+                    self._registry.change_owners(now_ms)
                     return refusal
             return self._registry.issue(key, now_ms)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,7 +12,15 @@
 from cottonlink._clock import ManualClock
 from cottonlink._headers import TraceContext
 from cottonlink._problem import Answer
-from cottonlink.decisions import CallOutcome, NoUpstream, RouteRequest, RouteResult, home_node
+from cottonlink.decisions import (
+    CallOutcome,
+    DrawResult,
+    News,
+    NoUpstream,
+    RouteRequest,
+    RouteResult,
+    home_node,
+)
 from cottonlink.errors import CallError, Executed, Step
 from cottonlink.node._attempt import AttemptError
 from cottonlink.node._calls import (
@@ -27,6 +35,7 @@
 from cottonlink.node._core import NodeCore
 from cottonlink.node._forward import RESEND_LIMIT, Forwarder
 from cottonlink.node._shares import PREEMPTION_LIMIT, ListenerShares, Occupant
+from cottonlink.node._suspicion import format_suspicion, parse_suspicion
 from cottonlink.observe import EventLog, Metrics
 from cottonlink.policy import Kind, Policy, Service, Upstream
 from tests.node_fixtures import make_settings
@@ -113,6 +122,58 @@
         self.assertEqual(core.ingress.choose("desk", request).name, "n1")
 
 
+class RetryHomeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.core = make_core(self.clock)
+        ids = (f"{number:032x}" for number in range(1, 1000))
+        self.root_id = next(i for i in ids if home_node(i, self.core.policy) == "n0")
+
+    def draw(self) -> DrawResult:
+        return self.core.ingress.draw_retry(self.root_id).result
+
+    def apply(self, version: int, names: tuple[str, ...]) -> None:
+        upstreams = tuple(Upstream(name, "lalitpur", "h:1", "h:2", 4, 40) for name in names)
+        self.core.apply_policy(Policy(version, (Service("desk", upstreams, (READ,)),)))
+
+    def test_changed_upstreams(self) -> None:
+        """Guards against a fleet that loses all retries for a minute with each changed list."""
+        self.apply(2, (*NAMES, "n9"))
+        self.assertIs(self.draw(), DrawResult.GRANTED)
+        self.apply(3, NAMES[:-1])
+        self.assertIs(self.draw(), DrawResult.GRANTED)
+
+    def test_removed_home(self) -> None:
+        """Guards against a second budget for roots whose former home was removed."""
+        ids = (f"{number:032x}" for number in range(1, 1000))
+        policy = self.core.policy
+        rest = Policy(2, (Service("desk", policy.services[0].upstreams[:-1], (READ,)),))
+        self.root_id = next(
+            i for i in ids if home_node(i, policy) == NAMES[-1] and home_node(i, rest) == "n0"
+        )
+        self.apply(2, NAMES[:-1])
+        self.assertIs(self.draw(), DrawResult.TOO_YOUNG)
+
+    def test_pause(self) -> None:
+        """Guards against a home that wakes up and grants what others have granted meanwhile."""
+        self.core.tick()
+        self.clock.advance_ms(10_000)
+        self.core.tick()
+        self.assertIs(self.draw(), DrawResult.TOO_YOUNG)
+
+
+class SuspicionTest(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        """Guards against news of a crash that lasts longer at each node that it passes."""
+        news = News(2, 1_500)
+        self.assertEqual(parse_suspicion(format_suspicion(news)), news)
+
+    def test_malformed(self) -> None:
+        """Guards against an exception on a malformed header of a peer."""
+        for text in ("", "2", "2:", ":1", "a:b", "2:1:1", "-1:0", format_suspicion(None)):
+            self.assertIsNone(parse_suspicion(text), text)
+
+
 class ListenerSharesTest(unittest.TestCase):
     @settings(max_examples=150, deadline=None)
     @given(st.integers(), st.integers(1, 40))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -117,10 +117,10 @@
         """Guards against a crash that is reported twice or not at all, and a lost higher count."""
         one, other = make_node("n-0"), make_node("n-1")
         one.announce_crash("abc", 2, 0)
-        self.assertIn(CrashLearned("abc", 2), other.receive(one.make_gossip(1), 1))
+        self.assertIn(CrashLearned("abc", 2, age_ms=1), other.receive(one.make_gossip(1), 1))
         self.assertEqual(other.receive(one.make_gossip(2), 2), ())
         one.announce_crash("abc", 3, 3)
-        self.assertEqual(other.receive(one.make_gossip(4), 4), (CrashLearned("abc", 3),))
+        self.assertEqual(other.receive(one.make_gossip(4), 4), (CrashLearned("abc", 3, age_ms=1),))
 
     def test_lifetime(self):
         """Guards against two nodes that keep an event alive by passing it to each other."""
