Refuse retries after a pause only until the node is up to date

Ruled out: ignoring pauses. Another node may have been the home in a version that the paused node skipped. After: no grants between the wake-up and the refresh; a policy that arrives in between makes the home young.

--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -167,6 +167,7 @@
         """Record that policy and members were refreshed after a pause."""
         with self._lock:
             self._lifecycle.refreshed(self.now_ms())
+            self.ingress.locked_refreshed()
 
     def tick(self) -> tuple[PauseDetected, ...]:
         """Expire queued calls and records; return a pause of the process, if there was one."""
@@ -174,7 +175,7 @@
         with self._lock:
             pauses = self._lifecycle.tick(now_ms)
             if pauses:
-                self.ingress.locked_paused(now_ms)
+                self.ingress.locked_paused()
             actions = self.owner.locked_tick(now_ms)
         self.owner.carry_out(actions)
         self._note_state()
--- a/src/cottonlink/node/_ingress_state.py
+++ b/src/cottonlink/node/_ingress_state.py
@@ -16,6 +16,7 @@
     BindingsFull,
     Choice,
     Draw,
+    DrawResult,
     Ejected,
     NoUpstream,
     Readmitted,
@@ -63,6 +64,7 @@
         self._bindings = make_child_bindings()
         self._shares = ListenerShares(limit)
         self._forwarded: set[ForwardedCall] = set()
+        self._is_outdated = False
 
     def __len__(self) -> int:
         return len(self._forwarded)
@@ -88,9 +90,13 @@
         if previous is not None:
             self._change_homes(previous, policy, now_ms)
 
-    def locked_paused(self, now_ms: int) -> None:
-        """Take note of a pause, in which others may have become homes for this node."""
-        self._budgets.change_homes(now_ms)
+    def locked_paused(self) -> None:
+        """Grant no retries until ``locked_refreshed``: others may have become homes meanwhile."""
+        self._is_outdated = True
+
+    def locked_refreshed(self) -> None:
+        """Take note that the policy is up to date again after a pause."""
+        self._is_outdated = False
 
     def locked_close_bindings(self, token: str) -> None:
         """Forget the child keys of a run that has ended."""
@@ -176,6 +182,8 @@
     def draw_retry(self, root_id: str) -> Draw:
         """Draw one retry of a root request whose home is this node."""
         with self._lock:
+            if self._is_outdated:
+                return Draw(DrawResult.TOO_YOUNG, 0)
             budget = self._policy.retry.budget_per_request if self._policy else 0
             return self._budgets.draw(root_id, budget, self._clock.monotonic_ms())
 
@@ -201,8 +209,10 @@
         """Tell the budgets which upstreams have gone, so that only their roots count as new."""
         old, new = previous.upstreams_by_name.keys(), policy.upstreams_by_name.keys()
         is_listed = self._node in old and self._node in new
-        if old != new:
-            self._budgets.change_homes(now_ms, removed=old - new if is_listed else None)
+        # A policy that arrives after a pause may hide a version without this node.
+        is_known = is_listed and not self._is_outdated
+        if old != new or self._is_outdated:
+            self._budgets.change_homes(now_ms, removed=old - new if is_known else None)
 
     def _ratio(self, name: str) -> RetryRatio:
         if name not in self._ratios:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -154,11 +154,23 @@
         self.apply(2, NAMES[:-1])
         self.assertIs(self.draw(), DrawResult.TOO_YOUNG)
 
-    def test_pause(self) -> None:
-        """Guards against a home that wakes up and grants what others have granted meanwhile."""
+    def pause(self) -> None:
         self.core.tick()
         self.clock.advance_ms(10_000)
         self.core.tick()
+
+    def test_pause(self) -> None:
+        """Guards against a home that wakes up and grants what others have granted meanwhile."""
+        self.pause()
+        self.assertIs(self.draw(), DrawResult.TOO_YOUNG)
+        self.core.refreshed()
+        self.assertIs(self.draw(), DrawResult.GRANTED)
+
+    def test_policy_after_pause(self) -> None:
+        """Guards against a skipped version in which another node was the home."""
+        self.pause()
+        self.apply(3, NAMES)
+        self.core.refreshed()
         self.assertIs(self.draw(), DrawResult.TOO_YOUNG)
 
 
