Wait in the fault matrix until nodes have refreshed after a clock jump

After: nodes report up_to_date in /v1/status, which operators can watch after a pause as well, and the fleet starter waits for it. No check was changed.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -8,7 +8,6 @@
 
 import collections
 import json
-import signal
 import sys
 from collections.abc import Sequence
 
@@ -90,8 +89,7 @@
     """Run the scenario on a new fleet and return what it left behind."""
     with Fleet(plan) as fleet:
         if plan.node_module != "cottonlink.node":
-            for node in fleet.nodes.values():
-                node.signal(signal.SIGUSR2)
+            fleet.age(*fleet.nodes)
         slow = fleet.names_of(CONFIG.name)
         rates = [
             (CALM_MS, CALM_RATE_PER_S),
--- a/emulator/fleet.py
+++ b/emulator/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import tempfile
 import threading
 import time
@@ -17,6 +18,7 @@
 import urllib3
 import yaml
 
+from cottonlink.observe import EventKind
 from emulator.addresses import PortReserver
 from emulator.journal import Run, RunOutcome, parse_run
 from emulator.plans import FleetPlan, ServicePlan, UpstreamAddresses, make_policy_record
@@ -169,6 +171,24 @@
         for name in names or self.nodes:
             wait_until(lambda name=name: self.is_ready(name), f"{name} to become ready")
 
+    def age(self, *names: str) -> None:
+        """Let the clocks of nodes jump, and wait until these have refreshed their view.
+
+        It needs ``emulator.jumping_node`` as the node's module.
+        """
+        pauses = {name: self._count_pauses(name) for name in names}
+        for name in names:
+            self.nodes[name].signal(signal.SIGUSR2)
+        for name, count in pauses.items():
+            wait_until(lambda n=name, c=count: self._count_pauses(n) > c, f"{name} to jump")
+            wait_until(lambda n=name: self._is_up_to_date(n), f"{name} to refresh its view")
+
+    def _count_pauses(self, name: str) -> int:
+        return sum(event["kind"] == EventKind.PAUSE_DETECTED for event in self.events(name))
+
+    def _is_up_to_date(self, name: str) -> bool:
+        return bool((self.control(name, "/v1/status") or {}).get("up_to_date"))
+
     def publish(self, *without: str) -> int:
         """Publish a new policy record that lists all upstreams but those named ``without``."""
         self.version += 1
--- a/emulator/scenario.py
+++ b/emulator/scenario.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-import signal
 import threading
 
 from attrs import define, evolve
@@ -171,15 +170,10 @@
     def _begin(self) -> None:
         """Move the ingress past its memory of earlier cells: its retry ratios and ejections."""
         self._calls = []
-        pauses = self._count_pauses()
-        self._fleet.nodes[INGRESS].signal(signal.SIGUSR2)
-        wait_until(lambda: self._count_pauses() > pauses, "the ingress to notice the jump")
+        self._fleet.age(INGRESS)
         self.recover()
         self._calls = []
 
-    def _count_pauses(self) -> int:
-        return sum(e["kind"] == EventKind.PAUSE_DETECTED for e in self._fleet.events(INGRESS))
-
     def recover(self) -> tuple[Call, Call]:
         """Wait until a read and a write through the ingress are answered whole; return them."""
         self._fleet.wait_ready()
--- a/src/cottonlink/decisions/_lifecycle.py
+++ b/src/cottonlink/decisions/_lifecycle.py
@@ -148,8 +148,12 @@
         They may not between a pause and the refresh after it, even if no tick has noticed the
         pause yet.
         """
+        return self.accepts_work(now_ms) and self.is_up_to_date(now_ms)
+
+    def is_up_to_date(self, now_ms: int) -> bool:
+        """Return whether the node has refreshed its view since the last pause."""
         unnoticed = now_ms - self._last_tick_ms > PAUSE_THRESHOLD_MS
-        return self.accepts_work(now_ms) and not self._needs_refresh and not unnoticed
+        return not self._needs_refresh and not unnoticed
 
     def share(self, now_ms: int) -> float:
         """Return the share of its full traffic that the node should get, 0 to 1."""
--- a/src/cottonlink/node/_control_app.py
+++ b/src/cottonlink/node/_control_app.py
@@ -115,6 +115,7 @@
                 "incarnation": core.incarnation,
                 "state": str(core.state()),
                 "leave_reason": core.leave_reason(),
+                "up_to_date": core.is_up_to_date(),
                 "policy_version": core.policy_version,
                 "calls_in_progress": core.in_flight(),
                 "latest_refusals": events_to_json(tuple(refusals[-LATEST_REFUSALS:])),
--- a/src/cottonlink/node/_core.py
+++ b/src/cottonlink/node/_core.py
@@ -186,6 +186,11 @@
         with self._lock:
             return self._lifecycle.state(self.now_ms())
 
+    def is_up_to_date(self) -> bool:
+        """Return whether policy and members were refreshed since the last pause."""
+        with self._lock:
+            return self._lifecycle.is_up_to_date(self.now_ms())
+
     def leave_reason(self) -> str | None:
         """Return why the node leaves, or None."""
         with self._lock:
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import concurrent.futures
-import signal
 import traceback
 import unittest
 
@@ -85,8 +84,7 @@
     try:
         with Fleet(MATRIX_PLAN) as fleet:
             fleet.publish()
-            for node in fleet.nodes.values():
-                node.signal(signal.SIGUSR2)
+            fleet.age(*fleet.nodes)
             make_scenario = CallScenario if step in CALL_STEPS else FleetScenario
             scenario = make_scenario(fleet, seed=STEPS.index(step))
             scenario.recover()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import signal
 import threading
 import unittest
 
@@ -32,8 +31,7 @@
         cls.fleet = cls.enterClassContext(Fleet(MATRIX_PLAN))
         cls.fleet.publish()
         cls.scenario = CallScenario(cls.fleet, seed=100)
-        for node in cls.fleet.nodes.values():
-            node.signal(signal.SIGUSR2)
+        cls.fleet.age(*cls.fleet.nodes)
         cls.scenario.recover()
         cls.rng = random.Random(101)
 
