--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -1,6 +1,6 @@
 """Cost of the control plane: spread of a change, traffic, processor time, reads of the service.
 
-Run it with ``python -m bench.control_cost [--json FILE]``. The spread, the traffic and the reads
+Run it with ``python -m bench.control_cost [--output FILE]``. The spread, the traffic and the reads
 are computed in virtual time and are equal on each machine; the processor times are measured.
 """
 
@@ -351,10 +351,10 @@
 
 
 @click.command()
-@click.option("--json", "json_path", type=click.Path(path_type=Path), help="Write results here.")
+@click.option("--output", type=click.Path(path_type=Path), help="Write the results as JSON.")
 @click.option("--quick", is_flag=True, help="Small fleets only, for a check that it runs.")
 @click.option("--only", multiple=True, help="Measure this section only; may be repeated.")
-def main(json_path: Path | None, quick: bool, only: tuple[str, ...]) -> None:
+def main(output: Path | None, quick: bool, only: tuple[str, ...]) -> None:
     """Measure the control plane and print tables."""
     sections = _sections(2 if quick else None)
     unknown = set(only) - sections.keys()
@@ -363,8 +363,8 @@
     results = {name: measure() for name, measure in sections.items() if name in (only or sections)}
     for title, rows in results.items():
         _print_table(title, rows)
-    if json_path:
-        json_path.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
+    if output is not None:
+        output.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/bench/decision_rates.py
+++ b/bench/decision_rates.py
@@ -5,9 +5,13 @@
 
 from __future__ import annotations
 
+import json
 import random
 import time
 from collections.abc import Callable
+from pathlib import Path
+
+import click
 
 from cottonlink.decisions import (
     Arrival,
@@ -128,14 +132,20 @@
 }
 
 
-def main() -> None:
+@click.command()
+@click.option("--output", type=click.Path(path_type=Path), help="Write the rates as JSON.")
+def main(output: Path | None) -> None:
     """Time each case once."""
+    rates = {}
     print(f"{'case':24}{'rounds a second':>16}{'us a round':>12}")
     for name, case in CASES.items():
         started = time.perf_counter()
         case()
         duration_s = time.perf_counter() - started
-        print(f"{name:24}{ROUNDS / duration_s:16,.0f}{duration_s / ROUNDS * 1e6:12.1f}")
+        rates[name] = ROUNDS / duration_s
+        print(f"{name:24}{rates[name]:16,.0f}{duration_s / ROUNDS * 1e6:12.1f}")
+    if output is not None:
+        output.write_text(json.dumps(rates, indent=1) + "\n", encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/bench/decisions_surge.py
+++ b/bench/decisions_surge.py
@@ -1,15 +1,15 @@
 """Goodput and recovery time of one service in a surge, by choice of algorithm.
 
-``python -m bench.decisions_surge [--seed N] [--json FILE]`` prints a table and writes JSON. The
+``python -m bench.decisions_surge [--seed N] [--output FILE]`` prints a table and writes JSON. The
 result depends only on the seed. Goodput counts whole requests that were answered in time.
 """
 
 from __future__ import annotations
 
-import argparse
 import json
 from pathlib import Path
 
+import click
 from attrs import asdict, evolve
 
 from bench.surge_model import (
@@ -170,12 +170,11 @@
     )
 
 
-def main() -> None:
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--output", type=click.Path(path_type=Path), help="Write the rows as JSON.")
+def main(seed: int, output: Path | None) -> None:
     """Run all scenarios for both users."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", type=Path, default=Path("dist/decisions_surge.json"))
-    arguments = parser.parse_args()
     print(
         f"{'user':10} {'scenario':38}{'done/s':>9}{'share':>8}{'booking':>9}"
         f"{'lookup':>8}{'read':>7}{'wasted':>8}{'recovery s':>11}{'fresh s':>8}"
@@ -183,10 +182,10 @@
     rows = []
     for user in USERS:
         for scenario in make_scenarios():
-            rows.append(measure(user, scenario, arguments.seed))
+            rows.append(measure(user, scenario, seed))
             print_row(rows[-1])
-    arguments.json.parent.mkdir(parents=True, exist_ok=True)
-    arguments.json.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+    if output is not None:
+        output.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/bench/node_cost.py
+++ b/bench/node_cost.py
@@ -176,10 +176,15 @@
 
 @click.command()
 @click.option("--size", "sizes", multiple=True, type=int, default=RECORD_SIZES, show_default=True)
-def main(sizes: tuple[int, ...]) -> None:
+@click.option("--output", type=click.Path(path_type=Path), help="Write the rows as JSON.")
+def main(sizes: tuple[int, ...], output: Path | None) -> None:
     """Print one JSON line for each number of upstreams."""
+    rows = []
     for size in sizes:
-        click.echo(json.dumps(asdict(measure(size))))
+        rows.append(asdict(measure(size)))
+        click.echo(json.dumps(rows[-1]))
+    if output is not None:
+        output.write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/bench/path_latency.py
+++ b/bench/path_latency.py
@@ -223,10 +223,16 @@
 @click.command()
 @click.option("--calls", default=2_000, show_default=True, type=click.IntRange(100, 20_000))
 @click.option("--interval-ms", default=5.0, show_default=True, help="Pause between two pairs.")
-def main(calls: int, interval_ms: float) -> None:
+@click.option("--output", type=click.Path(path_type=Path), help="Write the results as JSON.")
+def main(calls: int, interval_ms: float, output: Path | None) -> None:
     """Print one JSON line for the path and one for the access to shared state."""
-    click.echo(json.dumps(measure_path(calls, interval_ms)))
-    click.echo(json.dumps(measure_state_access()))
+    path = measure_path(calls, interval_ms)
+    click.echo(json.dumps(path))
+    state_access = measure_state_access()
+    click.echo(json.dumps(state_access))
+    if output is not None:
+        results = {"path": path, "state_access": state_access, "bound_ms": ADDED_LATENCY_BOUND_MS}
+        output.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
 
 
 if __name__ == "__main__":
