--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 # Those that measure the machine come first, since the others load it for several minutes.
 NAMES = (
     "path_latency",
+    "deep_latency",
     "node_cost",
     "decision_rates",
     "decision_rates_once",
