--- a/src/cottonlink/decisions/__init__.py
+++ b/src/cottonlink/decisions/__init__.py
@@ -81,7 +81,7 @@
     PolicyState,
     make_policy_state,
 )
-from cottonlink.decisions._quarantine import (
+from cottonlink.overload._quarantine import (
     News,
     Quarantine,
     Verdict,
--- /dev/null
+++ b/src/cottonlink/overload/_directory.py
@@ -0,0 +1,82 @@
+"""Which upstreams exist, from entries that come and go with the store that holds them.
+
+Load pattern: the store is away, entries lapse meanwhile although their upstreams live, and all
+nodes would drop most of the fleet at the moment of its return. An entry that went missing around an
+outage is kept until the store has been back long enough for living upstreams to return.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+# Living upstreams are back in the store about 2 s after its return.
+RETURN_GRACE_MS = 2_300.0
+
+
+class Directory:
+    """Entries by id. An entry is any object with ``revision``; None stands for unreadable."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Any] = {}
+        self._missing_since_ms: dict[str, float] = {}
+        self._is_store_away = False
+        self._store_back_at_ms = float("-inf")
+
+    def store_lost(self) -> None:
+        """The store stopped answering."""
+        self._is_store_away = True
+
+    def store_regained(self, now_ms: float) -> None:
+        """The store answers again."""
+        if self._is_store_away:
+            self._is_store_away = False
+            self._store_back_at_ms = now_ms
+
+    def put(self, entry_id: str, entry: Any) -> bool:
+        """Take in an entry; return whether it changed anything."""
+        self._missing_since_ms.pop(entry_id, None)
+        if self._entries.get(entry_id) == entry:
+            return False
+        self._entries[entry_id] = entry
+        return True
+
+    def remove(self, entry_id: str, now_ms: float) -> bool:
+        """An entry is gone from the store; return whether it is dropped at once."""
+        if entry_id not in self._entries:
+            return False
+        if self._is_unsettled(now_ms):
+            self._missing_since_ms.setdefault(entry_id, now_ms)
+            return False
+        del self._entries[entry_id]
+        return True
+
+    def replace_all(self, entries: dict[str, Any], now_ms: float) -> bool:
+        """Take in a whole listing; return whether anything changed."""
+        has_changed = False
+        for entry_id, entry in entries.items():
+            has_changed |= self.put(entry_id, entry)
+        for entry_id in [known for known in self._entries if known not in entries]:
+            has_changed |= self.remove(entry_id, now_ms)
+        return has_changed
+
+    def drop_missing(self, now_ms: float) -> list[str]:
+        """Drop the entries that didn't come back in time, and return their ids."""
+        if not self._missing_since_ms or self._is_unsettled(now_ms):
+            return []
+        dropped = list(self._missing_since_ms)
+        self._missing_since_ms.clear()
+        for entry_id in dropped:
+            self._entries.pop(entry_id, None)
+        return dropped
+
+    def entries(self) -> list[Any]:
+        """Return all readable entries in force."""
+        return [entry for entry in self._entries.values() if entry is not None]
+
+    def _is_unsettled(self, now_ms: float) -> bool:
+        return self._is_store_away or now_ms - self._store_back_at_ms < RETURN_GRACE_MS
+
+
+def make_directory() -> Directory:
+    """Return an empty directory."""
+    return Directory()
--- /dev/null
+++ b/src/cottonlink/path/_caller_connection.py
@@ -0,0 +1,312 @@
+"""One connection of a caller: reads requests, and returns answers in the order of the requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+from attrs import define, field
+
+from cottonlink.path._http import Headers, response_bytes
+from cottonlink.path._model import CallerLimits, Request
+from cottonlink.path._sockets import watch_for_silence
+
+# Requests of one connection that are read ahead; reading pauses beyond.
+READ_AHEAD = 16
+# Bytes of answers that a slow caller may leave unread before its requests are read no further.
+UNSENT_LIMIT_BYTES = 1 << 20
+# Time for a caller to read the answer to a rejected request while it is still sending.
+LINGER_MS = 1_000.0
+
+
+@define(eq=False)
+class Exchange:
+    """A request on a caller's connection, until its answer has been written.
+
+    ``cancel`` is set by whoever serves the request and called when the caller is gone.
+    """
+
+    request: Request
+    connection: CallerConnection
+    received_ms: float
+    is_last: bool
+    is_started: bool = False
+    is_repeatable: bool = False
+    cancel: Callable[[], None] | None = None
+    answer: tuple[int, Headers, bytes] | None = None
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Give the final answer."""
+        if self.answer is None:
+            self.answer = (status, headers, body)
+            self.cancel = None
+            self.connection.flush()
+
+
+class Server(Protocol):
+    """What a connection needs of the node that serves it."""
+
+    def now_ms(self) -> float:
+        """Return the monotonic time of the event loop."""
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits in force."""
+
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether ``request`` may run more than once."""
+
+    def make_request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> Request | None:
+        """Return the request, or None if its head is improper."""
+
+    def serve(self, exchange: Exchange) -> None:
+        """Begin to serve a request; its ``respond`` is called in the end."""
+
+    def is_leaving(self) -> bool:
+        """Return whether the node is about to stop."""
+
+    def opened(self, connection: CallerConnection) -> None:
+        """A caller has connected."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """A connection is gone."""
+
+
+@define
+class _Message:
+    target: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(factory=list)
+    body: list[bytes] = field(factory=list)
+    body_bytes: int = 0
+    head_is_complete: bool = False
+
+
+class CallerConnection(asyncio.Protocol):
+    """HTTP/1.1 towards a caller, with requests sent ahead of answers."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._message: _Message | None = None
+        self._message_started_ms = 0.0
+        self._last_byte_ms = 0.0
+        self._head_bytes = 0
+        self._exchanges: deque[Exchange] = deque()
+        self._is_closing = False
+        self._is_paused = False
+        self._is_writable = True
+        self._pending_close = False
+        self._is_starting = False
+        self._linger_until_ms: float | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        transport.set_write_buffer_limits(high=UNSENT_LIMIT_BYTES)
+        watch_for_silence(transport)
+        self._last_byte_ms = self._server.now_ms()
+        self._server.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._is_closing = True
+        for exchange in self._exchanges:
+            if exchange.cancel is not None:
+                exchange.cancel()
+        self._exchanges.clear()
+        self._server.closed(self)
+
+    def pause_writing(self) -> None:
+        self._is_writable = False
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        self._is_writable = True
+        self.flush()
+        self._update_reading()
+
+    def data_received(self, data: bytes) -> None:
+        if self._is_closing or self._pending_close:
+            return
+        self._last_byte_ms = self._server.now_ms()
+        if self._message is None or not self._message.head_is_complete:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(400)
+            return
+        message = self._message
+        limits = self._server.caller_limits()
+        if message is not None and not message.head_is_complete:
+            if self._head_bytes > limits.header_bytes:
+                self._reject(431)
+        else:
+            self._head_bytes = 0
+
+    # Callbacks of the parser.
+    def on_message_begin(self) -> None:
+        self._message = _Message()
+        self._message_started_ms = self._server.now_ms()
+
+    def on_url(self, url: bytes) -> None:
+        self._message.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._message.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        message = self._message
+        message.head_is_complete = True
+        size = len(message.target) + sum(len(n) + len(v) + 4 for n, v in message.headers)
+        limits = self._server.caller_limits()
+        if size > limits.header_bytes:
+            self._reject(431)
+            return
+        for name, value in message.headers:
+            lower = name.lower()
+            if lower == b"content-length" and int(value) > limits.body_bytes:
+                self._reject(413)
+            elif lower == b"expect" and value.lower() == b"100-continue":
+                if not self._exchanges and not self._pending_close:
+                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        message = self._message
+        if message is None or self._pending_close:
+            return
+        message.body.append(body)
+        message.body_bytes += len(body)
+        if message.body_bytes > self._server.caller_limits().body_bytes:
+            self._reject(413)
+
+    def on_message_complete(self) -> None:
+        message, self._message = self._message, None
+        if message is None or self._pending_close:
+            return
+        request = self._server.make_request(
+            self._parser.get_method(),
+            message.target,
+            tuple(message.headers),
+            b"".join(message.body) if message.body else b"",
+        )
+        if request is None:
+            self._reject(400)
+            return
+        exchange = Exchange(
+            request,
+            self,
+            self._server.now_ms(),
+            is_last=not self._parser.should_keep_alive(),
+            is_repeatable=self._server.is_repeatable(request),
+        )
+        self._exchanges.append(exchange)
+        self._start_exchanges()
+        self._update_reading()
+
+    def flush(self) -> None:
+        """Write the answers whose turn has come."""
+        while self._exchanges and self._is_writable and not self._is_closing:
+            exchange = self._exchanges[0]
+            if exchange.answer is None:
+                break
+            self._exchanges.popleft()
+            status, headers, body = exchange.answer
+            # Requests behind a closing answer count as unread, so none may have been started.
+            is_behind_idle = not any(e.is_started for e in self._exchanges)
+            close = exchange.is_last or (self._server.is_leaving() and is_behind_idle)
+            close = close or (self._pending_close and not self._exchanges)
+            is_head = exchange.request.method == b"HEAD"
+            self._transport.write(
+                response_bytes(status, headers, body, close=close, is_head=is_head)
+            )
+            self._last_byte_ms = self._server.now_ms()
+            if close:
+                self._close(linger=self._pending_close)
+                return
+        self._start_exchanges()
+        self._update_reading()
+
+    def sweep(self, now_ms: float, limits: CallerLimits) -> None:
+        """End a connection whose caller takes too long or is idle."""
+        if self._is_closing:
+            if self._linger_until_ms is not None and now_ms >= self._linger_until_ms:
+                self._transport.close()
+            return
+        message = self._message
+        if message is not None:
+            if message.head_is_complete:
+                is_late = now_ms - self._last_byte_ms > limits.idle_timeout_ms
+            else:
+                is_late = now_ms - self._message_started_ms > limits.header_timeout_ms
+            if is_late:
+                self._reject(408)
+        elif not self._exchanges and now_ms - self._last_byte_ms > limits.idle_timeout_ms:
+            self._close()
+
+    def close_if_idle(self) -> bool:
+        """Close a connection without a request; return whether it is closed."""
+        if not self._is_closing and not self._exchanges and self._message is None:
+            self._close()
+        return self._is_closing
+
+    def abort(self) -> None:
+        """Close at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _start_exchanges(self) -> None:
+        # Serving may answer at once and so come back here.
+        if self._is_starting:
+            return
+        self._is_starting = True
+        try:
+            while (exchange := self._next_startable()) is not None:
+                exchange.is_started = True
+                self._server.serve(exchange)
+        finally:
+            self._is_starting = False
+
+    def _next_startable(self) -> Exchange | None:
+        for index, exchange in enumerate(self._exchanges):
+            if not exchange.is_started:
+                # A request that may run only once waits until it is the first: an answer before
+                # it could close the connection, and the caller would send it again.
+                return exchange if index == 0 or exchange.is_repeatable else None
+            if exchange.is_last or not exchange.is_repeatable:
+                return None
+        return None
+
+    def _reject(self, status: int) -> None:
+        """Answer what can't be served after all answers before it, and close."""
+        self._message = None
+        if self._pending_close or self._is_closing:
+            return
+        self._pending_close = True
+        request = Request(b"", b"GET", b"", b"", b"", (), b"", None)
+        exchange = Exchange(request, self, 0.0, is_last=True, is_started=True)
+        self._exchanges.append(exchange)
+        exchange.respond(status, (), b"")
+
+    def _close(self, *, linger: bool = False) -> None:
+        self._is_closing = True
+        if linger:
+            # Closing with unread bytes would reset the connection and lose the answer.
+            self._linger_until_ms = self._server.now_ms() + LINGER_MS
+            self._transport.write_eof()
+        else:
+            self._transport.close()
+
+    def _update_reading(self) -> None:
+        if self._transport is None or self._is_closing:
+            return
+        should_pause = len(self._exchanges) >= READ_AHEAD or not self._is_writable
+        if should_pause and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+        elif not should_pause and self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
--- /dev/null
+++ b/src/cottonlink/path/_http.py
@@ -0,0 +1,81 @@
+"""What both sides of HTTP/1.1 share: heads of messages, and headers of one connection only."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# RFC 9110, section 7.6.1. The framing of a body is set anew on each connection.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+_STATUS_LINES = {
+    status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
+}
+# Answers with these codes never have a body (RFC 9110, section 6.4.1).
+_BODILESS = frozenset((204, 304))
+
+
+def end_to_end(headers: Iterable[tuple[bytes, bytes]], drop: frozenset[bytes]) -> Headers:
+    """Return the headers that may be passed on, without those that ``Connection`` names."""
+    named: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named.update(token.strip().lower() for token in value.split(b","))
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if (lower := name.lower()) not in CONNECTION_HEADERS
+        and lower not in drop
+        and lower not in named
+    )
+
+
+def response_bytes(
+    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes, *, close: bool, is_head: bool
+) -> bytes:
+    """Return a whole answer with a length."""
+    parts = [_STATUS_LINES.get(status) or f"HTTP/1.1 {status} Status\r\n".encode()]
+    parts += [b"%b: %b\r\n" % header for header in headers]
+    if close:
+        parts.append(b"Connection: close\r\n")
+    if status not in _BODILESS:
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts.append(b"\r\n")
+    if not is_head and status not in _BODILESS:
+        parts.append(body)
+    return b"".join(parts)
+
+
+def request_bytes(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes
+) -> bytes:
+    """Return a whole request with a length."""
+    parts = [b"%b %b HTTP/1.1\r\n" % (method, target)]
+    parts += [b"%b: %b\r\n" % header for header in headers]
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts.append(b"\r\n")
+    parts.append(body)
+    return b"".join(parts)
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/cottonlink/path/_http_client.py
@@ -0,0 +1,226 @@
+"""One connection to an HTTP/1.1 server, with one exchange at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import httptools
+from attrs import define, frozen
+
+from cottonlink.path._http import Headers
+from cottonlink.path._sockets import watch_for_silence
+
+
+@frozen
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header of that lower-case name."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+@frozen
+class ExchangeFailed:
+    """No whole answer came. ``was_sent`` tells whether any byte may have left."""
+
+    reason: str
+    was_sent: bool
+    is_connection_lost: bool
+
+
+ExchangeResult = HttpAnswer | ExchangeFailed
+
+
+@define(eq=False)
+class _Exchange:
+    on_result: Callable[[ExchangeResult], None]
+    is_head: bool
+    expected_id: bytes | None
+
+
+class HttpConnection(asyncio.Protocol):
+    """A connection that sends one request and reads one answer at a time.
+
+    An answer that carries another request's id is skipped: a faulty server may answer twice, and
+    the second answer stands where the next one is expected.
+    """
+
+    def __init__(
+        self, id_header: bytes | None, on_closed: Callable[[HttpConnection], None] | None = None
+    ) -> None:
+        self._id_header = id_header
+        self._on_closed = on_closed
+        self._transport: asyncio.Transport | None = None
+        self._exchange: _Exchange | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._is_complete = False
+        self._is_framed = False
+        self._got_head = False
+        self.is_open = False
+        self.is_reusable = True
+        self.idle_since_ms = 0.0
+        self.idle_timeout_ms: float | None = None
+        self.exchange_count = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        self.is_open = True
+        watch_for_silence(transport)
+
+    def send(
+        self,
+        data: bytes,
+        on_result: Callable[[ExchangeResult], None],
+        *,
+        is_head: bool = False,
+        expected_id: bytes | None = None,
+    ) -> None:
+        """Send a request; ``on_result`` is called once."""
+        self._exchange = _Exchange(on_result, is_head, expected_id)
+        self.exchange_count += 1
+        self._begin_answer()
+        self._transport.write(data)
+
+    def abort(self) -> None:
+        """Close at once; an exchange in progress gets no result."""
+        self._exchange = None
+        self.is_reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close(self) -> None:
+        """Close after what was written has left; an exchange in progress gets no result."""
+        self._exchange = None
+        self.is_reusable = False
+        if self._transport is not None:
+            self._transport.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._exchange is None:
+            # Bytes that belong to no request; nothing after them can be trusted.
+            self.is_reusable = False
+            self._transport.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail("bad_answer")
+        except httptools.HttpParserError:
+            if not self._is_complete:
+                self._fail("bad_answer")
+                return
+            self.is_reusable = False
+        if self._is_complete and self._exchange is not None:
+            self._deliver()
+
+    def eof_received(self) -> bool:
+        exchange = self._exchange
+        if exchange is not None and self._got_head and not self._is_framed:
+            # The end of the connection is the end of an answer without a length.
+            self._is_complete = True
+            self.is_reusable = False
+            self._deliver()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_open = False
+        self.is_reusable = False
+        if self._exchange is not None:
+            self._fail("connection_lost", is_connection_lost=True)
+        if self._on_closed is not None:
+            self._on_closed(self)
+
+    # Callbacks of the parser.
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._is_complete:
+            return
+        self._headers.append((name, value))
+        lower = name.lower()
+        if lower in (b"content-length", b"transfer-encoding"):
+            self._is_framed = True
+        elif lower == b"keep-alive":
+            self.idle_timeout_ms = _keep_alive_timeout_ms(value)
+
+    def on_headers_complete(self) -> None:
+        if self._is_complete:
+            return
+        self._got_head = True
+        if self._exchange.is_head and not self._is_foreign():
+            # The length in the answer to HEAD announces no body, which the parser doesn't know.
+            self._is_complete = True
+            self.is_reusable = False
+
+    def on_body(self, body: bytes) -> None:
+        if not self._is_complete:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._is_complete:
+            self.is_reusable = False
+            return
+        status = self._parser.get_status_code()
+        if status < 200 or self._is_foreign():
+            if status >= 200:
+                self.is_reusable = False
+            self._headers, self._body = [], []
+            self._is_framed = self._got_head = False
+            return
+        self._is_complete = True
+        if not self._parser.should_keep_alive():
+            self.is_reusable = False
+
+    def on_message_begin(self) -> None:
+        if self._is_complete:
+            # A second answer follows in the same bytes.
+            self.is_reusable = False
+
+    def _begin_answer(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers, self._body = [], []
+        self._is_complete = self._is_framed = self._got_head = False
+
+    def _is_foreign(self) -> bool:
+        expected = self._exchange.expected_id
+        if expected is None or self._id_header is None:
+            return False
+        for name, value in self._headers:
+            if name.lower() == self._id_header:
+                return value != expected
+        return 200 <= self._parser.get_status_code() < 300
+
+    def _deliver(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        if self._transport.get_write_buffer_size() > 0:
+            # Answered before the request was read: the server still expects the rest of its body.
+            self.is_reusable = False
+        answer = HttpAnswer(
+            self._parser.get_status_code(), tuple(self._headers), b"".join(self._body)
+        )
+        exchange.on_result(answer)
+
+    def _fail(self, reason: str, *, is_connection_lost: bool = False) -> None:
+        exchange, self._exchange = self._exchange, None
+        self.is_reusable = False
+        if self._transport is not None and self.is_open:
+            self._transport.abort()
+        if exchange is not None:
+            exchange.on_result(ExchangeFailed(reason, True, is_connection_lost))
+
+
+def _keep_alive_timeout_ms(value: bytes) -> float | None:
+    for part in value.split(b","):
+        key, _, number = part.strip().partition(b"=")
+        if key.lower() == b"timeout" and number.strip().isdigit():
+            return int(number) * 1000.0
+    return None
--- /dev/null
+++ b/src/cottonlink/path/_ingress.py
@@ -0,0 +1,476 @@
+"""Serves one caller's request: routes it, places it, sends it again where allowed, and answers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from attrs import define, field
+
+from cottonlink.overload import CALL_TIER, NEW_TIER
+from cottonlink.path._caller_connection import Exchange
+from cottonlink.path._frames import CallFrame
+from cottonlink.path._http import Headers, end_to_end
+from cottonlink.path._model import (
+    Answered,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    Request,
+    Route,
+    Upstream,
+)
+from cottonlink.path._state import NodeState
+from cottonlink.path._target_desk import Parent
+
+# Time after a request's end within which the target's own answer about it may still arrive.
+END_GRACE_MS = 60.0
+# Placements of one request that nodes may refuse before it is turned away.
+REFUSED_PLACEMENTS = 3
+# A request is not sent again with less than this part of its objective left.
+RESEND_MIN_SHARE = 0.1
+# Time after which a refused caller is asked to come back, as a part of its objective: late enough
+# for room to come free, early enough for the answer to be of use.
+RETRY_AFTER_SHARE = 0.25
+SHORTEST_RETRY_AFTER_MS = 100.0
+# Callers return over this multiple of the shortest time, so that they don't return together.
+RETRY_AFTER_SPREAD = 2.0
+# Time after which a node that knows no configuration yet may be asked again.
+STARTING_RETRY_AFTER_MS = 500.0
+
+# Headers that the path sets itself or that only make sense towards this node.
+_HOST = b"host"
+
+
+@define(eq=False)
+class IngressCall:
+    """A request on its way, from its arrival to its final answer."""
+
+    exchange: Exchange
+    route: Route
+    service: str
+    parent: Parent | None
+    received_ms: float
+    ends_at_ms: float
+    headers: Headers
+    tried: set[str] = field(factory=set)
+    reached_count: int = 0
+    refused_count: int = 0
+    sent_at_ms: float = 0.0
+    upstream: Upstream | None = None
+    stop: Callable[[], None] | None = None
+    timer: asyncio.TimerHandle | None = None
+    fallback: Answered | None = None
+    is_done: bool = False
+    has_unknown_send: bool = False
+
+    @property
+    def request(self) -> Request:
+        """The caller's request."""
+        return self.exchange.request
+
+    @property
+    def is_call(self) -> bool:
+        """Whether a request that runs at the local target makes this call."""
+        return self.parent is not None
+
+    @property
+    def rank(self) -> int:
+        """The importance of the request, which calls inherit from the one that makes them."""
+        return self.parent.rank if self.parent is not None else self.route.rank
+
+
+class Ingress:
+    """Requests that enter at this node."""
+
+    def __init__(self, state: NodeState) -> None:
+        self._state = state
+        self._calls: set[IngressCall] = set()
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is in progress."""
+        return not self._calls
+
+    def serve(self, exchange: Exchange) -> None:
+        """Begin to serve a request."""
+        state = self._state
+        request = exchange.request
+        configuration = state.configuration
+        if configuration is None:
+            headers = state.dialect.retry_after(STARTING_RETRY_AFTER_MS)
+            self._log_refusal(request, None, "no_configuration", STARTING_RETRY_AFTER_MS)
+            exchange.respond(503, headers, b"")
+            return
+        route = configuration.find_route(request.host.decode("latin-1"), request.path)
+        if route is None:
+            state.log.event(
+                "request_without_route",
+                request_id=request.request_id,
+                configuration_version=configuration.version,
+            )
+            exchange.respond(404, (), b"")
+            return
+        self._admit(exchange, route)
+
+    def _admit(self, exchange: Exchange, route: Route) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        request = exchange.request
+        patience_ms = request.patience_ms
+        time_left_ms = (
+            route.timeout_ms if patience_ms is None else min(patience_ms, route.timeout_ms)
+        )
+        waited_ms = now_ms - exchange.received_ms
+        parent = None
+        if patience_ms is not None:
+            deadline_ms = exchange.received_ms + patience_ms
+            parent = state.desk.running_calls.find_parent(deadline_ms)
+        weights = [(target.service, target.weight) for target in route.services]
+        call = IngressCall(
+            exchange=exchange,
+            route=route,
+            service=state.traffic_split.choose(route.name, weights),
+            parent=parent,
+            received_ms=exchange.received_ms,
+            ends_at_ms=now_ms + time_left_ms - waited_ms,
+            headers=end_to_end(request.headers, frozenset((_HOST,))),
+        )
+        if parent is None and not state.route_throttle.admits(route.name, now_ms):
+            self._refuse(call, "route_throttled", 0.0)
+            return
+        if parent is not None and parent.is_repeat:
+            state.repeat_budget.sent_again(call.service, now_ms)
+        else:
+            state.repeat_budget.sent_first(call.service, now_ms)
+        self._calls.add(call)
+        exchange.cancel = lambda: self._caller_gone(call)
+        delay_s = max(0.0, call.ends_at_ms + END_GRACE_MS - now_ms) / 1000.0
+        call.timer = state.loop.call_later(delay_s, self._time_out, call)
+        self._place(call)
+
+    def _place(self, call: IngressCall) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        upstream = state.placement.choose(
+            call.service,
+            call.route.name,
+            call.route.objective_ms,
+            call.tried,
+            call.route.is_repeatable,
+            now_ms,
+        )
+        if upstream is None:
+            self._give_up(call, NotRun("no_upstream"))
+            return
+        call.tried.add(upstream.upstream_id)
+        call.upstream = upstream
+        call.sent_at_ms = now_ms
+        if not self._send(call, upstream):
+            state.placement.unreachable(upstream.upstream_id, now_ms)
+            self._place(call)
+
+    def _send(self, call: IngressCall, upstream: Upstream) -> bool:
+        """Hand a call to the node next to ``upstream``; return False if it can't be reached."""
+        state = self._state
+        frame = self._make_frame(call, upstream)
+
+        def on_outcome(outcome: Outcome) -> None:
+            self._received(call, upstream, outcome)
+
+        if upstream.address == state.target_address:
+            key = (self, frame.stream)
+            call.stop = lambda: state.desk.cancel(key)
+            state.placement.called(upstream.upstream_id)
+            state.desk.submit(frame, key, on_outcome)
+            return True
+        link = state.peers.link((upstream.vm_ip, state.peer_port))
+        if not link.call(frame, on_outcome):
+            return False
+        state.placement.called(upstream.upstream_id)
+        if call.upstream is upstream and not call.is_done:
+            call.stop = lambda: link.cancel(frame.stream)
+        return True
+
+    def _make_frame(self, call: IngressCall, upstream: Upstream) -> CallFrame:
+        request = call.request
+        state = self._state
+        return CallFrame(
+            stream=state.next_stream(),
+            upstream_id=upstream.upstream_id,
+            caller_service=state.service,
+            request_id=request.request_id,
+            method=request.method,
+            target=request.target,
+            host=request.host_header,
+            headers=call.headers,
+            body=request.body,
+            patience_ms=max(0, int(call.ends_at_ms - state.now_ms())),
+            objective_ms=int(call.route.objective_ms),
+            tier=CALL_TIER if call.is_call else NEW_TIER,
+            rank=call.rank,
+            is_repeatable=call.route.is_repeatable,
+            is_repeat=call.reached_count > 0 or (call.is_call and call.parent.is_repeat),
+            route=call.route.name,
+        )
+
+    def _received(self, call: IngressCall, upstream: Upstream, outcome: Outcome) -> None:
+        load = getattr(outcome, "load", None)
+        if load is not None:
+            self._state.placement.reported(upstream.upstream_id, load, self._state.now_ms())
+        self._handle(outcome, call, upstream)
+
+    @singledispatchmethod
+    def _handle(self, outcome: Any, call: IngressCall, upstream: Upstream) -> None:
+        raise TypeError(f"no handling of {type(outcome).__name__}")
+
+    @_handle.register
+    def _(self, outcome: Answered, call: IngressCall, upstream: Upstream) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        if outcome.status >= 500:
+            state.placement.failed(upstream.upstream_id, now_ms)
+        else:
+            latency_ms = now_ms - call.sent_at_ms
+            state.placement.answered(upstream.upstream_id, call.route.name, latency_ms, now_ms)
+        if call.is_done:
+            return
+        call.reached_count += 1
+        call.stop = None
+        is_failure = outcome.status >= 500 and call.route.is_repeatable
+        if is_failure and self._may_send_again(call, now_ms):
+            call.fallback = outcome
+            self._send_again(call, f"answer_{outcome.status}")
+            return
+        self._answer(call, outcome)
+
+    @_handle.register
+    def _(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        if outcome.reached_target:
+            state.placement.failed(upstream.upstream_id, now_ms)
+        else:
+            state.placement.released(upstream.upstream_id)
+            if outcome.reason in _UNREACHABLE:
+                state.placement.unreachable(upstream.upstream_id, now_ms)
+        if call.is_done:
+            return
+        call.stop = None
+        if outcome.reason == "quarantined":
+            self._give_up(call, outcome)
+            return
+        if outcome.reached_target:
+            call.reached_count += 1
+            if self._may_send_again(call, now_ms):
+                self._send_again(call, outcome.reason)
+                return
+        else:
+            call.refused_count += 1
+            if call.refused_count < REFUSED_PLACEMENTS or outcome.reason in _UNREACHABLE:
+                if now_ms < call.ends_at_ms:
+                    # Nothing reached a target, so this is no repeat.
+                    state.metrics.count("placements_refused", outcome.reason)
+                    self._place_after_refusal(call, outcome)
+                    return
+        self._give_up(call, outcome)
+
+    @_handle.register
+    def _(self, outcome: OutcomeUnknown, call: IngressCall, upstream: Upstream) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        state.placement.failed(upstream.upstream_id, now_ms)
+        if call.is_done:
+            return
+        call.stop = None
+        call.reached_count += 1
+        call.has_unknown_send = True
+        if self._may_send_again(call, now_ms):
+            self._send_again(call, outcome.reason)
+            return
+        self._give_up(call, outcome)
+
+    def _place_after_refusal(self, call: IngressCall, refusal: NotRun) -> None:
+        state = self._state
+        upstream = state.placement.choose(
+            call.service,
+            call.route.name,
+            call.route.objective_ms,
+            call.tried,
+            call.route.is_repeatable,
+            state.now_ms(),
+        )
+        if upstream is None:
+            self._give_up(call, refusal)
+        else:
+            self._place(call)
+
+    def _may_send_again(self, call: IngressCall, now_ms: float) -> bool:
+        state = self._state
+        route = call.route
+        if not route.is_repeatable and call.has_unknown_send:
+            return False
+        if call.reached_count >= route.upstream_limit:
+            return False
+        if call.ends_at_ms - now_ms < RESEND_MIN_SHARE * route.objective_ms:
+            return False
+        if state.route_throttle.accepted_share(route.name) < 1.0 and not call.is_call:
+            return False
+        return state.repeat_budget.allows(call.service, now_ms)
+
+    def _send_again(self, call: IngressCall, reason: str) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        state.repeat_budget.sent_again(call.service, now_ms)
+        state.metrics.count("requests_sent_again", reason)
+        state.log.event(
+            "request_sent_again",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            reason=reason,
+            upstream=call.upstream.upstream_id,
+            sends=call.reached_count,
+        )
+        upstream = state.placement.choose(
+            call.service,
+            call.route.name,
+            call.route.objective_ms,
+            call.tried,
+            call.route.is_repeatable,
+            now_ms,
+        )
+        if upstream is None:
+            # The last upstream left is the one that failed.
+            call.tried.clear()
+        self._place(call)
+
+    def _answer(self, call: IngressCall, answer: Answered) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        latency_ms = now_ms - call.received_ms
+        is_success = 200 <= answer.status < 300
+        if not call.is_call:
+            is_useful = is_success and (
+                call.route.rank == 0 or latency_ms <= call.route.objective_ms
+            )
+            state.route_throttle.finished(
+                call.route.name, call.route.rank, is_useful=is_useful, now_ms=now_ms
+            )
+        state.metrics.record_latency("call" if call.is_call else "request", latency_ms)
+        state.metrics.count("answers", str(answer.status))
+        state.log.event(
+            "request_answered" if is_success else "request_failed_by_target",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            status=answer.status,
+            upstream=call.upstream.upstream_id,
+            latency_ms=round(latency_ms, 1),
+            sends=call.reached_count,
+            is_call=call.is_call,
+            configuration_version=state.configuration_version,
+        )
+        self._close(call)
+        call.exchange.respond(answer.status, answer.headers, answer.body)
+
+    def _give_up(self, call: IngressCall, outcome: Outcome) -> None:
+        """Give the final answer to a request that got no usable answer."""
+        if call.fallback is not None:
+            self._answer(call, call.fallback)
+        elif isinstance(outcome, NotRun) and not call.has_unknown_send:
+            self._refuse(call, outcome.reason, outcome.retry_after_ms)
+        else:
+            self._fail(call, 502, outcome.reason)
+
+    def _refuse(self, call: IngressCall, reason: str, hint_ms: float) -> None:
+        """Tell the caller that the request hasn't run, and when to come back."""
+        state = self._state
+        shortest_ms = max(
+            SHORTEST_RETRY_AFTER_MS, hint_ms, RETRY_AFTER_SHARE * call.route.objective_ms
+        )
+        delay_ms = shortest_ms * state.rng.uniform(1.0, RETRY_AFTER_SPREAD)
+        self._log_refusal(call.request, call, reason, delay_ms)
+        self._close(call)
+        call.exchange.respond(503, state.dialect.retry_after(delay_ms), b"")
+
+    def _fail(self, call: IngressCall, status: int, reason: str) -> None:
+        state = self._state
+        now_ms = state.now_ms()
+        if not call.is_call:
+            state.route_throttle.finished(
+                call.route.name, call.route.rank, is_useful=False, now_ms=now_ms
+            )
+        state.metrics.count("requests_failed", reason)
+        state.log.event(
+            "request_failed",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            reason=reason,
+            status=status,
+            upstream=call.upstream.upstream_id if call.upstream else None,
+            waited_ms=round(now_ms - call.received_ms, 1),
+            sends=call.reached_count,
+            is_call=call.is_call,
+            configuration_version=state.configuration_version,
+        )
+        self._close(call)
+        call.exchange.respond(status, (), b"")
+
+    def _time_out(self, call: IngressCall) -> None:
+        if call.is_done:
+            return
+        stop = call.stop
+        if call.upstream is not None:
+            self._state.placement.failed(call.upstream.upstream_id, self._state.now_ms())
+        self._fail(call, 504, "timeout")
+        if stop is not None:
+            stop()
+
+    def _caller_gone(self, call: IngressCall) -> None:
+        if call.is_done:
+            return
+        if call.upstream is not None:
+            self._state.placement.released(call.upstream.upstream_id)
+        self._state.metrics.count("callers_gone")
+        stop = call.stop
+        self._close(call)
+        if stop is not None:
+            stop()
+
+    def _close(self, call: IngressCall) -> None:
+        call.is_done = True
+        call.stop = None
+        if call.timer is not None:
+            call.timer.cancel()
+        self._calls.discard(call)
+
+    def _log_refusal(
+        self, request: Request, call: IngressCall | None, reason: str, delay_ms: float
+    ) -> None:
+        state = self._state
+        state.metrics.count("requests_refused", reason)
+        state.log.event(
+            "request_refused",
+            request_id=request.request_id,
+            route=call.route.name if call else None,
+            rank=call.rank if call else None,
+            is_call=call.is_call if call else None,
+            reason=reason,
+            upstream=call.upstream.upstream_id if call and call.upstream else None,
+            accepted_share=(state.route_throttle.accepted_share(call.route.name) if call else None),
+            retry_after_ms=round(delay_ms),
+            configuration_version=state.configuration_version,
+        )
+
+
+_UNREACHABLE = frozenset(
+    (
+        "peer_unreachable",
+        "target_unreachable",
+        "target_silent",
+        "node_leaving",
+        "target_leaving",
+        "wrong_upstream",
+    )
+)
--- /dev/null
+++ b/src/cottonlink/path/_node.py
@@ -0,0 +1,298 @@
+"""One node: its listeners, its part of the call path, and its shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import define
+
+from cottonlink.overload import (
+    make_placement,
+    make_quarantine,
+    make_repeat_budget,
+    make_route_throttle,
+    make_traffic_split,
+)
+from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._dialect import Dialect
+from cottonlink.path._frames import SuspectFrame
+from cottonlink.path._http import Headers, parse_address
+from cottonlink.path._ingress import Ingress
+from cottonlink.path._log import EventLog
+from cottonlink.path._metrics import PathMetrics
+from cottonlink.path._model import CallerLimits, Configuration, Load, Request, Upstream
+from cottonlink.path._peer_links import Address, PeerHandler, PeerLinks
+from cottonlink.path._peer_server import PeerConnection
+from cottonlink.path._settings import PathSettings
+from cottonlink.path._state import NodeState
+from cottonlink.path._status_server import StatusServer
+from cottonlink.path._target_desk import TargetDesk
+from cottonlink.path._target_pool import TargetPool
+
+# How often links, pools and connections are looked after.
+SWEEP_PERIOD_S = 0.1
+# Callers' connections are checked for time-outs at this multiple of the sweep.
+CONNECTION_SWEEP_EVERY = 5
+# Time after SIGTERM in which a node goes on taking connections: whoever sends callers here asks
+# once a second and needs two answers to stop.
+LEAVING_NOTICE_MS = 2_600.0
+# Part of the time until SIGKILL that may be used to finish work.
+GRACE_SHARE = 0.9
+LISTEN_BACKLOG = 1024
+
+
+@define
+class _Shutdown:
+    started_ms: float
+    on_done: Callable[[], None]
+
+
+class Node(PeerHandler):
+    """Serves callers, other nodes and the target next to it."""
+
+    def __init__(
+        self,
+        settings: PathSettings,
+        dialect: Dialect,
+        log: EventLog,
+        loop: asyncio.AbstractEventLoop,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._loop = loop
+        target_address = parse_address(settings.target_address)
+        self._pool = TargetPool(target_address, dialect.id_header, loop)
+        self.state = NodeState(
+            loop=loop,
+            rng=rng,
+            service=settings.service,
+            target_address=target_address,
+            peer_port=parse_address(settings.peer_address)[1],
+            dialect=dialect,
+            log=log,
+            metrics=PathMetrics(),
+            placement=make_placement(settings.data_centre, rng),
+            repeat_budget=make_repeat_budget(
+                settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_s * 1000.0
+            ),
+            route_throttle=make_route_throttle(rng),
+            traffic_split=make_traffic_split(rng),
+            quarantine=make_quarantine(),
+        )
+        self.desk = TargetDesk(
+            self._pool, dialect, self.state.quarantine, self._target_crashed, loop
+        )
+        self.state.desk = self.desk
+        self.state.peers = PeerLinks(self, loop)
+        self._ingress = Ingress(self.state)
+        self._callers: set[CallerConnection] = set()
+        self._peers: set[PeerConnection] = set()
+        self._servers: list[asyncio.Server] = []
+        self._shutdown: _Shutdown | None = None
+        self._sweep_count = 0
+        self._own_upstream: Upstream | None = None
+
+    async def start(self) -> None:
+        """Open the listeners."""
+        settings = self._settings
+        await self._listen(settings.caller_address, lambda: CallerConnection(self))
+        await self._listen(settings.peer_address, lambda: PeerConnection(self))
+        status = StatusServer(
+            self._loop,
+            {
+                settings.readiness_path.encode(): self._readiness,
+                b"/metrics": lambda: (200, self.state.metrics.render()),
+            },
+        )
+        for address in dict.fromkeys((settings.ready_address, settings.metrics_address)):
+            await self._listen(address, lambda: CallerConnection(status))
+        self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
+        self.state.log.event(
+            "node_started", service=settings.service, data_centre=settings.data_centre
+        )
+
+    def begin_shutdown(self, on_done: Callable[[], None]) -> None:
+        """Finish the work in progress and take no more; ``on_done`` is called in the end."""
+        if self._shutdown is not None:
+            return
+        self._shutdown = _Shutdown(self.now_ms(), on_done)
+        self.state.log.event("node_leaving", callers=len(self._callers), peers=len(self._peers))
+        for peer in self._peers:
+            peer.send_leaving()
+        self.desk.close("node_leaving")
+
+    # What operators and targets published.
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force, unless it is older than the present one."""
+        present = self.state.configuration_version
+        if present is not None and configuration.version <= present:
+            if configuration.version < present:
+                self.state.log.event(
+                    "configuration_ignored", version=configuration.version, present=present
+                )
+            return
+        self.state.configuration = configuration
+        limit = configuration.connection_limits.get(self._settings.service)
+        if limit is not None:
+            self._pool.limit = max(1, int(limit * self._settings.connection_share))
+        self.state.log.event(
+            "configuration_applied",
+            version=configuration.version,
+            previous=present,
+            routes=len(configuration.routes),
+        )
+
+    def apply_upstreams(self, upstreams: Iterable[Upstream]) -> None:
+        """Replace the set of known upstreams."""
+        upstreams = list(upstreams)
+        self.state.placement.update(upstreams, self.now_ms())
+        vm_ips = {upstream.vm_ip for upstream in upstreams}
+        self.state.repeat_budget.set_node_count(len(vm_ips))
+        self.state.peers.keep_only({(ip, self.state.peer_port) for ip in vm_ips})
+        own = [u for u in upstreams if u.address == self.state.target_address]
+        self._own_target_changed(own)
+        self.state.log.event("upstreams_changed", count=len(upstreams))
+
+    def apply_settings(self, settings: PathSettings) -> None:
+        """Take over what may change while the node runs."""
+        self._settings = settings
+        self.state.log.event("settings_reloaded")
+
+    # What callers' connections need.
+    def now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def caller_limits(self) -> CallerLimits:
+        configuration = self.state.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def is_repeatable(self, request: Request) -> bool:
+        configuration = self.state.configuration
+        if configuration is None:
+            return False
+        route = configuration.find_route(request.host.decode("latin-1"), request.path)
+        return route is not None and route.is_repeatable
+
+    def make_request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> Request | None:
+        return self.state.dialect.make_request(method, target, headers, body)
+
+    def serve(self, exchange: Exchange) -> None:
+        self._ingress.serve(exchange)
+
+    def is_leaving(self) -> bool:
+        return self._shutdown is not None
+
+    def opened(self, connection: CallerConnection) -> None:
+        self._callers.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        self._callers.discard(connection)
+
+    # What other nodes' connections need.
+    def peer_opened(self, connection: PeerConnection) -> None:
+        self._peers.add(connection)
+        if self._shutdown is not None:
+            connection.send_leaving()
+
+    def peer_closed(self, connection: PeerConnection) -> None:
+        self._peers.discard(connection)
+
+    def peer_told(self, frame: Any) -> None:
+        if isinstance(frame, SuspectFrame):
+            for fingerprint, level in frame.levels:
+                self.state.quarantine.learn(fingerprint, level, round(self.now_ms()))
+
+    # What links to other nodes tell.
+    def peer_leaving(self, address: Address) -> None:
+        now_ms = self.now_ms()
+        for upstream in self.state.placement.upstreams():
+            if upstream.vm_ip == address[0]:
+                self.state.placement.unreachable(upstream.upstream_id, now_ms)
+        self.state.log.event("peer_leaving", peer=address[0])
+
+    def peer_load(self, address: Address, load: Load) -> None:
+        now_ms = self.now_ms()
+        for upstream in self.state.placement.upstreams():
+            if upstream.vm_ip == address[0]:
+                self.state.placement.reported(upstream.upstream_id, load, now_ms)
+
+    def peer_frame(self, address: Address, frame: Any) -> None:
+        self.peer_told(frame)
+
+    def peer_state(self, address: Address, state: str, detail: str) -> None:
+        self.state.metrics.count("peer_links", state)
+        self.state.log.event(f"peer_{state}", peer=f"{address[0]}:{address[1]}", detail=detail)
+
+    def _target_crashed(self, fingerprints: list[str]) -> None:
+        verdicts = self.state.quarantine.crashed(fingerprints, round(self.now_ms()))
+        levels = tuple((verdict.fingerprint, verdict.level) for verdict in verdicts)
+        self.state.log.event(
+            "target_crashed",
+            requests=len(fingerprints),
+            quarantined=sum(verdict.refused for verdict in verdicts),
+        )
+        for link in self.state.peers.all():
+            link.send(SuspectFrame(levels))
+
+    def _own_target_changed(self, own: list[Upstream]) -> None:
+        previous = self._own_upstream
+        if not own:
+            # Whether the target is gone or not yet registered, nobody may send it new work.
+            if previous is not None:
+                self.desk.close("target_leaving")
+                self.state.log.event("target_gone", upstream=previous.upstream_id)
+            self._own_upstream = None
+            return
+        newest = max(own, key=lambda upstream: upstream.started_at_ms or 0)
+        if previous is not None and newest.started_at_ms != previous.started_at_ms:
+            self._pool.drop_idle()
+        self._own_upstream = newest
+        self.desk.resize(newest.slots)
+        if newest.is_draining:
+            self.desk.close("target_leaving")
+            self.state.log.event("target_draining", upstream=newest.upstream_id)
+        elif self._shutdown is None:
+            self.desk.reopen()
+
+    def _readiness(self) -> tuple[int, bytes]:
+        is_ready = self.state.configuration is not None and self._shutdown is None
+        return (200, b"ready\n") if is_ready else (503, b"not ready\n")
+
+    async def _listen(self, address: str, make_protocol: Callable[[], asyncio.Protocol]) -> None:
+        host, port = parse_address(address)
+        server = await self._loop.create_server(
+            make_protocol, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+        )
+        self._servers.append(server)
+
+    def _sweep(self) -> None:
+        self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
+        self.state.peers.sweep()
+        self._pool.sweep()
+        self._sweep_count += 1
+        if self._sweep_count % CONNECTION_SWEEP_EVERY == 0:
+            now_ms = self.now_ms()
+            limits = self.caller_limits()
+            for connection in list(self._callers):
+                connection.sweep(now_ms, limits)
+        if self._shutdown is not None:
+            self._continue_shutdown(self._shutdown)
+
+    def _continue_shutdown(self, shutdown: _Shutdown) -> None:
+        elapsed_ms = self.now_ms() - shutdown.started_ms
+        if elapsed_ms < LEAVING_NOTICE_MS:
+            return
+        # Kept connections without a request are closed only once no new callers come.
+        for connection in list(self._callers):
+            connection.close_if_idle()
+        is_idle = self._ingress.is_idle and self.desk.is_idle and not self._callers
+        if is_idle or elapsed_ms >= self._settings.grace_s * 1000.0 * GRACE_SHARE:
+            self._shutdown = None
+            self.state.log.event("node_stopped", after_ms=round(elapsed_ms), was_idle=is_idle)
+            self.state.log.flush()
+            shutdown.on_done()
--- /dev/null
+++ b/src/cottonlink/path/_peer_links.py
@@ -0,0 +1,267 @@
+"""Connections to the nodes next to other targets, shared by all calls to them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define
+
+from cottonlink.errors import CottonlinkError
+from cottonlink.path._frames import (
+    AnswerFrame,
+    CallFrame,
+    CancelFrame,
+    FrameReader,
+    LeavingFrame,
+    PingFrame,
+    PongFrame,
+    encode,
+)
+from cottonlink.path._model import Load, NotRun, Outcome, OutcomeUnknown
+from cottonlink.path._sockets import watch_for_silence
+
+Address = tuple[str, int]
+
+# A new connection to a node that doesn't open in this time is given up.
+CONNECT_TIMEOUT_S = 0.5
+# With answers outstanding and nothing received for this time, the peer is asked for a sign of life.
+QUIET_MS = 300.0
+# Without a sign of life for this time, new calls go elsewhere, on a new connection.
+SUSPECT_MS = 900.0
+# Without a sign of life for this time, the answers that are outstanding are given up. Longer than
+# a process waits for the processor on a busy VM.
+DEAD_MS = 2_600.0
+# Time after a failed attempt until the next one.
+RECONNECT_PAUSE_MS = 250.0
+
+
+class PeerHandler:
+    """What a link tells the node. All methods run in the event loop."""
+
+    def peer_leaving(self, address: Address) -> None:
+        """The node at ``address`` takes no more calls."""
+
+    def peer_load(self, address: Address, load: Load) -> None:
+        """The node at ``address`` reported the load of its target."""
+
+    def peer_frame(self, address: Address, frame: Any) -> None:
+        """The node at ``address`` sent a frame that belongs to no call."""
+
+    def peer_state(self, address: Address, state: str, detail: str) -> None:
+        """A link was opened, became silent, or was lost."""
+
+
+@define(eq=False)
+class _Outstanding:
+    on_outcome: Callable[[Outcome], None]
+    is_repeatable: bool
+
+
+class _Connection(asyncio.Protocol):
+    """One stream of frames to a peer."""
+
+    def __init__(self, link: PeerLink) -> None:
+        self._link = link
+        self._reader = FrameReader()
+        self.transport: asyncio.Transport | None = None
+        self.outstanding: dict[int, _Outstanding] = {}
+        self.last_heard_ms = 0.0
+        self.asked_at_ms: float | None = None
+        self.is_suspect = False
+        self.is_open = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.is_open = True
+        self.last_heard_ms = self._link.now_ms()
+        watch_for_silence(transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.last_heard_ms = self._link.now_ms()
+        self.asked_at_ms = None
+        try:
+            for frame in self._reader.feed(data):
+                self._link.received(self, frame)
+        except CottonlinkError as error:
+            self._link.log_state("lost", error.detail)
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_open = False
+        self._link.lost(self, "connection_lost" if exc is None else type(exc).__name__)
+
+
+class PeerLink:
+    """Calls to the node at one address. Opens connections when they are needed."""
+
+    def __init__(
+        self, address: Address, handler: PeerHandler, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self.address = address
+        self._handler = handler
+        self._loop = loop
+        self._current: _Connection | None = None
+        self._connections: set[_Connection] = set()
+        self._waiting: list[tuple[CallFrame, _Outstanding]] = []
+        self._opening: asyncio.Task | None = None
+        self._retry_at_ms = 0.0
+        self._next_stream = 0
+        self.last_used_ms = 0.0
+
+    def now_ms(self) -> float:
+        """Return the monotonic time of the event loop."""
+        return self._loop.time() * 1000.0
+
+    def next_stream(self) -> int:
+        """Return an unused stream number."""
+        self._next_stream += 1
+        return self._next_stream
+
+    def call(self, frame: CallFrame, on_outcome: Callable[[Outcome], None]) -> bool:
+        """Send a call; return False if the peer can't be reached now and nothing was sent."""
+        now_ms = self.now_ms()
+        self.last_used_ms = now_ms
+        outstanding = _Outstanding(on_outcome, frame.is_repeatable)
+        connection = self._current
+        if connection is not None and connection.is_open:
+            connection.outstanding[frame.stream] = outstanding
+            connection.transport.write(encode(frame))
+            return True
+        if now_ms < self._retry_at_ms:
+            return False
+        self._waiting.append((frame, outstanding))
+        if self._opening is None:
+            self._opening = self._loop.create_task(self._open())
+        return True
+
+    def cancel(self, stream: int) -> None:
+        """Tell the peer that a call's caller is gone; its outcome is no longer wanted."""
+        self._waiting = [entry for entry in self._waiting if entry[0].stream != stream]
+        for connection in self._connections:
+            if connection.outstanding.pop(stream, None) is not None and connection.is_open:
+                connection.transport.write(encode(CancelFrame(stream)))
+
+    def send(self, frame: Any) -> None:
+        """Send a frame that belongs to no call, if the peer is connected."""
+        if self._current is not None and self._current.is_open:
+            self._current.transport.write(encode(frame))
+
+    def sweep(self) -> None:
+        """Ask quiet peers for a sign of life, and give up those that don't answer."""
+        now_ms = self.now_ms()
+        for connection in list(self._connections):
+            if not connection.is_open or not connection.outstanding:
+                continue
+            if connection.asked_at_ms is None:
+                if now_ms - connection.last_heard_ms >= QUIET_MS:
+                    connection.asked_at_ms = now_ms
+                    connection.transport.write(encode(PingFrame(0)))
+                continue
+            silent_ms = now_ms - connection.asked_at_ms
+            if silent_ms >= DEAD_MS:
+                connection.transport.abort()
+            elif silent_ms >= SUSPECT_MS and not connection.is_suspect:
+                self._suspect(connection)
+
+    def close(self) -> None:
+        """Close all connections; calls in progress get an unknown outcome."""
+        if self._opening is not None:
+            self._opening.cancel()
+        for connection in list(self._connections):
+            connection.transport.close()
+
+    def is_idle(self) -> bool:
+        """Return whether no call is in progress."""
+        return not self._waiting and not any(c.outstanding for c in self._connections)
+
+    def log_state(self, state: str, detail: str) -> None:
+        """Report a change of the link."""
+        self._handler.peer_state(self.address, state, detail)
+
+    def received(self, connection: _Connection, frame: Any) -> None:
+        """Handle a frame of the peer."""
+        if isinstance(frame, AnswerFrame):
+            outstanding = connection.outstanding.pop(frame.stream, None)
+            if outstanding is not None:
+                outstanding.on_outcome(frame.outcome)
+        elif isinstance(frame, PongFrame):
+            self._handler.peer_load(self.address, frame.load)
+        elif isinstance(frame, LeavingFrame):
+            self._handler.peer_leaving(self.address)
+        else:
+            self._handler.peer_frame(self.address, frame)
+
+    def lost(self, connection: _Connection, reason: str) -> None:
+        """A connection is gone: outcomes that are outstanding stay unknown."""
+        self._connections.discard(connection)
+        if self._current is connection:
+            self._current = None
+        self.log_state("lost", reason)
+        outstanding, connection.outstanding = connection.outstanding, {}
+        for entry in outstanding.values():
+            entry.on_outcome(OutcomeUnknown("peer_lost"))
+
+    async def _open(self) -> None:
+        try:
+            connecting = self._loop.create_connection(lambda: _Connection(self), *self.address)
+            _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        except (OSError, TimeoutError) as error:
+            self._opening = None
+            self._retry_at_ms = self.now_ms() + RECONNECT_PAUSE_MS
+            self.log_state("unreachable", type(error).__name__)
+            waiting, self._waiting = self._waiting, []
+            for _, outstanding in waiting:
+                outstanding.on_outcome(NotRun("peer_unreachable"))
+            return
+        self._opening = None
+        self._connections.add(connection)
+        self._current = connection
+        self.log_state("open", "")
+        waiting, self._waiting = self._waiting, []
+        for frame, outstanding in waiting:
+            connection.outstanding[frame.stream] = outstanding
+            connection.transport.write(encode(frame))
+
+    def _suspect(self, connection: _Connection) -> None:
+        """Stop using a silent connection; calls that may run again are sent elsewhere."""
+        connection.is_suspect = True
+        if self._current is connection:
+            self._current = None
+        self.log_state("silent", "")
+        for stream, entry in list(connection.outstanding.items()):
+            if entry.is_repeatable:
+                del connection.outstanding[stream]
+                entry.on_outcome(OutcomeUnknown("peer_silent"))
+
+
+class PeerLinks:
+    """Links by address of the nodes."""
+
+    def __init__(self, handler: PeerHandler, loop: asyncio.AbstractEventLoop) -> None:
+        self._handler = handler
+        self._loop = loop
+        self._links: dict[Address, PeerLink] = {}
+
+    def link(self, address: Address) -> PeerLink:
+        """Return the link to the node at ``address``."""
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = PeerLink(address, self._handler, self._loop)
+        return link
+
+    def all(self) -> list[PeerLink]:
+        """Return all links."""
+        return list(self._links.values())
+
+    def keep_only(self, addresses: set[Address]) -> None:
+        """Close links to nodes that are gone, once they are idle."""
+        for address in [a for a in self._links if a not in addresses]:
+            if self._links[address].is_idle():
+                self._links.pop(address).close()
+
+    def sweep(self) -> None:
+        """Look after all links; call it several times a second."""
+        for link in self._links.values():
+            link.sweep()
--- /dev/null
+++ b/src/cottonlink/path/_peer_server.py
@@ -0,0 +1,112 @@
+"""Accepts calls from other nodes and hands them to the target's desk."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Protocol
+
+from cottonlink.errors import CottonlinkError
+from cottonlink.path._frames import (
+    AnswerFrame,
+    CallFrame,
+    CancelFrame,
+    FrameReader,
+    LeavingFrame,
+    PingFrame,
+    PongFrame,
+    encode,
+)
+from cottonlink.path._model import Load, Outcome, replace_load
+from cottonlink.path._sockets import watch_for_silence
+
+
+class TargetDesk(Protocol):
+    """Runs calls at the target next to this node."""
+
+    def submit(self, frame: CallFrame, key: Any, on_outcome: Any) -> None:
+        """Run, queue or refuse a call; ``on_outcome`` gets its outcome once."""
+
+    def cancel(self, key: Any) -> None:
+        """The caller of a call is gone."""
+
+    def load(self) -> Load:
+        """Return the load of the target."""
+
+
+class PeerServer(Protocol):
+    """What a peer's connection needs of the node."""
+
+    desk: TargetDesk
+
+    def peer_opened(self, connection: PeerConnection) -> None:
+        """Another node has connected."""
+
+    def peer_closed(self, connection: PeerConnection) -> None:
+        """The connection of another node is gone."""
+
+    def peer_told(self, frame: Any) -> None:
+        """Another node sent a frame that belongs to no call."""
+
+
+class PeerConnection(asyncio.Protocol):
+    """One stream of frames from another node."""
+
+    def __init__(self, server: PeerServer) -> None:
+        self._server = server
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._streams: set[int] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+        watch_for_silence(transport)
+        self._server.peer_opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.peer_closed(self)
+        streams, self._streams = self._streams, set()
+        for stream in streams:
+            self._server.desk.cancel((self, stream))
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            for frame in self._reader.feed(data):
+                self._handle(frame)
+        except CottonlinkError:
+            self._transport.abort()
+
+    def send_leaving(self) -> None:
+        """Tell the peer that this node takes no more calls."""
+        self._transport.write(encode(LeavingFrame()))
+
+    def send(self, frame: Any) -> None:
+        """Send a frame that belongs to no call."""
+        self._transport.write(encode(frame))
+
+    def close(self) -> None:
+        """Close once all that was written has left."""
+        self._transport.close()
+
+    def _handle(self, frame: Any) -> None:
+        if isinstance(frame, CallFrame):
+            self._call(frame)
+        elif isinstance(frame, CancelFrame):
+            if frame.stream in self._streams:
+                self._streams.discard(frame.stream)
+                self._server.desk.cancel((self, frame.stream))
+        elif isinstance(frame, PingFrame):
+            self._transport.write(encode(PongFrame(frame.number, self._server.desk.load())))
+        else:
+            self._server.peer_told(frame)
+
+    def _call(self, frame: CallFrame) -> None:
+        stream = frame.stream
+        self._streams.add(stream)
+
+        def answer(outcome: Outcome) -> None:
+            if stream in self._streams:
+                self._streams.discard(stream)
+                outcome = replace_load(outcome, self._server.desk.load())
+                self._transport.write(encode(AnswerFrame(stream, outcome)))
+
+        self._server.desk.submit(frame, (self, stream), answer)
--- /dev/null
+++ b/src/cottonlink/path/_settings.py
@@ -0,0 +1,96 @@
+"""Settings of a node on the call path, read from a YAML file."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+from attrs import field, frozen
+
+from cottonlink.errors import SettingsError
+
+_MAX_SECONDS = 24 * 3_600
+
+
+def _text(_instance: Any, attribute: Any, value: Any) -> None:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{attribute.name}: expected text, got {value!r}")
+
+
+def _address(_instance: Any, attribute: Any, value: Any) -> None:
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isascii() or not port.isdigit() or not 1 <= int(port) <= 65_535:
+        raise ValueError(f"{attribute.name}: expected ip:port, got {value!r}")
+
+
+def _number(lowest: float, highest: float) -> Callable[[Any, Any, Any], None]:
+    def check(_instance: Any, attribute: Any, value: Any) -> None:
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not is_number or not math.isfinite(value) or not lowest <= value <= highest:
+            raise ValueError(f"{attribute.name}: expected {lowest:g} to {highest:g}, got {value!r}")
+
+    return check
+
+
+@frozen
+class PathSettings:
+    """Addresses and limits of one node. Addresses are ``ip:port``.
+
+    ``repeat_ratio``, ``repeat_allowance`` and ``repeat_window_s`` bound how often all nodes together
+    send calls again. ``grace_s`` is the time from SIGTERM to SIGKILL.
+    """
+
+    node: str = field(validator=_text)
+    data_centre: str = field(validator=_text)
+    service: str = field(validator=_text)
+    caller_address: str = field(validator=_address)
+    peer_address: str = field(validator=_address)
+    ready_address: str = field(validator=_address)
+    metrics_address: str = field(validator=_address)
+    target_address: str = field(validator=_address)
+    store_address: str = field(validator=_address)
+    readiness_path: str = field(default="/ready", validator=_text)
+    repeat_ratio: float = field(default=0.1, validator=_number(0, 10))
+    repeat_allowance: float = field(default=10, validator=_number(0, 1_000_000))
+    repeat_window_s: float = field(default=10, validator=_number(0.1, _MAX_SECONDS))
+    grace_s: float = field(default=10, validator=_number(0, _MAX_SECONDS))
+    connection_share: float = field(default=0.9, validator=_number(0.01, 1))
+
+
+def load_path_settings(path: str | Path) -> PathSettings:
+    """Return the settings in the YAML file at ``path``.
+
+    Raises SettingsError with every fault; an unknown field is one.
+    """
+    try:
+        data = yaml.load(
+            Path(path).read_bytes(), Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+        )
+    except OSError as error:
+        raise SettingsError((f"settings file: {error.strerror}",), peer=str(path)) from error
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise SettingsError((f"settings file: not YAML: {error}",), peer=str(path)) from error
+    if not isinstance(data, Mapping):
+        raise SettingsError(("settings file: expected a mapping",), peer=str(path))
+    return _structure(data, str(path))
+
+
+def _structure(data: Mapping[Any, Any], path: str) -> PathSettings:
+    known = attrs.fields_dict(PathSettings)
+    problems = [f"{name}: unknown field" for name in data if name not in known]
+    for name, attribute in known.items():
+        if name not in data:
+            if attribute.default is attrs.NOTHING:
+                problems.append(f"{name}: required field is missing")
+            continue
+        try:
+            attribute.validator(None, attribute, data[name])
+        except ValueError as error:
+            problems.append(str(error))
+    if problems:
+        raise SettingsError(tuple(problems), peer=path)
+    return PathSettings(**data)
--- /dev/null
+++ b/src/cottonlink/path/_status_server.py
@@ -0,0 +1,48 @@
+"""Answers questions about the node itself: readiness and metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._http import Headers
+from cottonlink.path._model import CallerLimits, Request
+
+Page = Callable[[], tuple[int, bytes]]
+
+
+class StatusServer:
+    """Serves one page for each path."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, pages: dict[bytes, Page]) -> None:
+        self._loop = loop
+        self._pages = pages
+
+    def now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def caller_limits(self) -> CallerLimits:
+        return CallerLimits()
+
+    def is_repeatable(self, request: Request) -> bool:
+        return True
+
+    def make_request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> Request | None:
+        return Request(b"", method, target, b"", b"", headers, body, None)
+
+    def serve(self, exchange: Exchange) -> None:
+        page = self._pages.get(exchange.request.path)
+        status, body = page() if page is not None else (404, b"")
+        exchange.respond(status, ((b"Content-Type", b"text/plain"),), body)
+
+    def is_leaving(self) -> bool:
+        return False
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Connections of this listener need no care."""
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Connections of this listener need no care."""
--- /dev/null
+++ b/src/cottonlink/path/_target_desk.py
@@ -0,0 +1,248 @@
+"""Runs calls at the target next to the node: queue, connections, and what runs there now."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, frozen
+
+from cottonlink.overload import (
+    Job,
+    Quarantine,
+    Refused,
+    RunningCalls,
+    allowed_wait_ms,
+    make_running_calls,
+    make_target_queue,
+    request_fingerprint,
+)
+from cottonlink.path._dialect import Dialect
+from cottonlink.path._frames import CallFrame
+from cottonlink.path._http import end_to_end, request_bytes
+from cottonlink.path._http_client import ExchangeFailed, ExchangeResult, HttpAnswer
+from cottonlink.path._model import Answered, Load, NotRun, Outcome, OutcomeUnknown
+from cottonlink.path._target_pool import TargetPool
+
+# Slots that are assumed until the target's own registration is known.
+DEFAULT_SLOTS = 32
+# A target that can't be reached this soon after connections broke has crashed.
+CRASH_WINDOW_MS = 1_500.0
+# How often jobs that have waited too long are looked for.
+EXPIRY_PERIOD_S = 0.02
+
+
+@frozen
+class Parent:
+    """What a call inherits from the running request that makes it."""
+
+    rank: int
+    is_repeat: bool
+    route: str
+
+
+@define(eq=False)
+class _Call:
+    frame: CallFrame
+    key: Any
+    on_outcome: Callable[[Outcome], None] | None
+    ends_at_ms: float
+    number: int
+    is_running: bool = False
+    told_end_ms: float = 0.0
+    connection: Any = None
+    is_abandoned: bool = False
+
+    def finish(self, outcome: Outcome) -> None:
+        callback, self.on_outcome = self.on_outcome, None
+        if callback is not None:
+            callback(outcome)
+
+
+class TargetDesk:
+    """Calls at one target."""
+
+    def __init__(
+        self,
+        pool: TargetPool,
+        dialect: Dialect,
+        quarantine: Quarantine,
+        on_crash: Callable[[list[str]], None],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._pool = pool
+        self._dialect = dialect
+        self._quarantine = quarantine
+        self._on_crash = on_crash
+        self._loop = loop
+        self._queue = make_target_queue(DEFAULT_SLOTS)
+        self.running_calls: RunningCalls = make_running_calls()
+        self._calls: dict[Any, _Call] = {}
+        self._numbers = itertools.count(1)
+        self._losses: deque[tuple[float, CallFrame]] = deque(maxlen=512)
+        self._expiry: asyncio.TimerHandle | None = None
+        self._closed_reason: str | None = None
+
+    def submit(self, frame: CallFrame, key: Any, on_outcome: Callable[[Outcome], None]) -> None:
+        """Run, queue or refuse a call; ``on_outcome`` gets its outcome once."""
+        now_ms = self._now_ms()
+        if self._closed_reason is not None:
+            on_outcome(NotRun(self._closed_reason))
+            return
+        if len(self._quarantine) and self._quarantine.is_refused(_fingerprint(frame), now_ms):
+            on_outcome(NotRun("quarantined"))
+            return
+        wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.patience_ms)
+        job = Job(key, frame.tier, frame.rank, wait_ms)
+        call = _Call(frame, key, on_outcome, now_ms + frame.patience_ms, next(self._numbers))
+        self._calls[key] = call
+        is_started, refused = self._queue.arrive(job, now_ms)
+        self._report(refused)
+        if is_started:
+            self._run(call)
+        elif self._queue.queued_count and self._expiry is None:
+            self._expiry = self._loop.call_later(EXPIRY_PERIOD_S, self._expire)
+
+    def cancel(self, key: Any) -> None:
+        """The caller of a call is gone: what waits is dropped, what may run again is broken off."""
+        call = self._calls.get(key)
+        if call is None:
+            return
+        call.on_outcome = None
+        if not call.is_running:
+            self._queue.withdraw(key)
+            del self._calls[key]
+        elif call.frame.is_repeatable:
+            call.is_abandoned = True
+            if call.connection is not None:
+                call.connection.abort()
+                self._release(call, is_sample=False)
+
+    def load(self) -> Load:
+        """Return the load of the target."""
+        queue = self._queue
+        return Load(queue.running_count, queue.queued_count, queue.limit, queue.service_ms)
+
+    def resize(self, slots: int) -> None:
+        """The target takes ``slots`` calls at a time."""
+        self._queue.resize(slots)
+
+    def close(self, reason: str) -> None:
+        """Take no more calls; those that wait are refused, those that run go on."""
+        self._closed_reason = reason
+        self._report(self._queue.clear(reason))
+
+    def reopen(self) -> None:
+        """Take calls again."""
+        self._closed_reason = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call waits or runs."""
+        return not self._calls
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def _expire(self) -> None:
+        self._expiry = None
+        self._report(self._queue.expire(self._now_ms()))
+        if self._queue.queued_count:
+            self._expiry = self._loop.call_later(EXPIRY_PERIOD_S, self._expire)
+
+    def _report(self, refused: tuple[Refused, ...] | list[Refused]) -> None:
+        for refusal in refused:
+            call = self._calls.pop(refusal.job.key, None)
+            if call is not None:
+                call.finish(NotRun(refusal.reason, refusal.retry_after_ms))
+
+    def _run(self, call: _Call) -> None:
+        call.is_running = True
+        self._pool.acquire(
+            must_be_fresh=not call.frame.is_repeatable,
+            on_ready=lambda connection: self._send(call, connection),
+            on_failure=lambda reason: self._connect_failed(call, reason),
+        )
+
+    def _send(self, call: _Call, connection: Any) -> None:
+        now_ms = self._now_ms()
+        patience_ms = int(call.ends_at_ms - now_ms)
+        if call.is_abandoned or patience_ms <= 0:
+            self._pool.release(connection)
+            call.finish(NotRun("deadline"))
+            self._release(call, is_sample=False)
+            return
+        frame = call.frame
+        call.connection = connection
+        call.told_end_ms = now_ms + patience_ms
+        parent = Parent(frame.rank, frame.is_repeat, frame.route)
+        self.running_calls.started(call.number, call.told_end_ms, parent)
+        headers = self._dialect.target_headers(frame, patience_ms)
+        connection.send(
+            request_bytes(frame.method, frame.target, headers, frame.body),
+            lambda result: self._finished(call, result),
+            is_head=frame.method == b"HEAD",
+            expected_id=frame.request_id or None,
+        )
+
+    def _connect_failed(self, call: _Call, reason: str) -> None:
+        now_ms = self._now_ms()
+        if reason == "target_unreachable":
+            self._find_crash(now_ms)
+        call.finish(NotRun(reason))
+        self._release(call, is_sample=False)
+
+    def _finished(self, call: _Call, result: ExchangeResult) -> None:
+        connection = call.connection
+        if isinstance(result, HttpAnswer):
+            self._pool.release(connection)
+            outcome = self._judge(call.frame, result)
+        else:
+            outcome = self._lost(call.frame, result)
+        call.finish(outcome)
+        self._release(call, is_sample=isinstance(outcome, Answered))
+
+    def _judge(self, frame: CallFrame, answer: HttpAnswer) -> Outcome:
+        if self._dialect.is_wrong_upstream(answer):
+            return NotRun("wrong_upstream", reached_target=True)
+        if self._dialect.is_not_run(answer):
+            return NotRun("target_refused", reached_target=True)
+        if len(self._quarantine):
+            self._quarantine.completed(_fingerprint(frame), self._now_ms())
+        headers = end_to_end(answer.headers, frozenset())
+        return Answered(answer.status, headers, answer.body)
+
+    def _lost(self, frame: CallFrame, failure: ExchangeFailed) -> Outcome:
+        if failure.is_connection_lost:
+            self._losses.append((self._now_ms(), frame))
+        return OutcomeUnknown(failure.reason)
+
+    def _find_crash(self, now_ms: float) -> None:
+        """Requests whose connections broke just before the target vanished may have crashed it."""
+        frames = [f for lost_ms, f in self._losses if now_ms - lost_ms <= CRASH_WINDOW_MS]
+        self._losses.clear()
+        if frames:
+            fingerprints = [_fingerprint(frame) for frame in frames]
+            self._on_crash(fingerprints)
+
+    def _release(self, call: _Call, *, is_sample: bool) -> None:
+        if self._calls.pop(call.key, None) is None:
+            return
+        self.running_calls.ended(call.number, call.told_end_ms)
+        now_ms = self._now_ms()
+        for job in self._queue.finish(call.key, now_ms, is_sample=is_sample):
+            waiting = self._calls.get(job.key)
+            if waiting is not None:
+                self._run(waiting)
+
+
+def _fingerprint(frame: CallFrame) -> str:
+    return request_fingerprint(
+        frame.caller_service,
+        frame.method.decode("latin-1"),
+        frame.target.decode("latin-1"),
+        frame.body,
+    )
--- /dev/null
+++ b/src/cottonlink/path/_target_pool.py
@@ -0,0 +1,112 @@
+"""Kept connections to one target. The one used last is used first, so that others can go idle."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from cottonlink.path._http_client import HttpConnection
+
+# A target that names no idle time-out is expected to keep a connection for this long.
+DEFAULT_IDLE_MS = 4_000.0
+# A connection is given up this long before the target's own time-out.
+IDLE_MARGIN_MS = 1_000.0
+# Longest idle time before a request that may run only once: the target may have dropped the
+# connection without notice, and the request's outcome would stay unknown.
+FRESH_IDLE_MS = 1_500.0
+CONNECT_TIMEOUT_S = 1.0
+
+
+class TargetPool:
+    """Connections to the target at ``address``."""
+
+    def __init__(
+        self, address: tuple[str, int], id_header: bytes, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._address = address
+        self._id_header = id_header
+        self._loop = loop
+        self._idle: list[HttpConnection] = []
+        self._open: set[HttpConnection] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self.limit = 1_000
+        self.opened_count = 0
+
+    def acquire(
+        self,
+        *,
+        must_be_fresh: bool,
+        on_ready: Callable[[HttpConnection], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        """Hand out a connection for one exchange, or the reason why there is none."""
+        connection = self._take_idle(must_be_fresh)
+        if connection is not None:
+            on_ready(connection)
+            return
+        if len(self._open) + len(self._tasks) >= self.limit:
+            on_failure("target_connections")
+            return
+        task = self._loop.create_task(self._connect(on_ready, on_failure))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def release(self, connection: HttpConnection) -> None:
+        """Take back a connection whose exchange has ended."""
+        if connection.is_open and connection.is_reusable:
+            connection.idle_since_ms = self._loop.time() * 1000.0
+            self._idle.append(connection)
+        elif connection.is_open:
+            connection.close()
+
+    def sweep(self) -> None:
+        """Close connections before the target does."""
+        now_ms = self._loop.time() * 1000.0
+        stale = [c for c in self._idle if not c.is_open or _is_stale(c, now_ms)]
+        for connection in stale:
+            self._idle.remove(connection)
+            connection.close()
+
+    def drop_idle(self) -> None:
+        """Close all connections that are idle: the target has started anew."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _take_idle(self, must_be_fresh: bool) -> HttpConnection | None:
+        now_ms = self._loop.time() * 1000.0
+        while self._idle:
+            connection = self._idle[-1]
+            if not connection.is_open or _is_stale(connection, now_ms):
+                self._idle.pop()
+                connection.close()
+                continue
+            if must_be_fresh and now_ms - connection.idle_since_ms > FRESH_IDLE_MS:
+                return None
+            return self._idle.pop()
+        return None
+
+    async def _connect(
+        self, on_ready: Callable[[HttpConnection], None], on_failure: Callable[[str], None]
+    ) -> None:
+        def make_connection() -> HttpConnection:
+            return HttpConnection(self._id_header, self._open.discard)
+
+        try:
+            connecting = self._loop.create_connection(make_connection, *self._address)
+            _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        except TimeoutError:
+            on_failure("target_silent")
+            return
+        except OSError:
+            on_failure("target_unreachable")
+            return
+        self._open.add(connection)
+        self.opened_count += 1
+        on_ready(connection)
+
+
+def _is_stale(connection: HttpConnection, now_ms: float) -> bool:
+    timeout_ms = connection.idle_timeout_ms
+    limit_ms = DEFAULT_IDLE_MS if timeout_ms is None else max(0.0, timeout_ms - IDLE_MARGIN_MS)
+    return now_ms - connection.idle_since_ms > limit_ms
--- /dev/null
+++ b/src/cottonlink/platform/_process.py
@@ -0,0 +1,97 @@
+"""Runs a node on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+
+import uvloop
+
+from cottonlink.errors import SettingsError
+from cottonlink.path import EventLog, Node, PathSettings, load_path_settings, make_event_log
+from cottonlink.platform._followers import ConfigurationFollower, UpstreamFollower
+from cottonlink.platform._headers import PlatformDialect
+from cottonlink.platform._store_client import StoreClient
+
+# Holds the path of the settings file, in the product's format.
+SETTINGS_VARIABLE = "COTTONLINK_NODE_FILE"
+# The settings file may change without a signal.
+SETTINGS_CHECK_S = 1.0
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run a node until SIGTERM; return the exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_path_settings(path)
+    except SettingsError as error:
+        print(f"{error} ({error.peer})", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_run(settings, path))
+    return 0
+
+
+async def _run(settings: PathSettings, path: str) -> None:
+    loop = asyncio.get_running_loop()
+    rng = random.Random()
+    log = make_event_log(settings.node, loop)
+    node = Node(settings, PlatformDialect(), log, loop, rng)
+    await node.start()
+    stopped = asyncio.Event()
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, lambda: node.begin_shutdown(stopped.set))
+    loop.add_signal_handler(signal.SIGINT, lambda: node.begin_shutdown(stopped.set))
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    tasks = _start_followers(settings, node, log, loop, rng)
+    tasks.append(loop.create_task(_follow_settings(path, node, log, reload)))
+    await stopped.wait()
+    for task in tasks:
+        task.cancel()
+
+
+def _start_followers(
+    settings: PathSettings,
+    node: Node,
+    log: EventLog,
+    loop: asyncio.AbstractEventLoop,
+    rng: random.Random,
+) -> list[asyncio.Task]:
+    host, _, port = settings.store_address.rpartition(":")
+    address = (host, int(port))
+    configuration = ConfigurationFollower(
+        StoreClient(address, loop), log, rng, node.apply_configuration
+    )
+    upstreams = UpstreamFollower(StoreClient(address, loop), log, rng, node.apply_upstreams, loop)
+    coroutines = (configuration.run(), upstreams.run(), upstreams.drop_missing())
+    return [loop.create_task(coroutine) for coroutine in coroutines]
+
+
+async def _follow_settings(path: str, node: Node, log: EventLog, reload: asyncio.Event) -> None:
+    known = _modified_ns(path)
+    while True:
+        try:
+            await asyncio.wait_for(reload.wait(), SETTINGS_CHECK_S)
+        except TimeoutError:
+            pass
+        modified = _modified_ns(path)
+        if modified == known and not reload.is_set():
+            continue
+        known = modified
+        reload.clear()
+        try:
+            node.apply_settings(load_path_settings(path))
+        except SettingsError as error:
+            # The settings that were read last stay in force.
+            log.event("settings_invalid", problems=error.problems)
+
+
+def _modified_ns(path: str) -> int:
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
--- /dev/null
+++ b/src/cottonlink/platform/_store_client.py
@@ -0,0 +1,151 @@
+"""Client of the platform's store, with one kept connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import urlencode
+
+import orjson
+from attrs import frozen
+
+from cottonlink.errors import CottonlinkError, Step
+from cottonlink.path import ExchangeFailed, HttpAnswer, HttpConnection
+from cottonlink.platform._records import Item, decode_item
+
+# The store answers in milliseconds; a slow one takes some hundred times as long.
+READ_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+# Longest wait of one watch. A silent connection is found by its probes sooner.
+WATCH_WAIT_MS = 20_000
+# Time beyond the wait after which a watch is given up.
+WATCH_MARGIN_S = 2.0
+_GONE = 410
+_NOT_FOUND = 404
+
+
+class HistoryLostError(CottonlinkError):
+    """The store has discarded the changes that a watch asks for."""
+
+
+@frozen
+class Listing:
+    """Items at a moment, and the revision from which to watch."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class StoreClient:
+    """Reads the store. One call at a time."""
+
+    def __init__(self, address: tuple[str, int], loop: asyncio.AbstractEventLoop) -> None:
+        self._address = address
+        self._loop = loop
+        self._connection: HttpConnection | None = None
+
+    async def read_key(self, key: str) -> Listing:
+        """Return the item of ``key``, if there is one."""
+        answer = await self._get("/-/kv-key", {"key": key}, READ_TIMEOUT_S)
+        if answer.status == _NOT_FOUND:
+            return Listing((), _as_of(_parse(answer), default=0))
+        data = _parse(_expect_ok(answer))
+        return Listing((decode_item(data),), _as_of(data))
+
+    async def read_range(self, prefix: str) -> Listing:
+        """Return all items whose keys begin with ``prefix``."""
+        items: list[Item] = []
+        revision: int | None = None
+        query = {"prefix": prefix}
+        while True:
+            data = _parse(_expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S)))
+            page = [decode_item(item) for item in data.get("items", ())]
+            items += page
+            # Pages are read at different moments: changes since the first one are watched.
+            revision = _as_of(data) if revision is None else revision
+            if not data.get("has_more") or not page:
+                return Listing(tuple(items), revision)
+            query = {"prefix": prefix, "after": page[-1].key}
+
+    async def watch(self, prefix: str, revision: int) -> Listing:
+        """Return the changes after ``revision``, or none after some time.
+
+        Raises HistoryLostError if they are no longer known.
+        """
+        query = {"prefix": prefix, "after": revision, "wait_ms": WATCH_WAIT_MS}
+        timeout_s = WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S
+        answer = await self._get("/-/kv-watch", query, timeout_s)
+        if answer.status == _GONE:
+            raise HistoryLostError("store_history_lost", f"after {revision}", step=Step.POLICY_READ)
+        data = _parse(_expect_ok(answer))
+        events = tuple(decode_item(event) for event in data.get("events", ()))
+        return Listing(events, max(revision, _as_of(data)))
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _get(self, path: str, query: dict[str, Any], timeout_s: float) -> HttpAnswer:
+        try:
+            connection = await self._connect()
+            result = await asyncio.wait_for(
+                self._exchange(connection, f"{path}?{urlencode(query, safe='/')}"), timeout_s
+            )
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise self._error(type(error).__name__) from error
+        if isinstance(result, ExchangeFailed):
+            self.close()
+            raise self._error(result.reason)
+        if not connection.is_reusable:
+            self.close()
+        return result
+
+    async def _connect(self) -> HttpConnection:
+        if self._connection is not None and self._connection.is_open:
+            return self._connection
+        connecting = self._loop.create_connection(lambda: HttpConnection(None), *self._address)
+        _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        self._connection = connection
+        return connection
+
+    def _exchange(self, connection: HttpConnection, target: str) -> asyncio.Future:
+        future = self._loop.create_future()
+
+        def finish(result: Any) -> None:
+            if not future.done():
+                future.set_result(result)
+
+        host = f"{self._address[0]}:{self._address[1]}"
+        head = f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n"
+        connection.send(head.encode(), finish)
+        return future
+
+    def _error(self, detail: str) -> CottonlinkError:
+        peer = f"{self._address[0]}:{self._address[1]}"
+        return CottonlinkError("store_unreachable", detail, step=Step.POLICY_READ, peer=peer)
+
+
+def _expect_ok(answer: HttpAnswer) -> HttpAnswer:
+    if answer.status != 200:
+        raise CottonlinkError("store_refused", f"status {answer.status}", step=Step.POLICY_READ)
+    return answer
+
+
+def _parse(answer: HttpAnswer) -> dict[str, Any]:
+    try:
+        data = orjson.loads(answer.body) if answer.body else {}
+    except ValueError as error:
+        raise CottonlinkError("store_answer_invalid", str(error), step=Step.POLICY_READ) from error
+    if not isinstance(data, dict):
+        raise CottonlinkError("store_answer_invalid", "no object", step=Step.POLICY_READ)
+    return data
+
+
+def _as_of(data: dict[str, Any], default: int | None = None) -> int:
+    revision = data.get("as_of", default)
+    if not isinstance(revision, int):
+        raise CottonlinkError("store_answer_invalid", "no revision", step=Step.POLICY_READ)
+    return revision
--- /dev/null
+++ b/src/run_node.py
@@ -0,0 +1,8 @@
+"""Starts a node on the platform, from a checkout."""
+
+import sys
+
+from cottonlink.platform import main
+
+if __name__ == "__main__":
+    sys.exit(main())
