Follow the store with one short watch

Ruled out: probes of the kernel, which the silent store still answers. Change: one watch over all keys waits 2.5 s; while the store is away, plain reads ask for it.

--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -12,7 +13,7 @@
 
 from cottonlink.errors import SettingsError
 from cottonlink.path import EventLog, Node, PathSettings, load_path_settings, make_event_log
-from cottonlink.platform._followers import ConfigurationFollower, UpstreamFollower
+from cottonlink.platform._follower import StoreFollower
 from cottonlink.platform._headers import PlatformDialect
 from cottonlink.platform._store_client import StoreClient
 
@@ -47,37 +48,21 @@
     loop.add_signal_handler(signal.SIGTERM, lambda: node.begin_shutdown(stopped.set))
     loop.add_signal_handler(signal.SIGINT, lambda: node.begin_shutdown(stopped.set))
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    tasks = _start_followers(settings, node, log, loop, rng)
+    host, port = settings.store_address.rsplit(":", 1)
+    store = StoreClient((host, int(port)), loop)
+    follower = StoreFollower(store, log, rng, loop, node.apply_configuration, node.apply_upstreams)
+    tasks = [loop.create_task(follower.run()), loop.create_task(follower.drop_missing())]
     tasks.append(loop.create_task(_follow_settings(path, node, log, reload)))
     await stopped.wait()
     for task in tasks:
         task.cancel()
 
 
-def _start_followers(
-    settings: PathSettings,
-    node: Node,
-    log: EventLog,
-    loop: asyncio.AbstractEventLoop,
-    rng: random.Random,
-) -> list[asyncio.Task]:
-    host, _, port = settings.store_address.rpartition(":")
-    address = (host, int(port))
-    configuration = ConfigurationFollower(
-        StoreClient(address, loop), log, rng, node.apply_configuration
-    )
-    upstreams = UpstreamFollower(StoreClient(address, loop), log, rng, node.apply_upstreams, loop)
-    coroutines = (configuration.run(), upstreams.run(), upstreams.drop_missing())
-    return [loop.create_task(coroutine) for coroutine in coroutines]
-
-
 async def _follow_settings(path: str, node: Node, log: EventLog, reload: asyncio.Event) -> None:
     known = _modified_ns(path)
     while True:
-        try:
+        with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(reload.wait(), SETTINGS_CHECK_S)
-        except TimeoutError:
-            pass
         modified = _modified_ns(path)
         if modified == known and not reload.is_set():
             continue
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -16,10 +16,11 @@
 # The store answers in milliseconds; a slow one takes some hundred times as long.
 READ_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
-# Longest wait of one watch. A silent connection is found by its probes sooner.
-WATCH_WAIT_MS = 20_000
+# Longest wait of one watch. A store that fell silent answers no watch any more, and a change of the
+# configuration must be known within seconds of its return.
+WATCH_WAIT_MS = 2_500
 # Time beyond the wait after which a watch is given up.
-WATCH_MARGIN_S = 2.0
+WATCH_MARGIN_S = 1.0
 _GONE = 410
 _NOT_FOUND = 404
 
