--- /dev/null
+++ b/emulator/http_stand_in.py
@@ -0,0 +1,71 @@
+"""A small HTTP/1.1 server on which the stand-ins for store and targets are built."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from attrs import frozen
+
+
+@frozen
+class Received:
+    """A request as it arrived. Header names are in lower case; none is left out.
+
+    ``has_sender_left`` tells whether its connection has been closed at the other end.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    has_sender_left: Callable[[], bool] = lambda: False
+
+    def header(self, name: str) -> str | None:
+        """Return the only header of that name; AssertionError if it came more than once."""
+        values = [value for key, value in self.headers if key == name]
+        assert len(values) <= 1, f"{name} came {len(values)} times"
+        return values[0] if values else None
+
+
+Reply = bytes | None
+Handler = Callable[[Received, asyncio.StreamWriter], Awaitable[Reply]]
+
+
+async def serve_http(handler: Handler, host: str, port: int) -> asyncio.Server:
+    """Serve requests; ``handler`` returns the bytes to send, or None to close the connection."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (request := await _read_request(reader)) is not None:
+                reply = await handler(request, writer)
+                if reply is None:
+                    break
+                writer.write(reply)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    return await asyncio.start_server(serve, host, port)
+
+
+def reply(status: int, body: bytes, *headers: tuple[str, str]) -> bytes:
+    """Return a whole answer with a length."""
+    lines = [f"HTTP/1.1 {status} Stand-in", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Received | None:
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *rest = head.decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = tuple(
+        (name.lower(), value.strip())
+        for name, _, value in (line.partition(":") for line in rest if line)
+    )
+    lengths = [int(value) for name, value in headers if name == "content-length"]
+    body = await reader.readexactly(lengths[0]) if lengths else b""
+    return Received(method, target, headers, body, reader.at_eof)
--- /dev/null
+++ b/emulator/platform_store.py
@@ -0,0 +1,119 @@
+"""Stand-in for the platform's store: keys with revisions, ranges and watches, and its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from emulator.http_stand_in import Received, reply, serve_http
+
+
+class PlatformStore:
+    """Items in memory. ``fault`` is one of the names in ``FAULTS``, or None."""
+
+    FAULTS = ("silent", "busy", "reset")
+
+    def __init__(self) -> None:
+        self._revision = 1
+        self._items: dict[str, tuple[bytes, int]] = {}
+        self._history: list[dict] = []
+        self._history_starts_at = 0
+        self._changed = asyncio.Condition()
+        self._server: asyncio.Server | None = None
+        self.fault: str | None = None
+        self.calls: list[str] = []
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a free port."""
+        self._server = await serve_http(self._handle, host, 0)
+        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def put(self, key: str, value: dict | bytes) -> None:
+        """Write an item; a mapping is stored as JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        async with self._changed:
+            self._revision += 1
+            self._items[key] = (data, self._revision)
+            self._history.append(self._event(key))
+            self._changed.notify_all()
+
+    async def remove(self, key: str) -> None:
+        """Remove an item."""
+        async with self._changed:
+            self._revision += 1
+            self._items.pop(key, None)
+            self._history.append({"key": key, "revision": self._revision, "removed": True})
+            self._changed.notify_all()
+
+    async def compact(self) -> None:
+        """Discard the history."""
+        async with self._changed:
+            self._history.clear()
+            self._history_starts_at = self._revision
+
+    async def _handle(self, request: Received, _writer: asyncio.StreamWriter) -> bytes | None:
+        self.calls.append(request.target)
+        url = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/-/kv-watch":
+            await self._wait(query)
+        # A fault that began while a watch was waiting hits its answer.
+        if self.fault == "silent":
+            await asyncio.Event().wait()
+        if self.fault == "reset":
+            return None
+        if self.fault == "busy":
+            return reply(503, b"")
+        if url.path == "/-/kv-key":
+            return self._key(query["key"])
+        if url.path == "/-/kv-range":
+            return self._range(query["prefix"], query.get("after", ""))
+        return self._watch(query)
+
+    def _key(self, key: str) -> bytes:
+        if key not in self._items:
+            return self._json(404, {"error": "no such key", "as_of": self._revision})
+        return self._json(200, {**self._event(key), "as_of": self._revision})
+
+    def _range(self, prefix: str, after: str) -> bytes:
+        keys = [key for key in sorted(self._items) if key.startswith(prefix) and key > after]
+        page = [self._event(key) for key in keys[:2]]
+        has_more = len(keys) > len(page)
+        return self._json(200, {"items": page, "has_more": has_more, "as_of": self._revision})
+
+    def _watch(self, query: dict[str, str]) -> bytes:
+        after = int(query["after"])
+        if after < self._history_starts_at:
+            return self._json(410, {"error": "history is gone"})
+        events = self._events(query)
+        return self._json(200, {"events": events, "as_of": self._revision})
+
+    async def _wait(self, query: dict[str, str]) -> None:
+        wait_s = int(query["wait_ms"]) / 1000
+        try:
+            async with self._changed:
+                await asyncio.wait_for(
+                    self._changed.wait_for(lambda: bool(self._events(query))), wait_s
+                )
+        except TimeoutError:
+            return
+
+    def _events(self, query: dict[str, str]) -> list[dict]:
+        after, prefix = int(query["after"]), query.get("prefix", "")
+        return [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
+
+    def _event(self, key: str) -> dict:
+        data, revision = self._items[key]
+        value = base64.b64encode(data).decode()
+        return {"key": key, "value": value, "revision": revision, "created": 1, "lease": 0}
+
+    @staticmethod
+    def _json(status: int, data: dict) -> bytes:
+        return reply(status, json.dumps(data).encode(), ("Content-Type", "application/json"))
--- /dev/null
+++ b/emulator/platform_target.py
@@ -0,0 +1,125 @@
+"""Stand-in for a target on the platform, with the ways in which it misbehaves."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+from collections.abc import Awaitable, Callable
+
+from attrs import define, field
+
+from emulator.http_stand_in import Received, reply, serve_http
+
+Behaviour = Callable[["PlatformTarget", Received, asyncio.StreamWriter], Awaitable[bytes | None]]
+
+
+@define(eq=False)
+class PlatformTarget:
+    """Records what it runs. ``behaviour`` answers a request; ``hold`` delays answers while set."""
+
+    service: str
+    host: str
+    port: int
+    upstream_id: str
+    slots: int = 16
+    behaviour: Behaviour | None = None
+    runs: list[Received] = field(factory=list)
+    connection_count: int = 0
+    cancelled: list[str] = field(factory=list)
+    gate: asyncio.Event = field(factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+    _numbers: itertools.count = field(factory=itertools.count)
+
+    async def start(self) -> None:
+        """Listen."""
+        self.gate.set()
+        self._server = await serve_http(self._handle, self.host, self.port)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def entry(self, **changes: object) -> dict:
+        """Return the target's entry in the store."""
+        entry = {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": "hall-a",
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "warmup_left_s": 0,
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
+        return {**entry, **changes}
+
+    def success(self, request: Received, body: bytes | None = None) -> bytes:
+        """Return the whole answer to a request."""
+        attempt = request.header("x-attempt-id") or ""
+        text = body if body is not None else f"{self.upstream_id}:{request.target}".encode()
+        seal = f"{self.upstream_id}.{next(self._numbers)}"
+        return reply(200, text, ("X-Attempt-Id", attempt), ("X-Server-Seal", seal))
+
+    async def _handle(self, request: Received, writer: asyncio.StreamWriter) -> bytes | None:
+        expected = request.header("x-expected-instance")
+        if expected is not None and expected != self.upstream_id:
+            return reply(421, b"", ("X-Instance-Id", self.upstream_id))
+        self.runs.append(request)
+        if self.behaviour is not None:
+            return await self.behaviour(self, request, writer)
+        await self.gate.wait()
+        return self.success(request)
+
+
+def not_run(request: Received, status: int = 503) -> bytes:
+    """Return the answer of a target that didn't run a request."""
+    attempt = request.header("x-attempt-id") or ""
+    return reply(status, b"", ("X-Attempt-Id", attempt), ("X-Not-Executed", "1"))
+
+
+def route_resource(name: str, host: str, prefix: str, service: str, **changes: object) -> dict:
+    """Return a route as it stands in the operator's configuration."""
+    spec = {
+        "host": host,
+        "prefix": prefix,
+        "kind": "safe",
+        "timeout_s": 2,
+        "target_latency_s": 1,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+    spec.update(changes)
+    return {"resource_type": "routes", "metadata": {"name": name}, "spec": spec}
+
+
+def configuration(version: int, *routes: dict, **limits: object) -> dict:
+    """Return an operator's configuration."""
+    services = sorted({r["spec"]["service"] for r in routes if "service" in r["spec"]})
+    resources = [
+        *routes,
+        *(
+            {
+                "resource_type": "services",
+                "metadata": {"name": name},
+                "spec": {"health_path": "/health", "max_connections": 100},
+            }
+            for name in services
+        ),
+        {
+            "resource_type": "limits",
+            "metadata": {},
+            "spec": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1_000_000,
+                "header_timeout_s": 3,
+                "idle_timeout_s": 15,
+                **limits,
+            },
+        },
+    ]
+    return {"version": version, "resources": json.loads(json.dumps(resources))}
--- a/src/cottonlink/decisions/__init__.py
+++ b/src/cottonlink/decisions/__init__.py
@@ -81,13 +81,6 @@
     PolicyState,
     make_policy_state,
 )
-from cottonlink.overload._quarantine import (
-    News,
-    Quarantine,
-    Verdict,
-    make_quarantine,
-    request_fingerprint,
-)
 from cottonlink.decisions._queue import (
     Arrival,
     QueueOrder,
@@ -120,6 +113,13 @@
     UpstreamHint,
     UpstreamView,
 )
+from cottonlink.overload._quarantine import (
+    News,
+    Quarantine,
+    Verdict,
+    make_quarantine,
+    request_fingerprint,
+)
 
 __all__ = [
     "Accepted",
--- a/src/cottonlink/overload/_target_queue.py
+++ b/src/cottonlink/overload/_target_queue.py
@@ -156,7 +156,7 @@
 
     def _may_start(self, job: Job) -> bool:
         room = self.limit
-        if job.tier == NEW_TIER:
+        if job.tier == NEW_TIER and not self._new_requests_are_due():
             room = max(1, int(self.limit * (1.0 - RANK_RESERVE * job.rank)))
         return len(self._running) < room
 
--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -171,8 +171,11 @@
             if lower == b"content-length" and int(value) > limits.body_bytes:
                 self._reject(413)
             elif lower == b"expect" and value.lower() == b"100-continue":
-                if not self._exchanges and not self._pending_close:
-                    self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._invite_body()
+
+    def _invite_body(self) -> None:
+        if not self._exchanges and not self._pending_close:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         message = self._message
@@ -253,8 +256,8 @@
             self._close()
         return self._is_closing
 
-    def abort(self) -> None:
-        """Close at once."""
+    def close(self) -> None:
+        """Close at once, whatever is in progress."""
         if self._transport is not None:
             self._transport.abort()
 
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -269,12 +269,12 @@
                 return
         else:
             call.refused_count += 1
-            if call.refused_count < REFUSED_PLACEMENTS or outcome.reason in _UNREACHABLE:
-                if now_ms < call.ends_at_ms:
-                    # Nothing reached a target, so this is no repeat.
-                    state.metrics.count("placements_refused", outcome.reason)
-                    self._place_after_refusal(call, outcome)
-                    return
+            may_go_on = call.refused_count < REFUSED_PLACEMENTS or outcome.reason in _UNREACHABLE
+            if may_go_on and now_ms < call.ends_at_ms:
+                # Nothing reached a target, so this is no repeat.
+                state.metrics.count("placements_refused", outcome.reason)
+                self._place_after_refusal(call, outcome)
+                return
         self._give_up(call, outcome)
 
     @_handle.register
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -93,6 +93,7 @@
         self._servers: list[asyncio.Server] = []
         self._shutdown: _Shutdown | None = None
         self._sweep_count = 0
+        self._is_closed = False
         self._own_upstream: Upstream | None = None
 
     async def start(self) -> None:
@@ -124,6 +125,17 @@
             peer.send_leaving()
         self.desk.close("node_leaving")
 
+    def close(self) -> None:
+        """Stop at once."""
+        for server in self._servers:
+            server.close()
+        for link in self.state.peers.all():
+            link.close()
+        for connection in [*self._callers, *self._peers]:
+            connection.close()
+        self._pool.drop_idle()
+        self._is_closed = True
+
     # What operators and targets published.
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force, unless it is older than the present one."""
@@ -271,6 +283,8 @@
         self._servers.append(server)
 
     def _sweep(self) -> None:
+        if self._is_closed:
+            return
         self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
         self.state.peers.sweep()
         self._pool.sweep()
--- a/src/cottonlink/path/_settings.py
+++ b/src/cottonlink/path/_settings.py
@@ -40,8 +40,8 @@
 class PathSettings:
     """Addresses and limits of one node. Addresses are ``ip:port``.
 
-    ``repeat_ratio``, ``repeat_allowance`` and ``repeat_window_s`` bound how often all nodes together
-    send calls again. ``grace_s`` is the time from SIGTERM to SIGKILL.
+    ``repeat_ratio``, ``repeat_allowance`` and ``repeat_window_s`` bound how often all nodes
+    together send calls again. ``grace_s`` is the time from SIGTERM to SIGKILL.
     """
 
     node: str = field(validator=_text)
--- a/src/cottonlink/platform/_follower.py
+++ b/src/cottonlink/platform/_follower.py
@@ -1,4 +1,4 @@
-"""Follows the store: lists what it holds, watches for changes, and starts again when that breaks."""
+"""Follows the store: reads what it holds, then watches, and starts again when that breaks."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/platform_fixtures.py
@@ -0,0 +1,217 @@
+"""A small fleet on the platform's stand-ins, in one event loop.
+
+Each VM has a loopback address of its own, so that nodes listen on the same ports, as they do there.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import socket
+import unittest
+from collections.abc import Callable
+
+import httptools
+from attrs import define, field
+
+from cottonlink.path import EventLog, Node, PathSettings
+from cottonlink.platform._follower import StoreFollower
+from cottonlink.platform._headers import PlatformDialect
+from cottonlink.platform._store_client import StoreClient
+from emulator.platform_store import PlatformStore
+from emulator.platform_target import PlatformTarget
+
+# Bound against hanging; no check depends on it.
+PATIENCE_S = 20.0
+
+
+def free_port(host: str) -> int:
+    """Return a port that is free on ``host`` now."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+@define(eq=False)
+class Vm:
+    """A target and the node next to it."""
+
+    node: Node
+    target: PlatformTarget
+    follower: StoreFollower
+    tasks: list[asyncio.Task]
+    settings: PathSettings
+    is_stopped: asyncio.Event = field(factory=asyncio.Event)
+
+    @property
+    def caller_address(self) -> tuple[str, int]:
+        """Where callers on this VM send their requests."""
+        host, _, port = self.settings.caller_address.rpartition(":")
+        return host, int(port)
+
+
+@define
+class Answer:
+    """An answer as a caller sees it; ``is_whole`` tells whether all of it came."""
+
+    status: int = 0
+    headers: dict[str, str] = field(factory=dict)
+    body: bytes = b""
+    is_whole: bool = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.is_whole = True
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self.writer = writer
+        self._rest = b""
+
+    async def answer(self) -> Answer:
+        """Read the next answer; it isn't whole if the connection ends first."""
+        answer = Answer()
+        parser = httptools.HttpResponseParser(answer)
+        while not answer.is_whole:
+            data, self._rest = self._rest or await self._read(), b""
+            if not data:
+                break
+            # One byte at a time, to stop exactly behind the answer.
+            for index in range(len(data)):
+                parser.feed_data(data[index : index + 1])
+                if answer.is_whole:
+                    self._rest = data[index + 1 :]
+                    break
+            answer.status = parser.get_status_code()
+        return answer
+
+    async def _read(self) -> bytes:
+        try:
+            return await asyncio.wait_for(self._reader.read(65536), PATIENCE_S)
+        except ConnectionError:
+            return b""
+
+    def close(self) -> None:
+        """Leave."""
+        self.writer.close()
+
+
+def request_bytes(
+    path: str,
+    *extra: str,
+    host: str = "shop.example",
+    method: str = "GET",
+    body: bytes = b"",
+    attempt: str | None = "a1",
+    patience_ms: int | None = 5_000,
+) -> bytes:
+    """Return a caller's request."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    if attempt is not None:
+        lines.append(f"X-Attempt-Id: {attempt}")
+    if patience_ms is not None:
+        lines.append(f"X-Request-Deadline-Ms: {patience_ms}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, *extra, "", ""]).encode() + body
+
+
+class FleetCase(unittest.IsolatedAsyncioTestCase):
+    """Starts VMs and callers, and stops them in the end."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = PlatformStore()
+        await self.store.start()
+        self.vms: list[Vm] = []
+        self._ports = {name: free_port("127.0.0.1") for name in ("caller", "peer", "ready")}
+        self._ports["metrics"] = free_port("127.0.0.1")
+        self._null = os.open(os.devnull, os.O_WRONLY)
+
+    async def asyncTearDown(self) -> None:
+        for vm in self.vms:
+            for task in vm.tasks:
+                task.cancel()
+            vm.node.close()
+            await vm.target.stop()
+        await self.store.stop()
+        await asyncio.sleep(0)
+        os.close(self._null)
+
+    async def add_vm(self, service: str, upstream_id: str, *, slots: int = 16) -> Vm:
+        """Start a target, its entry in the store, and its node."""
+        host = f"127.0.0.{len(self.vms) + 2}"
+        target = PlatformTarget(service, host, free_port(host), upstream_id, slots)
+        await target.start()
+        await self.store.put(f"servers/{upstream_id}", target.entry())
+        settings = PathSettings(
+            node=f"node-{len(self.vms)}",
+            data_centre="hall-a",
+            service=service,
+            caller_address=f"{host}:{self._ports['caller']}",
+            peer_address=f"{host}:{self._ports['peer']}",
+            ready_address=f"{host}:{self._ports['ready']}",
+            metrics_address=f"{host}:{self._ports['metrics']}",
+            target_address=f"{host}:{target.port}",
+            store_address=self.store.address,
+            readiness_path="/-/readiness",
+            repeat_ratio=1.0,
+            repeat_allowance=100,
+            grace_s=6,
+        )
+        vm = await self._start_node(settings, target)
+        self.vms.append(vm)
+        return vm
+
+    async def _start_node(self, settings: PathSettings, target: PlatformTarget) -> Vm:
+        loop = asyncio.get_running_loop()
+        rng = random.Random(len(self.vms))
+        log = EventLog(settings.node, loop, self._null)
+        node = Node(settings, PlatformDialect(), log, loop, rng)
+        await node.start()
+        host, _, port = self.store.address.rpartition(":")
+        store = StoreClient((host, int(port)), loop)
+        follower = StoreFollower(
+            store, log, rng, loop, node.apply_configuration, node.apply_upstreams
+        )
+        tasks = [loop.create_task(follower.run()), loop.create_task(follower.drop_missing())]
+        return Vm(node, target, follower, tasks, settings)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until ``condition`` holds; fail if it doesn't in a long time."""
+        for _ in range(int(PATIENCE_S / 0.01)):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        self.fail("the condition didn't come true")
+
+    async def until_version(self, version: int) -> None:
+        """Wait until all nodes have a configuration in force and know all upstreams."""
+        await self.until(
+            lambda: all(
+                vm.node.state.configuration_version == version
+                and len(vm.node.state.placement.upstreams()) == len(self.vms)
+                for vm in self.vms
+            )
+        )
+
+    async def connect(self, vm: Vm) -> Caller:
+        """Connect to a node as a caller."""
+        reader, writer = await asyncio.open_connection(*vm.caller_address)
+        self.addCleanup(writer.close)
+        return Caller(reader, writer)
+
+    async def call(self, vm: Vm, path: str, *extra: str, **options: object) -> Answer:
+        """Send one request on a new connection and return its answer."""
+        caller = await self.connect(vm)
+        caller.writer.write(request_bytes(path, *extra, **options))
+        return await caller.answer()
