Tell calls from callers' requests by the origins of their route

Ruled out: capacity (menuhub was not full after 21.5 s), the store. Change: the node next to a target tells by which services' VMs a route is reached; repeats are budgeted by whether a target makes calls.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -12,6 +12,7 @@
     request_fingerprint,
 )
 from cottonlink.overload._repeat_budget import RepeatBudget, make_repeat_budget
+from cottonlink.overload._route_origins import RouteOrigins, make_route_origins
 from cottonlink.overload._route_throttle import RouteThrottle, make_route_throttle
 from cottonlink.overload._running_calls import RunningCalls, make_running_calls
 from cottonlink.overload._target_queue import (
@@ -34,6 +35,7 @@
     "Quarantine",
     "Refused",
     "RepeatBudget",
+    "RouteOrigins",
     "RouteThrottle",
     "RunningCalls",
     "TargetQueue",
@@ -44,6 +46,7 @@
     "make_placement",
     "make_quarantine",
     "make_repeat_budget",
+    "make_route_origins",
     "make_route_throttle",
     "make_running_calls",
     "make_target_queue",
--- a/src/cottonlink/overload/_repeat_budget.py
+++ b/src/cottonlink/overload/_repeat_budget.py
@@ -12,10 +12,11 @@
 from attrs import define, field
 
 BUCKET_MS = 500.0
-# Part of the bound that is used: windows of different nodes don't begin at the same moment, and
-# calls made by repeated runs are counted only where they can be told.
-RATIO_SHARE = 0.6
-ALLOWANCE_SHARE = 0.6
+# Part of the bound that repeats may use at a service whose targets make no calls.
+LEAF_SHARE = 0.45
+# The same where targets make calls: all calls of a repeated run count as repeats below, and several
+# levels add up there.
+CALLING_SHARE = 0.12
 
 
 @define
@@ -36,8 +37,8 @@
     """First sends and repeats of one node, by service, over a sliding window."""
 
     def __init__(self, ratio: float, allowance: float, window_ms: float) -> None:
-        self._ratio = ratio * RATIO_SHARE
-        self._allowance = allowance * ALLOWANCE_SHARE
+        self._ratio = ratio
+        self._allowance = allowance
         self._window_ms = window_ms
         self._node_count = 1
         self._services: dict[str, _Service] = {}
@@ -56,12 +57,15 @@
         self._bucket(service, now_ms).repeats += 1
         self._services[service].repeats += 1
 
-    def allows(self, service: str, now_ms: float) -> bool:
-        """Return whether one more repeat is within this node's part of the bound."""
+    def allows(self, service: str, now_ms: float, *, is_leaf: bool) -> bool:
+        """Return whether one more repeat is within this node's part of the bound.
+
+        ``is_leaf`` tells that the targets of ``service`` make no calls of their own.
+        """
         self._bucket(service, now_ms)
         state = self._services[service]
-        allowed = self._ratio * state.first_sends + self._allowance / self._node_count
-        return state.repeats + 1 <= allowed
+        bound = self._ratio * state.first_sends + self._allowance / self._node_count
+        return state.repeats + 1 <= (LEAF_SHARE if is_leaf else CALLING_SHARE) * bound
 
     def _bucket(self, service: str, now_ms: float) -> _Bucket:
         state = self._services.setdefault(service, _Service())
--- a/src/cottonlink/overload/_route_throttle.py
+++ b/src/cottonlink/overload/_route_throttle.py
@@ -20,7 +20,7 @@
 WASTE = 0.15
 # Fastest reduction and steady growth of the accepted share, per period.
 STRONGEST_CUT = 0.7
-GROWTH = 0.08
+GROWTH = 0.12
 # The accepted share never falls below this: some requests must show that the load is gone.
 FLOOR = 0.25
 
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -14,7 +14,7 @@
 from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown
+from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 
 # Bytes that a peer may send in one frame: the largest body of a caller, and its headers.
 FRAME_LIMIT_BYTES = 80_000_000
@@ -160,16 +160,16 @@
 
 @_encode_outcome.register
 def _(outcome: Answered, stream: int) -> bytes:
-    load = _pack_load(outcome.load)
-    return msgpack.packb((_ANSWER, stream, outcome.status, outcome.headers, outcome.body, load))
+    report = _pack_report(outcome.report)
+    return msgpack.packb((_ANSWER, stream, outcome.status, outcome.headers, outcome.body, report))
 
 
 @_encode_outcome.register
 def _(outcome: NotRun, stream: int) -> bytes:
-    load = _pack_load(outcome.load)
+    report = _pack_report(outcome.report)
     retry_after_ms = round(outcome.retry_after_ms)
     return msgpack.packb(
-        (_NOT_RUN, stream, outcome.reason, retry_after_ms, outcome.reached_target, load)
+        (_NOT_RUN, stream, outcome.reason, retry_after_ms, outcome.reached_target, report)
     )
 
 
@@ -210,12 +210,22 @@
     return None if parts is None else Load(*parts)
 
 
+def _pack_report(report: TargetReport | None) -> tuple | None:
+    if report is None:
+        return None
+    return (_pack_load(report.load), report.is_called, report.makes_calls)
+
+
+def _unpack_report(parts: tuple | None) -> TargetReport | None:
+    return None if parts is None else TargetReport(Load(*parts[0]), parts[1], parts[2])
+
+
 def _decode_answer(p: tuple) -> AnswerFrame:
-    return AnswerFrame(p[1], Answered(p[2], p[3], p[4], _unpack_load(p[5])))
+    return AnswerFrame(p[1], Answered(p[2], p[3], p[4], _unpack_report(p[5])))
 
 
 def _decode_not_run(p: tuple) -> AnswerFrame:
-    return AnswerFrame(p[1], NotRun(p[2], p[3], p[4], _unpack_load(p[5])))
+    return AnswerFrame(p[1], NotRun(p[2], p[3], p[4], _unpack_report(p[5])))
 
 
 _DECODERS = {
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -20,6 +20,7 @@
     OutcomeUnknown,
     Request,
     Route,
+    TargetReport,
     Upstream,
 )
 from cottonlink.path._state import NodeState
@@ -52,6 +53,7 @@
     route: Route
     service: str
     parent: Parent | None
+    tier: int
     received_ms: float
     ends_at_ms: float
     headers: Headers
@@ -74,7 +76,7 @@
     @property
     def is_call(self) -> bool:
         """Whether a request that runs at the local target makes this call."""
-        return self.parent is not None
+        return self.tier == CALL_TIER
 
     @property
     def rank(self) -> int:
@@ -128,19 +130,25 @@
         if patience_ms is not None:
             deadline_ms = exchange.received_ms + patience_ms
             parent = state.desk.running_calls.find_parent(deadline_ms)
+        # A route of unknown origin gets the benefit of the doubt.
+        is_called = parent is not None or state.called_routes.get(route.name, True)
+        tier = CALL_TIER if is_called else NEW_TIER
         weights = [(target.service, target.weight) for target in route.services]
         call = IngressCall(
             exchange=exchange,
             route=route,
             service=state.traffic_split.choose(route.name, weights),
             parent=parent,
+            tier=tier,
             received_ms=exchange.received_ms,
             ends_at_ms=now_ms + time_left_ms - waited_ms,
             headers=end_to_end(request.headers, frozenset((_HOST,))),
         )
-        if parent is None and not state.route_throttle.admits(route.name, now_ms):
+        if tier == NEW_TIER and not state.route_throttle.admits(route.name, now_ms):
             self._refuse(call, "route_throttled", 0.0)
             return
+        if is_called:
+            state.desk.call_made()
         if parent is not None and parent.is_repeat:
             state.repeat_budget.sent_again(call.service, now_ms)
         else:
@@ -209,19 +217,26 @@
             body=request.body,
             patience_ms=max(0, int(call.ends_at_ms - state.now_ms())),
             objective_ms=int(call.route.objective_ms),
-            tier=CALL_TIER if call.is_call else NEW_TIER,
+            tier=call.tier,
             rank=call.rank,
             is_repeatable=call.route.is_repeatable,
-            is_repeat=call.reached_count > 0 or (call.is_call and call.parent.is_repeat),
+            is_repeat=call.reached_count > 0 or (call.parent is not None and call.parent.is_repeat),
             route=call.route.name,
         )
 
     def _received(self, call: IngressCall, upstream: Upstream, outcome: Outcome) -> None:
-        load = getattr(outcome, "load", None)
-        if load is not None:
-            self._state.placement.reported(upstream.upstream_id, load, self._state.now_ms())
+        report = None if isinstance(outcome, OutcomeUnknown) else outcome.report
+        if report is not None:
+            self._take_report(call, upstream, report)
         self._handle(outcome, call, upstream)
 
+    def _take_report(self, call: IngressCall, upstream: Upstream, report: TargetReport) -> None:
+        state = self._state
+        state.placement.reported(upstream.upstream_id, report.load, state.now_ms())
+        if report.is_called is not None:
+            state.called_routes[call.route.name] = report.is_called
+        state.calling_services[call.service] = report.makes_calls
+
     @singledispatchmethod
     def _handle(self, outcome: Any, call: IngressCall, upstream: Upstream) -> None:
         raise TypeError(f"no handling of {type(outcome).__name__}")
@@ -318,7 +333,9 @@
             return False
         if state.route_throttle.accepted_share(route.name) < 1.0 and not call.is_call:
             return False
-        return state.repeat_budget.allows(call.service, now_ms)
+        # What makes no calls is cheap to repeat; unknown targets are taken to make some.
+        is_leaf = not state.calling_services.get(call.service, True)
+        return state.repeat_budget.allows(call.service, now_ms, is_leaf=is_leaf)
 
     def _send_again(self, call: IngressCall, reason: str) -> None:
         state = self._state
--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -5,9 +5,7 @@
 
 from __future__ import annotations
 
-from typing import Any
-
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 
 @frozen
@@ -137,6 +135,19 @@
     service_ms: float
 
 
+@frozen
+class TargetReport:
+    """What the node next to a target tells with each outcome.
+
+    ``is_called`` is whether running requests make the requests of this route, None if unknown;
+    ``makes_calls`` is whether the target makes calls of its own.
+    """
+
+    load: Load
+    is_called: bool | None
+    makes_calls: bool
+
+
 @frozen
 class Answered:
     """An upstream's whole answer."""
@@ -144,7 +155,7 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
-    load: Load | None = None
+    report: TargetReport | None = None
 
 
 @frozen
@@ -154,7 +165,7 @@
     reason: str
     retry_after_ms: float = 0.0
     reached_target: bool = False
-    load: Load | None = None
+    report: TargetReport | None = None
 
 
 @frozen
@@ -168,10 +179,6 @@
 Outcome = Answered | NotRun | OutcomeUnknown
 
 
-def replace_load(outcome: Any, load: Load) -> Any:
-    """Return ``outcome`` with ``load``, if it can carry one."""
-    if isinstance(outcome, Answered):
-        return Answered(outcome.status, outcome.headers, outcome.body, load)
-    if isinstance(outcome, NotRun):
-        return NotRun(outcome.reason, outcome.retry_after_ms, outcome.reached_target, load)
-    return outcome
+def with_report(outcome: Outcome, report: TargetReport) -> Outcome:
+    """Return ``outcome`` with ``report``, if it can carry one."""
+    return outcome if isinstance(outcome, OutcomeUnknown) else evolve(outcome, report=report)
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -161,6 +161,7 @@
         """Replace the set of known upstreams."""
         upstreams = list(upstreams)
         self.state.placement.update(upstreams, self.now_ms())
+        self.desk.origins.set_service_count(len({u.service for u in upstreams}))
         vm_ips = {upstream.vm_ip for upstream in upstreams}
         self.state.repeat_budget.set_node_count(len(vm_ips))
         self.state.peers.keep_only({(ip, self.state.peer_port) for ip in vm_ips})
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -16,7 +16,7 @@
     PongFrame,
     encode,
 )
-from cottonlink.path._model import Load, Outcome, replace_load
+from cottonlink.path._model import Load, Outcome
 from cottonlink.path._sockets import watch_for_silence
 
 
@@ -106,7 +106,6 @@
         def answer(outcome: Outcome) -> None:
             if stream in self._streams:
                 self._streams.discard(stream)
-                outcome = replace_load(outcome, self._server.desk.load())
                 self._transport.write(encode(AnswerFrame(stream, outcome)))
 
         self._server.desk.submit(frame, (self, stream), answer)
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -46,6 +46,10 @@
     desk: TargetDesk = field(init=False)
     peers: PeerLinks = field(init=False)
     configuration: Configuration | None = None
+    called_routes: dict[str, bool] = field(factory=dict)
+    """Whether running requests make a route's requests, as nodes next to targets say."""
+    calling_services: dict[str, bool] = field(factory=dict)
+    """Whether the targets of a service make calls of their own, as their nodes say."""
     _streams: itertools.count = field(factory=itertools.count)
 
     def now_ms(self) -> float:
--- a/src/cottonlink/path/_target_desk.py
+++ b/src/cottonlink/path/_target_desk.py
@@ -14,8 +14,10 @@
     Job,
     Quarantine,
     Refused,
+    RouteOrigins,
     RunningCalls,
     allowed_wait_ms,
+    make_route_origins,
     make_running_calls,
     make_target_queue,
     request_fingerprint,
@@ -24,13 +26,23 @@
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._http import end_to_end, request_bytes
 from cottonlink.path._http_client import ExchangeFailed, ExchangeResult, HttpAnswer
-from cottonlink.path._model import Answered, Load, NotRun, Outcome, OutcomeUnknown
+from cottonlink.path._model import (
+    Answered,
+    Load,
+    NotRun,
+    Outcome,
+    OutcomeUnknown,
+    TargetReport,
+    with_report,
+)
 from cottonlink.path._target_pool import TargetPool
 
 # Slots that are assumed until the target's own registration is known.
 DEFAULT_SLOTS = 32
 # A target that can't be reached this soon after connections broke has crashed.
 CRASH_WINDOW_MS = 1_500.0
+# A target makes calls if it makes more than this number for each run; fewer are wrong guesses.
+MAKES_CALLS_SHARE = 0.1
 # How often jobs that have waited too long are looked for.
 EXPIRY_PERIOD_S = 0.02
 
@@ -56,11 +68,6 @@
     connection: Any = None
     is_abandoned: bool = False
 
-    def finish(self, outcome: Outcome) -> None:
-        callback, self.on_outcome = self.on_outcome, None
-        if callback is not None:
-            callback(outcome)
-
 
 class TargetDesk:
     """Calls at one target."""
@@ -85,10 +92,14 @@
         self._losses: deque[tuple[float, CallFrame]] = deque(maxlen=512)
         self._expiry: asyncio.TimerHandle | None = None
         self._closed_reason: str | None = None
+        self.origins: RouteOrigins = make_route_origins()
+        self._calls_made = 0
+        self._runs = 0
 
     def submit(self, frame: CallFrame, key: Any, on_outcome: Callable[[Outcome], None]) -> None:
         """Run, queue or refuse a call; ``on_outcome`` gets its outcome once."""
         now_ms = self._now_ms()
+        self.origins.observe(frame.route, frame.caller_service)
         if self._closed_reason is not None:
             on_outcome(NotRun(self._closed_reason))
             return
@@ -126,6 +137,10 @@
         queue = self._queue
         return Load(queue.running_count, queue.queued_count, queue.limit, queue.service_ms)
 
+    def call_made(self) -> None:
+        """The target has made a call of its own."""
+        self._calls_made += 1
+
     def resize(self, slots: int) -> None:
         """The target takes ``slots`` calls at a time."""
         self._queue.resize(slots)
@@ -144,6 +159,16 @@
         """Whether no call waits or runs."""
         return not self._calls
 
+    def _finish(self, call: _Call, outcome: Outcome) -> None:
+        callback, call.on_outcome = call.on_outcome, None
+        if callback is not None:
+            is_called = self.origins.is_called(call.frame.route)
+            callback(with_report(outcome, TargetReport(self.load(), is_called, self._makes_calls)))
+
+    @property
+    def _makes_calls(self) -> bool:
+        return self._calls_made > MAKES_CALLS_SHARE * self._runs
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -157,10 +182,11 @@
         for refusal in refused:
             call = self._calls.pop(refusal.job.key, None)
             if call is not None:
-                call.finish(NotRun(refusal.reason, refusal.retry_after_ms))
+                self._finish(call, NotRun(refusal.reason, refusal.retry_after_ms))
 
     def _run(self, call: _Call) -> None:
         call.is_running = True
+        self._runs += 1
         self._pool.acquire(
             must_be_fresh=not call.frame.is_repeatable,
             on_ready=lambda connection: self._send(call, connection),
@@ -172,7 +198,7 @@
         patience_ms = int(call.ends_at_ms - now_ms)
         if call.is_abandoned or patience_ms <= 0:
             self._pool.release(connection)
-            call.finish(NotRun("deadline"))
+            self._finish(call, NotRun("deadline"))
             self._release(call, is_sample=False)
             return
         frame = call.frame
@@ -192,7 +218,7 @@
         now_ms = self._now_ms()
         if reason == "target_unreachable":
             self._find_crash(now_ms)
-        call.finish(NotRun(reason))
+        self._finish(call, NotRun(reason))
         self._release(call, is_sample=False)
 
     def _finished(self, call: _Call, result: ExchangeResult) -> None:
@@ -202,7 +228,7 @@
             outcome = self._judge(call.frame, result)
         else:
             outcome = self._lost(call.frame, result)
-        call.finish(outcome)
+        self._finish(call, outcome)
         self._release(call, is_sample=isinstance(outcome, Answered))
 
     def _judge(self, frame: CallFrame, answer: HttpAnswer) -> Outcome:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -16,6 +16,7 @@
     make_directory,
     make_placement,
     make_repeat_budget,
+    make_route_origins,
     make_route_throttle,
     make_running_calls,
     make_target_queue,
@@ -201,7 +202,7 @@
             node = rng.choices(nodes, weights)[0]
             node.sent_first("s", now_ms)
             firsts.append(now_ms)
-            if node.allows("s", now_ms):
+            if node.allows("s", now_ms, is_leaf=True):
                 node.sent_again("s", now_ms)
                 repeats.append(now_ms)
         for end_ms in range(1_000, 40_000, 500):
@@ -212,11 +213,27 @@
     def test_repeats_of_running_requests_use_it_up(self) -> None:
         """Calls that a repeated run makes count at the service that they go to."""
         budget = make_repeat_budget(0.2, 10, 10_000)
-        self.assertTrue(budget.allows("s", 0))
+        self.assertTrue(budget.allows("s", 0, is_leaf=True))
         for _ in range(6):
             budget.sent_again("s", 0)
-        self.assertFalse(budget.allows("s", 1))
-        self.assertTrue(budget.allows("s", 10_001))
+        self.assertFalse(budget.allows("s", 1, is_leaf=True))
+        self.assertTrue(budget.allows("s", 10_001, is_leaf=True))
+
+    def test_repeats_multiply_down_a_chain_within_the_bound(self) -> None:
+        """Four levels, each repeating all it may, stay below the bound at the last one."""
+        ratio, levels = 0.2, 4
+        share = 1.0  # runs of a level for each one that is not a repeat
+        for level in range(levels):
+            budget = make_repeat_budget(ratio, 0, 10_000)
+            is_leaf = level == levels - 1
+            repeats = 0
+            for _ in range(10_000):
+                budget.sent_first("s", 0)
+                if budget.allows("s", 0, is_leaf=is_leaf):
+                    budget.sent_again("s", 0)
+                    repeats += 1
+            share *= 1 + repeats / 10_000
+        self.assertLessEqual(share - 1, ratio)
 
 
 class TestTrafficSplit(unittest.TestCase):
@@ -269,6 +286,39 @@
         self.assertEqual(throttle.accepted_share("r"), 1.0)
 
 
+class TestRouteOrigins(unittest.TestCase):
+    """Calls and callers' requests, told apart."""
+
+    def test_routes_of_all_services_are_callers_requests(self) -> None:
+        """A route that is reached from everywhere isn't made by running requests."""
+        origins = make_route_origins()
+        origins.set_service_count(4)
+        rng = random.Random(1)
+        for _ in range(200):
+            origins.observe("public", rng.choice("abcd"))
+            origins.observe("called", rng.choice("ab"))
+        self.assertIs(origins.is_called("public"), False)
+        self.assertIs(origins.is_called("called"), True)
+
+    def test_little_evidence_is_none(self) -> None:
+        """A few requests say nothing."""
+        origins = make_route_origins()
+        origins.set_service_count(4)
+        for _ in range(5):
+            origins.observe("new", "a")
+        self.assertIsNone(origins.is_called("new"))
+
+    def test_moved_route_is_judged_anew(self) -> None:
+        """Old requests lose their weight."""
+        origins = make_route_origins()
+        origins.set_service_count(4)
+        for _ in range(200):
+            origins.observe("r", "a")
+        for number in range(4_000):
+            origins.observe("r", "abcd"[number % 4])
+        self.assertIs(origins.is_called("r"), False)
+
+
 class TestRunningCalls(unittest.TestCase):
     """Calls and the requests that make them."""
 
