Refuse requests that come late after SIGTERM

Ruled out: the upstream, which was at work. Change: from 0.47 of the grace time on, new requests are answered 503 with when to come back; the node may stay for 0.95 of it. test_late_request_is_refused_with_a_promise failed before (200).

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -39,8 +39,13 @@
 # Time after SIGTERM in which a node goes on taking connections: whoever sends callers here asks
 # once a second and needs two answers to stop.
 LEAVING_NOTICE_MS = 2_600.0
+# Part of the time until SIGKILL after which requests are refused, so that those taken before can
+# still end.
+TAKING_SHARE = 0.47
 # Part of the time until SIGKILL that may be used to finish work.
-GRACE_SHARE = 0.9
+GRACE_SHARE = 0.95
+# When a refused caller may come back: another node serves it at once.
+LEAVING_RETRY_AFTER_MS = 50.0
 LISTEN_BACKLOG = 1024
 
 
@@ -195,6 +200,17 @@
         return self.state.dialect.make_request(method, target, headers, body)
 
     def serve(self, exchange: Exchange) -> None:
+        if self._is_past_taking():
+            self.state.metrics.count("requests_refused", "node_leaving")
+            self.state.log.event(
+                "request_refused",
+                request_id=exchange.request.request_id,
+                reason="node_leaving",
+                retry_after_ms=LEAVING_RETRY_AFTER_MS,
+            )
+            retry_after = self.state.dialect.retry_after(LEAVING_RETRY_AFTER_MS)
+            exchange.respond(503, retry_after, b"")
+            return
         self._ingress.serve(exchange)
 
     def is_leaving(self) -> bool:
@@ -272,6 +288,12 @@
         elif self._shutdown is None:
             self.desk.reopen()
 
+    def _is_past_taking(self) -> bool:
+        if self._shutdown is None:
+            return False
+        elapsed_ms = self.now_ms() - self._shutdown.started_ms
+        return elapsed_ms >= self._settings.grace_s * 1000.0 * TAKING_SHARE
+
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.state.configuration is not None and self._shutdown is None
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -319,6 +319,51 @@
         await self.until_version(9)
 
 
+class TestShutdown(PathCase):
+    """A node that was asked to stop, while its target goes on."""
+
+    async def test_request_in_progress_is_finished(self) -> None:
+        """What the node has taken gets its answer, and its connection is closed politely."""
+        self.booking.target.gate.clear()
+        caller = await self.connect(self.first)
+        caller.writer.write(request_bytes("/bookings/1", method="POST", body=b"x"))
+        await self.until(lambda: len(self.booking.target.runs) == 1)
+        stopped: list[bool] = []
+        for vm in (self.first, self.booking):
+            vm.node.begin_shutdown(lambda: stopped.append(True))
+        self._age_shutdown(3_000)
+        self.booking.target.gate.set()
+        answer = await caller.answer()
+        self.assertEqual((answer.status, answer.headers["connection"]), (200, "close"))
+        await self.until(lambda: len(stopped) == 2)
+
+    async def test_late_request_is_refused_with_a_promise(self) -> None:
+        """One that comes so late that it might not end in time isn't taken."""
+        caller = await self.connect(self.first)
+        self.first.node.begin_shutdown(lambda: None)
+        self._age_shutdown(2_900)
+        caller.writer.write(request_bytes("/reads/1"))
+        answer = await caller.answer()
+        self.assertEqual((answer.status, answer.headers["connection"]), (503, "close"))
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(self.all_runs(), [])
+
+    async def test_calls_go_to_another_node_at_once(self) -> None:
+        """The leaving node is out of readiness, and its peers choose others."""
+        await self.call(self.booking, "/reads/0")
+        self.first.node.begin_shutdown(lambda: None)
+        runs = len(self.first.target.runs)
+        for number in range(6):
+            answer = await self.call(self.booking, f"/reads/{number}", attempt=f"a{number}")
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.first.target.runs), runs)
+
+    def _age_shutdown(self, by_ms: float) -> None:
+        for vm in self.vms:
+            if vm.node._shutdown is not None:
+                vm.node._shutdown.started_ms -= by_ms
+
+
 def _drains(vm, upstream_id: str) -> bool:
     upstream = vm.node.state.placement.upstream(upstream_id)
     return upstream is not None and upstream.is_draining
