Let two nodes a data centre watch the store and tell the others

Ruled out: longer watches (a silent store hides changes), stale reads (seconds old, and leaving upstreams must be known within two). Change: the follower moves from the adapter into cottonlink.path; a pure rota picks watchers, a node that hears nothing for 1.2 s watches for itself, one that missed a change reads the store.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -25,10 +25,12 @@
     make_target_queue,
 )
 from cottonlink.overload._traffic_split import TrafficSplit, make_traffic_split
+from cottonlink.overload._watch_rota import SIGN_PERIOD_MS, WatchRota, make_watch_rota
 
 __all__ = [
     "CALL_TIER",
     "NEW_TIER",
+    "SIGN_PERIOD_MS",
     "Directory",
     "Job",
     "Placement",
@@ -41,6 +43,7 @@
     "TargetQueue",
     "TrafficSplit",
     "Verdict",
+    "WatchRota",
     "allowed_wait_ms",
     "make_directory",
     "make_placement",
@@ -51,5 +54,6 @@
     "make_running_calls",
     "make_target_queue",
     "make_traffic_split",
+    "make_watch_rota",
     "request_fingerprint",
 ]
--- a/src/cottonlink/path/__init__.py
+++ b/src/cottonlink/path/__init__.py
@@ -15,6 +15,13 @@
 )
 from cottonlink.path._node import Node
 from cottonlink.path._settings import PathSettings, load_path_settings
+from cottonlink.path._store_follower import (
+    HistoryLostError,
+    Item,
+    Listing,
+    Store,
+    StoreFollower,
+)
 
 __all__ = [
     "CallFrame",
@@ -24,12 +31,17 @@
     "EventLog",
     "ExchangeFailed",
     "Headers",
+    "HistoryLostError",
     "HttpAnswer",
     "HttpConnection",
+    "Item",
+    "Listing",
     "Node",
     "PathSettings",
     "Request",
     "Route",
+    "Store",
+    "StoreFollower",
     "Upstream",
     "WeightedService",
     "load_path_settings",
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -89,7 +89,16 @@
     levels: tuple[tuple[str, int], ...]
 
 
-_CALL, _ANSWER, _NOT_RUN, _UNKNOWN, _CANCEL, _PING, _PONG, _LEAVING, _SUSPECT = range(9)
+@frozen
+class NewsFrame:
+    """Changes of the store between two revisions, as (key, revision, value) each."""
+
+    after: int
+    revision: int
+    items: tuple[tuple[str, int, bytes | None], ...]
+
+
+_CALL, _ANSWER, _NOT_RUN, _UNKNOWN, _CANCEL, _PING, _PONG, _LEAVING, _SUSPECT, _NEWS = range(10)
 
 
 @singledispatch
@@ -153,6 +162,11 @@
     return msgpack.packb((_SUSPECT, frame.levels))
 
 
+@encode.register
+def _(frame: NewsFrame) -> bytes:
+    return msgpack.packb((_NEWS, frame.after, frame.revision, frame.items))
+
+
 @singledispatch
 def _encode_outcome(outcome: Any, _stream: int) -> bytes:
     raise TypeError(f"no encoding for {type(outcome).__name__}")
@@ -238,4 +252,5 @@
     _PONG: lambda p: PongFrame(p[1], _unpack_load(p[2])),
     _LEAVING: lambda _p: LeavingFrame(),
     _SUSPECT: lambda p: SuspectFrame(p[1]),
+    _NEWS: lambda p: NewsFrame(*p[1:]),
 }
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -18,7 +18,7 @@
 )
 from cottonlink.path._caller_connection import CallerConnection, Exchange
 from cottonlink.path._dialect import Dialect
-from cottonlink.path._frames import SuspectFrame
+from cottonlink.path._frames import NewsFrame, SuspectFrame
 from cottonlink.path._http import Headers, parse_address
 from cottonlink.path._ingress import Ingress
 from cottonlink.path._log import EventLog
@@ -99,6 +99,7 @@
         self._shutdown: _Shutdown | None = None
         self._sweep_count = 0
         self._is_closed = False
+        self.on_news: Callable[[NewsFrame], None] | None = None
         self._own_upstream: Upstream | None = None
 
     async def start(self) -> None:
@@ -174,6 +175,17 @@
         self._own_target_changed(own)
         self.state.log.event("upstreams_changed", count=len(upstreams))
 
+    def spread_news(self, frame: NewsFrame) -> None:
+        """Send news of the store to the other nodes of the data centre."""
+        own_ip = self.state.target_address[0]
+        vm_ips = {
+            upstream.vm_ip
+            for upstream in self.state.placement.upstreams()
+            if upstream.data_centre == self._settings.data_centre and upstream.vm_ip != own_ip
+        }
+        for vm_ip in vm_ips:
+            self.state.peers.link((vm_ip, self.state.peer_port)).send_or_open(frame)
+
     def apply_settings(self, settings: PathSettings) -> None:
         """Take over what may change while the node runs."""
         self._settings = settings
@@ -232,7 +244,10 @@
         self._peers.discard(connection)
 
     def peer_told(self, frame: Any) -> None:
-        if isinstance(frame, SuspectFrame):
+        if isinstance(frame, NewsFrame):
+            if self.on_news is not None:
+                self.on_news(frame)
+        elif isinstance(frame, SuspectFrame):
             for fingerprint, level in frame.levels:
                 self.state.quarantine.learn(fingerprint, level, round(self.now_ms()))
 
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -107,22 +107,15 @@
         self._waiting: list[tuple[CallFrame, _Outstanding]] = []
         self._opening: asyncio.Task | None = None
         self._retry_at_ms = 0.0
-        self._next_stream = 0
-        self.last_used_ms = 0.0
+        self._unsent: Any = None
 
     def now_ms(self) -> float:
         """Return the monotonic time of the event loop."""
         return self._loop.time() * 1000.0
 
-    def next_stream(self) -> int:
-        """Return an unused stream number."""
-        self._next_stream += 1
-        return self._next_stream
-
     def call(self, frame: CallFrame, on_outcome: Callable[[Outcome], None]) -> bool:
         """Send a call; return False if the peer can't be reached now and nothing was sent."""
         now_ms = self.now_ms()
-        self.last_used_ms = now_ms
         outstanding = _Outstanding(on_outcome, frame.is_repeatable)
         connection = self._current
         if connection is not None and connection.is_open:
@@ -148,6 +141,14 @@
         if self._current is not None and self._current.is_open:
             self._current.transport.write(encode(frame))
 
+    def send_or_open(self, frame: Any) -> None:
+        """Send a frame that belongs to no call; a peer that isn't connected is connected first."""
+        if self._current is not None and self._current.is_open:
+            self.send(frame)
+        elif self._opening is None and self.now_ms() >= self._retry_at_ms:
+            self._unsent = frame
+            self._opening = self._loop.create_task(self._open())
+
     def sweep(self) -> None:
         """Ask quiet peers for a sign of life, and give up those that don't answer."""
         now_ms = self.now_ms()
@@ -219,6 +220,9 @@
         self._connections.add(connection)
         self._current = connection
         self.log_state("open", "")
+        if self._unsent is not None:
+            connection.transport.write(encode(self._unsent))
+            self._unsent = None
         waiting, self._waiting = self._waiting, []
         for frame, outstanding in waiting:
             connection.outstanding[frame.stream] = outstanding
--- /dev/null
+++ b/src/cottonlink/path/_store_follower.py
@@ -0,0 +1,257 @@
+"""Keeps a node's view of what operators and targets publish up to date.
+
+A few nodes watch the store and pass the changes on; the others listen to them, and read the store
+themselves when they miss a change or hear nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Protocol
+
+from attrs import frozen
+
+from cottonlink.errors import CottonlinkError
+from cottonlink.overload import SIGN_PERIOD_MS, make_directory, make_watch_rota
+from cottonlink.path._frames import NewsFrame
+from cottonlink.path._log import EventLog
+from cottonlink.path._model import Configuration, Upstream
+
+# Pauses after failed calls. All nodes share the store's rate, so the pause grows while it is away.
+# A change that is published right after its return must be known within about five seconds.
+SHORTEST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.5
+# Changes that come within this time are read with one call.
+COLLECT_S = 0.15
+# How often entries that went missing around an outage are looked at.
+MISSING_CHECK_S = 0.25
+# How often a node that listens to others checks that they still speak.
+LISTEN_CHECK_S = 0.2
+
+
+class HistoryLostError(CottonlinkError):
+    """The store has discarded the changes that a watch asks for."""
+
+
+@frozen
+class Item:
+    """One item of the store; ``value`` is None when the item was removed."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@frozen
+class Listing:
+    """Items at a moment, and the revision from which to watch."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class Store(Protocol):
+    """What a node reads. Every method raises CottonlinkError when the store doesn't answer."""
+
+    async def read_all(self) -> Listing:
+        """Return all items that matter to a node."""
+
+    async def watch(self, revision: int) -> Listing:
+        """Return the changes after ``revision``, or none after some time.
+
+        Raises HistoryLostError if they are no longer known.
+        """
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether ``key`` holds the operator's configuration."""
+
+    def is_upstream(self, key: str) -> bool:
+        """Return whether ``key`` holds a target's entry."""
+
+    def decode_configuration(self, item: Item) -> Configuration:
+        """Return a configuration. Raises CottonlinkError."""
+
+    def decode_upstream(self, item: Item) -> Upstream:
+        """Return the upstream that an entry names. Raises CottonlinkError."""
+
+
+class NewsReader(Protocol):
+    """The node that a follower serves."""
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+
+    def apply_upstreams(self, upstreams: list[Upstream]) -> None:
+        """Replace the set of known upstreams."""
+
+    def spread_news(self, frame: NewsFrame) -> None:
+        """Send news to the other nodes of the data centre."""
+
+
+class StoreFollower:
+    """Reads, watches or listens, and starts again whenever that breaks."""
+
+    def __init__(
+        self,
+        store: Store,
+        node: NewsReader,
+        name: str,
+        data_centre: str,
+        log: EventLog,
+        rng: random.Random,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._store = store
+        self._node = node
+        self._data_centre = data_centre
+        self._log = log
+        self._rng = rng
+        self._loop = loop
+        self._directory = make_directory()
+        self._rota = make_watch_rota(name)
+        self._revision: int | None = None
+        self._item_revisions: dict[str, int] = {}
+        self._is_away = False
+        self._pause_s = SHORTEST_PAUSE_S
+        self._sign_due_ms = 0.0
+        self.call_count = 0
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError as error:
+                self._log.event("store_history_lost", detail=error.detail)
+                self._revision = None
+            except CottonlinkError as error:
+                self._lost(error)
+                await asyncio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
+                self._pause_s = min(self._pause_s * 2, LONGEST_PAUSE_S)
+
+    async def keep_house(self) -> None:
+        """Give signs of life and drop entries that stayed missing, until cancelled."""
+        while True:
+            await asyncio.sleep(MISSING_CHECK_S)
+            now_ms = self._now_ms()
+            dropped = self._directory.drop_missing(now_ms)
+            if dropped:
+                self._log.event("upstreams_dropped", ids=dropped)
+                self._publish()
+            is_current = self._revision is not None and not self._is_away
+            if self._rota.is_watcher and is_current and now_ms >= self._sign_due_ms:
+                self._tell(self._revision, ())
+
+    def take_news(self, frame: NewsFrame) -> None:
+        """Take in what a watcher tells."""
+        self._rota.heard(self._now_ms())
+        if self._revision is None or frame.revision <= self._revision:
+            return
+        if frame.after > self._revision:
+            # A change was missed; only the store knows it.
+            self._revision = None
+            return
+        self._take_changes(tuple(Item(*item) for item in frame.items))
+        self._revision = frame.revision
+
+    async def _step(self) -> None:
+        if self._revision is None or (self._is_away and self._rota.must_watch(self._now_ms())):
+            # A plain read tells at once whether the store answers again; a watch doesn't.
+            await self._read_all()
+        elif self._rota.must_watch(self._now_ms()):
+            await self._watch(self._revision)
+        else:
+            self._is_away = False
+            await asyncio.sleep(LISTEN_CHECK_S)
+
+    async def _read_all(self) -> None:
+        self.call_count += 1
+        listing = await self._store.read_all()
+        self._regained()
+        entries: dict[str, Upstream | None] = {}
+        for item in listing.items:
+            if self._store.is_configuration(item.key):
+                self._take_configuration(item)
+            elif self._store.is_upstream(item.key):
+                entries[item.key] = self._decode(item)
+                self._item_revisions[item.key] = item.revision
+        if self._directory.replace_all(entries, self._now_ms()):
+            self._publish()
+        self._revision = listing.revision
+
+    async def _watch(self, revision: int) -> None:
+        self.call_count += 1
+        changes = await self._store.watch(revision)
+        self._regained()
+        self._take_changes(changes.items)
+        self._revision = max(changes.revision, self._revision or 0)
+        if self._rota.is_watcher:
+            self._tell(revision, changes.items)
+        if changes.items:
+            await asyncio.sleep(COLLECT_S)
+
+    def _tell(self, after: int, items: tuple[Item, ...]) -> None:
+        self._sign_due_ms = self._now_ms() + SIGN_PERIOD_MS
+        packed = tuple((item.key, item.revision, item.value) for item in items)
+        self._node.spread_news(NewsFrame(after, self._revision, packed))
+
+    def _take_changes(self, items: tuple[Item, ...]) -> None:
+        has_changed = False
+        for item in items:
+            if self._store.is_configuration(item.key):
+                self._take_configuration(item)
+            elif self._store.is_upstream(item.key):
+                has_changed |= self._take_entry(item)
+        if has_changed:
+            self._publish()
+
+    def _take_entry(self, item: Item) -> bool:
+        # News and a watch of one's own may tell the same changes in different order.
+        if item.revision <= self._item_revisions.get(item.key, 0):
+            return False
+        self._item_revisions[item.key] = item.revision
+        if item.value is None:
+            return self._directory.remove(item.key, self._now_ms())
+        return self._directory.put(item.key, self._decode(item))
+
+    def _take_configuration(self, item: Item) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = self._store.decode_configuration(item)
+        except CottonlinkError as error:
+            # What was in force stays in force.
+            self._log.event("configuration_invalid", detail=error.detail)
+            return
+        self._node.apply_configuration(configuration)
+
+    def _decode(self, item: Item) -> Upstream | None:
+        try:
+            return self._store.decode_upstream(item)
+        except CottonlinkError as error:
+            self._log.event("entry_invalid", key=item.key, detail=error.detail)
+            return None
+
+    def _publish(self) -> None:
+        upstreams = self._directory.entries()
+        self._rota.set_members(
+            upstream.vm_ip for upstream in upstreams if upstream.data_centre == self._data_centre
+        )
+        self._node.apply_upstreams(upstreams)
+
+    def _lost(self, error: CottonlinkError) -> None:
+        if not self._is_away:
+            self._is_away = True
+            self._log.event("store_lost", code=error.code, detail=error.detail, peer=error.peer)
+        self._directory.store_lost()
+
+    def _regained(self) -> None:
+        self._pause_s = SHORTEST_PAUSE_S
+        if self._is_away:
+            self._is_away = False
+            self._log.event("store_regained")
+        self._directory.store_regained(self._now_ms())
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -12,8 +12,14 @@
 import uvloop
 
 from cottonlink.errors import SettingsError
-from cottonlink.path import EventLog, Node, PathSettings, load_path_settings, make_event_log
-from cottonlink.platform._follower import StoreFollower
+from cottonlink.path import (
+    EventLog,
+    Node,
+    PathSettings,
+    StoreFollower,
+    load_path_settings,
+    make_event_log,
+)
 from cottonlink.platform._headers import PlatformDialect
 from cottonlink.platform._store_client import StoreClient
 
@@ -48,16 +54,31 @@
     loop.add_signal_handler(signal.SIGTERM, lambda: node.begin_shutdown(stopped.set))
     loop.add_signal_handler(signal.SIGINT, lambda: node.begin_shutdown(stopped.set))
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    host, port = settings.store_address.rsplit(":", 1)
-    store = StoreClient((host, int(port)), loop)
-    follower = StoreFollower(store, log, rng, loop, node.apply_configuration, node.apply_upstreams)
-    tasks = [loop.create_task(follower.run()), loop.create_task(follower.drop_missing())]
+    follower = make_follower(settings, node, log, rng, loop)
+    tasks = [loop.create_task(follower.run()), loop.create_task(follower.keep_house())]
     tasks.append(loop.create_task(_follow_settings(path, node, log, reload)))
     await stopped.wait()
     for task in tasks:
         task.cancel()
 
 
+def make_follower(
+    settings: PathSettings,
+    node: Node,
+    log: EventLog,
+    rng: random.Random,
+    loop: asyncio.AbstractEventLoop,
+) -> StoreFollower:
+    """Return the follower that tells ``node`` what the store holds."""
+    host, port = settings.store_address.rsplit(":", 1)
+    store = StoreClient((host, int(port)), loop)
+    # Targets' entries name VMs by their addresses.
+    name = settings.target_address.rsplit(":", 1)[0]
+    follower = StoreFollower(store, node, name, settings.data_centre, log, rng, loop)
+    node.on_news = follower.take_news
+    return follower
+
+
 async def _follow_settings(path: str, node: Node, log: EventLog, reload: asyncio.Event) -> None:
     known = _modified_ns(path)
     while True:
--- a/src/cottonlink/platform/_records.py
+++ b/src/cottonlink/platform/_records.py
@@ -10,10 +10,9 @@
 from typing import Any
 
 import orjson
-from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import CallerLimits, Configuration, Route, Upstream, WeightedService
+from cottonlink.path import CallerLimits, Configuration, Item, Route, Upstream, WeightedService
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
@@ -24,15 +23,6 @@
 _DEFAULT_RANK = 1
 
 
-@frozen
-class Item:
-    """One item of the store; ``value`` is None when the item was removed."""
-
-    key: str
-    revision: int
-    value: bytes | None
-
-
 def record_error(detail: str) -> CottonlinkError:
     """Return the error for bytes that can't be decoded."""
     return CottonlinkError("record_invalid", detail, step=Step.POLICY_READ)
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -7,11 +7,25 @@
 from urllib.parse import urlencode
 
 import orjson
-from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import ExchangeFailed, HttpAnswer, HttpConnection
-from cottonlink.platform._records import Item, decode_item
+from cottonlink.path import (
+    Configuration,
+    ExchangeFailed,
+    HistoryLostError,
+    HttpAnswer,
+    HttpConnection,
+    Item,
+    Listing,
+    Upstream,
+)
+from cottonlink.platform._records import (
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+    decode_configuration,
+    decode_item,
+    decode_upstream,
+)
 
 # The store answers in milliseconds; a slow one takes some hundred times as long.
 READ_TIMEOUT_S = 1.5
@@ -23,18 +37,8 @@
 WATCH_MARGIN_S = 1.0
 _GONE = 410
 _NOT_FOUND = 404
-
-
-class HistoryLostError(CottonlinkError):
-    """The store has discarded the changes that a watch asks for."""
-
-
-@frozen
-class Listing:
-    """Items at a moment, and the revision from which to watch."""
-
-    items: tuple[Item, ...]
-    revision: int
+# One watch covers the configuration and the upstreams, whose keys share no prefix.
+_EVERYTHING = ""
 
 
 class StoreClient:
@@ -45,7 +49,31 @@
         self._loop = loop
         self._connection: HttpConnection | None = None
 
-    async def read_key(self, key: str) -> Listing:
+    async def read_all(self) -> Listing:
+        """Return the configuration and all entries of upstreams."""
+        configuration = await self._read_key(CONFIGURATION_KEY)
+        upstreams = await self._read_range(UPSTREAM_PREFIX)
+        # Changes of the upstreams since the first read are watched.
+        revision = min(configuration.revision, upstreams.revision)
+        return Listing(configuration.items + upstreams.items, revision)
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether ``key`` holds the operator's configuration."""
+        return key == CONFIGURATION_KEY
+
+    def is_upstream(self, key: str) -> bool:
+        """Return whether ``key`` holds the entry of an upstream."""
+        return key.startswith(UPSTREAM_PREFIX)
+
+    def decode_configuration(self, item: Item) -> Configuration:
+        """Return a configuration. Raises CottonlinkError."""
+        return decode_configuration(item.value)
+
+    def decode_upstream(self, item: Item) -> Upstream:
+        """Return the upstream that an entry names. Raises CottonlinkError."""
+        return decode_upstream(item)
+
+    async def _read_key(self, key: str) -> Listing:
         """Return the item of ``key``, if there is one."""
         answer = await self._get("/-/kv-key", {"key": key}, READ_TIMEOUT_S)
         if answer.status == _NOT_FOUND:
@@ -53,7 +81,7 @@
         data = _parse(_expect_ok(answer))
         return Listing((decode_item(data),), _as_of(data))
 
-    async def read_range(self, prefix: str) -> Listing:
+    async def _read_range(self, prefix: str) -> Listing:
         """Return all items whose keys begin with ``prefix``."""
         items: list[Item] = []
         revision: int | None = None
@@ -68,12 +96,12 @@
                 return Listing(tuple(items), revision)
             query = {"prefix": prefix, "after": page[-1].key}
 
-    async def watch(self, prefix: str, revision: int) -> Listing:
+    async def watch(self, revision: int) -> Listing:
         """Return the changes after ``revision``, or none after some time.
 
         Raises HistoryLostError if they are no longer known.
         """
-        query = {"prefix": prefix, "after": revision, "wait_ms": WATCH_WAIT_MS}
+        query = {"prefix": _EVERYTHING, "after": revision, "wait_ms": WATCH_WAIT_MS}
         timeout_s = WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S
         answer = await self._get("/-/kv-watch", query, timeout_s)
         if answer.status == _GONE:
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -15,10 +15,9 @@
 import httptools
 from attrs import define, field
 
-from cottonlink.path import EventLog, Node, PathSettings
-from cottonlink.platform._follower import StoreFollower
+from cottonlink.path import EventLog, Node, PathSettings, StoreFollower
 from cottonlink.platform._headers import PlatformDialect
-from cottonlink.platform._store_client import StoreClient
+from cottonlink.platform._process import make_follower
 from emulator.platform_store import PlatformStore
 from emulator.platform_target import PlatformTarget
 
@@ -178,12 +177,8 @@
         log = EventLog(settings.node, loop, self._null)
         node = Node(settings, PlatformDialect(), log, loop, rng)
         await node.start()
-        host, _, port = self.store.address.rpartition(":")
-        store = StoreClient((host, int(port)), loop)
-        follower = StoreFollower(
-            store, log, rng, loop, node.apply_configuration, node.apply_upstreams
-        )
-        tasks = [loop.create_task(follower.run()), loop.create_task(follower.drop_missing())]
+        follower = make_follower(settings, node, log, rng, loop)
+        tasks = [loop.create_task(follower.run()), loop.create_task(follower.keep_house())]
         return Vm(node, target, follower, tasks, settings)
 
     async def until(self, condition: Callable[[], bool]) -> None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
+from cottonlink.path._frames import NewsFrame
 from emulator.http_stand_in import Received
 from emulator.platform_target import PlatformTarget, configuration, not_run, route_resource
 from tests.platform_fixtures import FleetCase, request_bytes
@@ -319,6 +321,64 @@
         await self.until_version(9)
 
 
+class TestNews(PathCase):
+    """How changes of the store reach nodes that don't watch it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for number in range(4, 7):
+            await self.add_vm("browse", f"i-{number}")
+        await self.until_version(4)
+        await self.until(lambda: len(self.watchers()) == 2)
+
+    def watchers(self) -> list:
+        """Return the VMs whose nodes watch the store."""
+        return [vm for vm in self.vms if vm.follower._rota.is_watcher]
+
+    async def test_two_nodes_watch_and_all_hear(self) -> None:
+        """The others make no call for a change."""
+        listeners = [vm for vm in self.vms if vm not in self.watchers()]
+        await self.until(
+            lambda: not any(vm.follower._rota.must_watch(vm.node.now_ms()) for vm in listeners)
+        )
+        calls = [vm.follower.call_count for vm in listeners]
+        await self.store.put("op/config", configuration(5, READS))
+        await self.until_version(5)
+        # A watch that began before the first sign of life may still have ended in between.
+        self.assertLessEqual(sum(vm.follower.call_count for vm in listeners), sum(calls) + 4)
+
+    async def test_change_arrives_when_all_watchers_are_gone(self) -> None:
+        """Nodes that hear nothing watch for themselves."""
+        gone = self.watchers()
+        for vm in gone:
+            vm.node.close()
+            for task in vm.tasks:
+                task.cancel()
+        rest = [vm for vm in self.vms if vm not in gone]
+        await self.store.put("op/config", configuration(5, READS))
+        await self.until(lambda: all(vm.node.state.configuration_version == 5 for vm in rest))
+
+    async def test_missed_change_is_read_from_the_store(self) -> None:
+        """News that begins behind what a node knows makes it read everything."""
+        listener = next(vm for vm in self.vms if vm not in self.watchers())
+        await self.store.put("op/config", configuration(5, READS))
+        await self.until_version(5)
+        listener.follower._revision = 1
+        await self.store.put("op/config", configuration(6, READS))
+        await self.until_version(6)
+
+    async def test_older_news_changes_nothing(self) -> None:
+        """An entry never goes back to an older revision."""
+        await self.store.put("servers/i-1", self.first.target.entry(state="draining"))
+        await self.until(lambda: all(_drains(vm, "i-1") for vm in self.vms))
+        old = json.dumps(self.first.target.entry()).encode()
+        follower = self.second.follower
+        revision = follower._revision
+        follower._revision = 2
+        follower.take_news(NewsFrame(1, revision, (("servers/i-1", 2, old),)))
+        self.assertTrue(_drains(self.second, "i-1"))
+
+
 class TestShutdown(PathCase):
     """A node that was asked to stop, while its target goes on."""
 
