Tell the pressure below to the nodes where requests enter

The waste of a route shows only after the fact. Ruled out: processor (0.33 cores at most), the store.

--- a/src/cottonlink/overload/_route_throttle.py
+++ b/src/cottonlink/overload/_route_throttle.py
@@ -1,9 +1,11 @@
-"""Turns new requests away at the first node while requests of their route are wasted below.
+"""Turns new requests away at the first node while a service below them is overloaded.
 
 Load pattern: a service deep in the call graph is overloaded. Requests that enter are run by their
 own service and fail or come too late because of the calls below, which wastes the work of every
-level. The share of wasted runs of a route says so at the node where the requests enter, without
-knowledge of the call graph. Unimportant routes give way first.
+level and fills the slots of services that have room. Each target's node tells the pressure at its
+target and at those that it calls, so that it reaches the nodes where requests enter, without
+knowledge of the call graph. The share of wasted runs says the same of what no pressure shows.
+Unimportant routes give way first.
 """
 
 from __future__ import annotations
@@ -18,6 +20,10 @@
 # Share of wasted runs that is accepted from the most important rank, and from all others.
 FIRST_RANK_WASTE = 0.5
 WASTE = 0.15
+# Pressure that is accepted from the most important rank, and from all others: work at and before a
+# target, in multiples of what it runs at a time. At 1.5 a call waits half of its own run time.
+FIRST_RANK_PRESSURE = 3.0
+PRESSURE = 1.5
 # Fastest reduction and steady growth of the accepted share, per period.
 STRONGEST_CUT = 0.7
 GROWTH = 0.12
@@ -32,6 +38,8 @@
     useful: int = 0
     wasted: int = 0
     credit: float = 0.0
+    pressure_sum: float = 0.0
+    pressure_count: int = 0
 
 
 class RouteThrottle:
@@ -62,25 +70,47 @@
         if now_ms - state.period_started_ms >= PERIOD_MS:
             self._close_period(state, rank, now_ms)
 
+    def pressed(self, route: str, rank: int, pressure: float, now_ms: float) -> None:
+        """A target that runs ``route`` told the pressure at it and below it."""
+        state = self._routes.get(route)
+        if state is None:
+            state = self._routes[route] = _RouteState(period_started_ms=now_ms)
+        state.pressure_sum += pressure
+        state.pressure_count += 1
+        if now_ms - state.period_started_ms >= PERIOD_MS:
+            self._close_period(state, rank, now_ms)
+
     def accepted_share(self, route: str) -> float:
         """Return the share of a route's new requests that may enter, 0 to 1."""
         state = self._routes.get(route)
         return state.accepted_share if state else 1.0
 
     def _close_period(self, state: _RouteState, rank: int, now_ms: float) -> None:
-        runs = state.useful + state.wasted
-        if runs >= MIN_RUNS:
-            waste = state.wasted / runs
-            tolerated = FIRST_RANK_WASTE if rank == 0 else WASTE
-            if waste > tolerated:
-                cut = max(STRONGEST_CUT, 1.0 - (waste - tolerated))
-                state.accepted_share = max(FLOOR, state.accepted_share * cut)
-            else:
-                state.accepted_share = min(1.0, state.accepted_share + GROWTH)
+        keep = min(_share_by_waste(state, rank), _share_by_pressure(state, rank))
+        if keep < 1.0:
+            keep = max(STRONGEST_CUT, keep)
+            state.accepted_share = max(FLOOR, state.accepted_share * keep)
         else:
             state.accepted_share = min(1.0, state.accepted_share + GROWTH)
         state.period_started_ms = now_ms
         state.useful = state.wasted = 0
+        state.pressure_sum, state.pressure_count = 0.0, 0
+
+
+def _share_by_waste(state: _RouteState, rank: int) -> float:
+    runs = state.useful + state.wasted
+    if runs < MIN_RUNS:
+        return 1.0
+    tolerated = FIRST_RANK_WASTE if rank == 0 else WASTE
+    return min(1.0, 1.0 - (state.wasted / runs - tolerated))
+
+
+def _share_by_pressure(state: _RouteState, rank: int) -> float:
+    if state.pressure_count == 0:
+        return 1.0
+    tolerated = FIRST_RANK_PRESSURE if rank == 0 else PRESSURE
+    pressure = state.pressure_sum / state.pressure_count
+    return min(1.0, tolerated / pressure) if pressure > 0 else 1.0
 
 
 def make_route_throttle(rng: random.Random) -> RouteThrottle:
--- a/src/cottonlink/overload/_target_queue.py
+++ b/src/cottonlink/overload/_target_queue.py
@@ -26,6 +26,8 @@
 SERVICE_STEP = 0.05
 # Service time that is expected before the first one was measured.
 FIRST_SERVICE_MS = 100.0
+# Weight of a new observation in the moving average of the pressure.
+PRESSURE_STEP = 0.05
 # Waiting calls for each slot, beyond which the least important one is refused.
 QUEUE_PER_SLOT = 4
 # Part of its objective that a new request may wait for a slot; beyond, its caller is better off
@@ -82,6 +84,8 @@
         self._new_counts: dict[int, int] = {}
         self._order = itertools.count()
         self.service_ms = FIRST_SERVICE_MS
+        self.pressure = 0.0
+        """Moving average of the jobs that run and wait, as a share of the limit."""
         self.limit = 1
         self.resize(slots)
 
@@ -104,6 +108,8 @@
 
         A job that neither starts nor is refused waits.
         """
+        load = (len(self._running) + len(self._waiting)) / self.limit
+        self.pressure += PRESSURE_STEP * (load - self.pressure)
         if self._may_start(job) and not self._has_precedence_waiting(job):
             self._start(job, now_ms)
             return True, ()
@@ -172,7 +178,9 @@
         return self._running_new < NEW_REQUEST_SHARE * self.limit
 
     def _expected_wait_ms(self, job: Job) -> float:
-        ahead = self._call_count
+        # New requests below their share don't wait for the calls ahead of them.
+        is_due = job.tier == NEW_TIER and self._new_requests_are_due()
+        ahead = 0 if is_due else self._call_count
         if job.tier == NEW_TIER:
             ahead += sum(n for rank, n in self._new_counts.items() if rank <= job.rank)
         return (ahead + 1) * self.service_ms / self.limit
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -98,6 +98,9 @@
     items: tuple[tuple[str, int, bytes | None], ...]
 
 
+# Pressure travels as an integer, in these parts of one.
+_PRESSURE_UNITS = 50
+
 _CALL, _ANSWER, _NOT_RUN, _UNKNOWN, _CANCEL, _PING, _PONG, _LEAVING, _SUSPECT, _NEWS = range(10)
 
 
@@ -227,11 +230,20 @@
 def _pack_report(report: TargetReport | None) -> tuple | None:
     if report is None:
         return None
-    return (_pack_load(report.load), report.is_called, report.makes_calls)
+    return (
+        _pack_load(report.load),
+        report.is_called,
+        report.makes_calls,
+        round(report.pressure * _PRESSURE_UNITS),
+    )
 
 
 def _unpack_report(parts: tuple | None) -> TargetReport | None:
-    return None if parts is None else TargetReport(Load(*parts[0]), parts[1], parts[2])
+    return (
+        None
+        if parts is None
+        else TargetReport(Load(*parts[0]), parts[1], parts[2], parts[3] / _PRESSURE_UNITS)
+    )
 
 
 def _decode_answer(p: tuple) -> AnswerFrame:
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -236,6 +236,12 @@
         if report.is_called is not None:
             state.called_routes[call.route.name] = report.is_called
         state.calling_services[call.service] = report.makes_calls
+        if call.is_call:
+            state.desk.call_answered(report.pressure)
+        else:
+            state.route_throttle.pressed(
+                call.route.name, call.route.rank, report.pressure, state.now_ms()
+            )
 
     @singledispatchmethod
     def _handle(self, outcome: Any, call: IngressCall, upstream: Upstream) -> None:
--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -140,12 +140,14 @@
     """What the node next to a target tells with each outcome.
 
     ``is_called`` is whether running requests make the requests of this route, None if unknown;
-    ``makes_calls`` is whether the target makes calls of its own.
+    ``makes_calls`` is whether the target makes calls of its own. ``pressure`` is the work at the
+    target, or at those that it calls if there is more, in multiples of what it runs at a time.
     """
 
     load: Load
     is_called: bool | None
     makes_calls: bool
+    pressure: float = 0.0
 
 
 @frozen
--- a/src/cottonlink/path/_target_desk.py
+++ b/src/cottonlink/path/_target_desk.py
@@ -43,6 +43,10 @@
 CRASH_WINDOW_MS = 1_500.0
 # A target makes calls if it makes more than this number for each run; fewer are wrong guesses.
 MAKES_CALLS_SHARE = 0.1
+# Weight of a new observation in the moving average of the pressure at called targets, and the time
+# in which it halves without any.
+PRESSURE_BELOW_STEP = 0.1
+PRESSURE_HALF_LIFE_MS = 500.0
 # How often jobs that have waited too long are looked for.
 EXPIRY_PERIOD_S = 0.02
 
@@ -94,6 +98,8 @@
         self._closed_reason: str | None = None
         self.origins: RouteOrigins = make_route_origins()
         self._calls_made = 0
+        self._pressure_below = 0.0
+        self._pressure_below_at_ms = 0.0
         self._runs = 0
 
     def submit(self, frame: CallFrame, key: Any, on_outcome: Callable[[Outcome], None]) -> None:
@@ -141,6 +147,16 @@
         """The target has made a call of its own."""
         self._calls_made += 1
 
+    def call_answered(self, pressure: float) -> None:
+        """A call that the target made came back, with the pressure at those that it went to."""
+        self._pressure_below += PRESSURE_BELOW_STEP * (pressure - self._pressure_below)
+        self._pressure_below_at_ms = self._now_ms()
+
+    def _pressure(self) -> float:
+        age_ms = self._now_ms() - self._pressure_below_at_ms
+        below = self._pressure_below * 0.5 ** (age_ms / PRESSURE_HALF_LIFE_MS)
+        return max(self._queue.pressure, below)
+
     def resize(self, slots: int) -> None:
         """The target takes ``slots`` calls at a time."""
         self._queue.resize(slots)
@@ -163,7 +179,8 @@
         callback, call.on_outcome = call.on_outcome, None
         if callback is not None:
             is_called = self.origins.is_called(call.frame.route)
-            callback(with_report(outcome, TargetReport(self.load(), is_called, self._makes_calls)))
+            report = TargetReport(self.load(), is_called, self._makes_calls, self._pressure())
+            callback(with_report(outcome, report))
 
     @property
     def _makes_calls(self) -> bool:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -286,6 +286,38 @@
         self.assertEqual(throttle.accepted_share("r"), 1.0)
 
 
+class TestPressure(unittest.TestCase):
+    """New requests while a service below them is full."""
+
+    def test_unimportant_routes_give_way_to_pressure_first(self) -> None:
+        """Pressure that a rank accepts leaves its share alone; more reduces it, and it returns."""
+        throttle = make_route_throttle(random.Random(1))
+        for number in range(12):
+            throttle.pressed("first", 0, 2.5, number * 300.0)
+            throttle.pressed("other", 2, 2.5, number * 300.0)
+        self.assertEqual(throttle.accepted_share("first"), 1.0)
+        self.assertLess(throttle.accepted_share("other"), 0.5)
+        for number in range(40):
+            throttle.pressed("other", 2, 0.9, 4_000 + number * 300.0)
+        self.assertEqual(throttle.accepted_share("other"), 1.0)
+
+    def test_pressure_is_work_in_multiples_of_the_limit(self) -> None:
+        """It counts what runs and what waits."""
+        queue = make_target_queue(10)
+        for number in range(300):
+            queue.arrive(Job(number, CALL_TIER, 0, 10**9), 0)
+        self.assertGreater(queue.pressure, 3.0)
+
+    def test_new_request_below_its_share_is_not_refused_for_calls_ahead(self) -> None:
+        """A target full of calls that wait for others still takes short new work."""
+        queue = make_target_queue(10)
+        for number in range(30):
+            queue.arrive(Job(number, CALL_TIER, 2, 10**9), 0)
+        is_started, refused = queue.arrive(Job("new", NEW_TIER, 0, 50), 0)
+        self.assertEqual((is_started, refused), (False, ()))
+        self.assertEqual([job.key for job in queue.finish(0, 10)], ["new"])
+
+
 class TestRouteOrigins(unittest.TestCase):
     """Calls and callers' requests, told apart."""
 
