--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -374,7 +374,8 @@
         now_ms = state.now_ms()
         latency_ms = now_ms - call.received_ms
         is_success = 200 <= answer.status < 300
-        if not call.is_call:
+        # Only lateness tells of overload: failures that come in time are no reason to refuse others.
+        if not call.is_call and (is_success or answer.status == _TIMED_OUT):
             is_useful = is_success and (
                 call.route.rank == 0 or latency_ms <= call.route.objective_ms
             )
@@ -420,7 +421,7 @@
     def _fail(self, call: IngressCall, status: int, reason: str) -> None:
         state = self._state
         now_ms = state.now_ms()
-        if not call.is_call:
+        if not call.is_call and status == _TIMED_OUT:
             state.route_throttle.finished(
                 call.route.name, call.route.rank, is_useful=False, now_ms=now_ms
             )
@@ -446,7 +447,7 @@
         stop = call.stop
         if call.upstream is not None:
             self._state.placement.failed(call.upstream.upstream_id, self._state.now_ms())
-        self._fail(call, 504, "timeout")
+        self._fail(call, _TIMED_OUT, "timeout")
         if stop is not None:
             stop()
 
@@ -487,6 +488,7 @@
         )
 
 
+_TIMED_OUT = 504
 _UNREACHABLE = frozenset(
     (
         "peer_unreachable",
