--- a/src/cottonlink/cli/__init__.py
+++ b/src/cottonlink/cli/__init__.py
@@ -5,6 +5,7 @@
 from cottonlink.cli._commands import node_group
 from cottonlink.cli._queries import (
     explain,
+    explain_logs,
     limits,
     peers,
     policy_group,
@@ -31,5 +32,6 @@
     peers,
     timeline,
     explain,
+    explain_logs,
 ):
     main.add_command(_command)
--- a/src/cottonlink/cli/_output.py
+++ b/src/cottonlink/cli/_output.py
@@ -25,7 +25,7 @@
 }
 
 _HINTS = {
-    "settings_invalid": "docs/operations.md lists every setting with its unit",
+    "settings_invalid": "docs/OPERATIONS.md lists every setting with its unit",
     "policy_invalid": "correct the listed fields; nothing was published",
     "policy_malformed": "the record is neither JSON nor YAML, or not a mapping",
     "policy_schema_newer": "this program is older than the record; update it or publish schema 2",
--- a/src/cottonlink/cli/_queries.py
+++ b/src/cottonlink/cli/_queries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TextIO
+
 import attrs
 import click
 
@@ -13,6 +15,7 @@
 from cottonlink.observe import (
     Timeline,
     events_to_json,
+    explain_in_logs,
     explain_request,
     merge_events,
     render_explanation,
@@ -50,6 +53,31 @@
     print_result(dump_settings(load_settings(settings_file)), as_json=as_json)
 
 
+@settings_group.command("check-path")
+@click.argument("settings_file", type=click.Path())
+@json_option
+@reports_errors
+def check_path_settings(settings_file: str, as_json: bool) -> None:
+    """Report every fault of a settings file for the users' platform, as it was rendered."""
+    from cottonlink.path import load_path_settings
+
+    settings = load_path_settings(settings_file)
+    print_result({"valid": True, "node": settings.node}, as_json=as_json)
+
+
+@click.command("logs")
+@click.argument("request_id")
+@click.argument("log_files", nargs=-1, required=True, type=click.File())
+@json_option
+@reports_errors
+def explain_logs(request_id: str, log_files: tuple[TextIO, ...], as_json: bool) -> None:
+    """Print what the LOG_FILES of nodes say of a request, and what changed around it."""
+    events = explain_in_logs(request_id, (line for file in log_files for line in file))
+    if not events:
+        raise CottonlinkError("request_not_logged", f"no line names {request_id}", step=Step.ROUTE)
+    print_result({"request_id": request_id, "events": events}, as_json=as_json)
+
+
 @click.group("policy")
 def policy_group() -> None:
     """Check policy records before they are published."""
@@ -96,6 +124,28 @@
     )
 
 
+@policy_group.command("check-store")
+@click.argument("configuration_file", type=click.Path())
+@click.option("--previous", type=click.Path(), help="A configuration to compare with.")
+@json_option
+@reports_errors
+def check_store(configuration_file: str, previous: str | None, as_json: bool) -> None:
+    """Check a configuration as it stands in the platform's store, and show what it changes."""
+    from cottonlink.platform import diff_configurations, load_configuration
+
+    configuration = load_configuration(read_text(configuration_file))
+    result = {
+        "valid": True,
+        "version": configuration.version,
+        "routes": len(configuration.routes),
+    }
+    if previous is not None:
+        result["changes"] = diff_configurations(
+            load_configuration(read_text(previous)), configuration
+        )
+    print_result(result, as_json=as_json)
+
+
 def _make_node_query(name: str, help_text: str) -> click.Command:
     @click.command(name, help=help_text)
     @node_option
--- a/src/cottonlink/errors.py
+++ b/src/cottonlink/errors.py
@@ -41,7 +41,7 @@
 class CottonlinkError(Exception):
     """Base of all errors.
 
-    ``code`` is stable and documented in ``docs/operations.md``. ``peer`` is the name or address
+    ``code`` is stable and documented in ``docs/OPERATIONS.md``. ``peer`` is the name or address
     of the other side, or an empty string for an error that arose inside the process.
     """
 
--- a/src/cottonlink/observe/__init__.py
+++ b/src/cottonlink/observe/__init__.py
@@ -2,6 +2,7 @@
 
 from cottonlink.observe._codec import events_from_json, events_to_json
 from cottonlink.observe._events import Event, EventKind, EventLog, HybridTime, parse_hybrid_time
+from cottonlink.observe._log_lines import explain_in_logs
 from cottonlink.observe._logs import configure_logs
 from cottonlink.observe._metrics import LatencySummary, Metrics
 from cottonlink.observe._report import render_html
@@ -20,6 +21,7 @@
     "configure_logs",
     "events_from_json",
     "events_to_json",
+    "explain_in_logs",
     "explain_request",
     "merge_events",
     "parse_hybrid_time",
--- a/src/cottonlink/platform/__init__.py
+++ b/src/cottonlink/platform/__init__.py
@@ -3,6 +3,6 @@
 Everything here translates; decisions, state and recovery are the product's.
 """
 
-from cottonlink.platform._process import main
+from cottonlink.platform._checks import diff_configurations, load_configuration
 
-__all__ = ["main"]
+__all__ = ["diff_configurations", "load_configuration"]
--- a/src/run_node.py
+++ b/src/run_node.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from cottonlink.platform import main
+from cottonlink.platform._process import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tests/test_platform_tools.py
@@ -0,0 +1,185 @@
+"""Settings, records and logs of the platform, and the commands that check them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from cottonlink.cli import main
+from cottonlink.errors import CottonlinkError, SettingsError
+from cottonlink.observe import explain_in_logs
+from cottonlink.path import Item, load_path_settings, make_event_log
+from cottonlink.platform import load_configuration
+from cottonlink.platform._records import decode_upstream
+from emulator.platform_target import configuration, route_resource
+
+ROUTE = route_resource("r", "shop.example", "/r/", "browse")
+
+
+def write(text: str) -> str:
+    """Return the path of a new file with ``text``."""
+    descriptor, path = tempfile.mkstemp()
+    with os.fdopen(descriptor, "w") as file:
+        file.write(text)
+    return path
+
+
+def settings_text(**changes: object) -> str:
+    """Return settings as YAML, which JSON is as well."""
+    addresses = ("caller", "peer", "ready", "metrics", "target", "store")
+    settings = {f"{name}_address": f"10.0.0.1:{port}" for port, name in enumerate(addresses, 80)}
+    settings |= {"node": "n", "data_centre": "Västerås", "service": "s"}
+    return json.dumps(settings | changes)
+
+
+class TestSettings(unittest.TestCase):
+    """The settings file of a node on the platform."""
+
+    def test_valid_settings_load(self) -> None:
+        """Optional fields have defaults."""
+        settings = load_path_settings(write(settings_text()))
+        self.assertEqual((settings.data_centre, settings.grace_s), ("Västerås", 10))
+
+    def test_every_fault_is_reported(self) -> None:
+        """One run shows all that has to be repaired."""
+        text = settings_text(node="", grace_s="6", peer_address="nowhere", extra=1)
+        with self.assertRaises(SettingsError) as caught:
+            load_path_settings(write(text))
+        names = {problem.partition(":")[0] for problem in caught.exception.problems}
+        self.assertEqual(names, {"node", "grace_s", "peer_address", "extra"})
+
+    def test_template_names_only_known_settings(self) -> None:
+        """Each line of the template renders a field of the settings."""
+        template = Path(__file__).parent.parent / "deploy" / "settings.yaml"
+        lines = [line for line in template.read_text().splitlines() if line[:1] not in "#"]
+        names = {line.partition(":")[0] for line in lines}
+        known = json.loads(settings_text()).keys() | {
+            "readiness_path",
+            "repeat_ratio",
+            "repeat_allowance",
+            "repeat_window_s",
+            "grace_s",
+        }
+        self.assertEqual(names, known)
+
+
+class TestRecords(unittest.TestCase):
+    """What the store holds."""
+
+    def test_faulty_configurations_are_refused(self) -> None:
+        """None of them takes effect in part."""
+        good = configuration(3, ROUTE)
+        spec = ROUTE["spec"]
+        bad = [
+            b"{",
+            b"[]",
+            json.dumps({**good, "version": "3"}).encode(),
+            json.dumps(configuration(3, {**ROUTE, "spec": {**spec, "timeout_s": "1"}})).encode(),
+            json.dumps(configuration(3, {**ROUTE, "spec": {"host": "h"}})).encode(),
+        ]
+        for value in bad:
+            with self.subTest(value=value[:40]), self.assertRaises(CottonlinkError):
+                load_configuration(value.decode())
+
+    def test_longest_prefix_wins(self) -> None:
+        """The route is chosen by host and the longest prefix that begins the path."""
+        inner = route_resource("inner", "shop.example", "/r/x/", "browse")
+        loaded = load_configuration(json.dumps(configuration(3, ROUTE, inner)))
+        names = {
+            path: route.name if (route := loaded.find_route("shop.example", path)) else None
+            for path in (b"/r/1", b"/r/x/1", b"/r/x", b"/q", b"/r/y/x/1")
+        }
+        expected = {b"/r/1": "r", b"/r/x/1": "inner", b"/r/x": "r", b"/q": None, b"/r/y/x/1": "r"}
+        self.assertEqual(names, expected)
+
+    def test_entry_of_another_type_names_no_upstream(self) -> None:
+        """A number in place of a name, or the reverse, makes the entry unreadable."""
+        entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
+        entry |= {"state": "ready", "warmup_left_s": 0, "born": 5}
+        decode_upstream(Item("servers/a", 1, json.dumps(entry).encode()))
+        for name, value in {"service": 1, "slots": 0, "born": 1.5, "zone": None}.items():
+            data = json.dumps(entry | {name: value}).encode()
+            with self.subTest(name=name), self.assertRaises(CottonlinkError):
+                decode_upstream(Item("servers/a", 1, data))
+
+
+class TestLog(unittest.IsolatedAsyncioTestCase):
+    """The log on standard output."""
+
+    async def test_lines_are_bounded_and_count_what_they_leave_out(self) -> None:
+        """A flood of one event leaves the others their lines."""
+        reader, writer = os.pipe()
+        log = make_event_log("n", asyncio.get_running_loop(), writer)
+        for number in range(500):
+            log.event("request_failed", request_id=b"%d" % number)
+        log.event("store_lost")
+        log.flush()
+        os.close(writer)
+        with os.fdopen(reader) as file:
+            events = [json.loads(line) for line in file]
+        self.assertEqual(sum(e["event"] == "request_failed" for e in events), 20)
+        self.assertEqual(events[-1]["event"], "store_lost")
+
+    async def test_slow_reader_never_blocks(self) -> None:
+        """Lines beyond the buffer are dropped and counted."""
+        reader, writer = os.pipe()
+        log = make_event_log("n", asyncio.get_running_loop(), writer)
+        for number in range(3_000):
+            log.event(f"event_{number}", text="x" * 1_000)
+            log.flush()
+        self.assertGreater(log.dropped_lines, 0)
+        os.close(reader)
+        os.close(writer)
+
+    def test_explanation_holds_the_request_and_what_changed_around_it(self) -> None:
+        """Lines of other requests and of other times are left out."""
+        lines = [
+            '  1.0 node-1 {"event":"store_lost","timestamp":"2026-01-01T00:00:00Z"}',
+            '{"event":"peer_lost","timestamp":"2026-01-01T00:00:09Z","node":"a"}',
+            '{"event":"request_failed","request_id":"r1","timestamp":"2026-01-01T00:00:10Z"}',
+            '{"event":"request_failed","request_id":"r2","timestamp":"2026-01-01T00:00:10Z"}',
+            "not a line of a node",
+        ]
+        events = [event["event"] for event in explain_in_logs("r1", lines)]
+        self.assertEqual(events, ["peer_lost", "request_failed"])
+        self.assertEqual(explain_in_logs("r9", lines), [])
+
+
+class TestCommands(unittest.TestCase):
+    """The command line."""
+
+    def run_command(self, *arguments: str):
+        """Run a command and return its result."""
+        return CliRunner().invoke(main, arguments)
+
+    def test_check_path(self) -> None:
+        """Good settings exit with 0, bad ones don't."""
+        good = self.run_command("settings", "check-path", write(settings_text()))
+        bad = self.run_command("settings", "check-path", write(settings_text(node=1)))
+        self.assertEqual(good.exit_code, 0, good.output)
+        self.assertNotEqual(bad.exit_code, 0)
+
+    def test_check_store_shows_the_difference(self) -> None:
+        """A moved route is shown with both services."""
+        old = write(json.dumps(configuration(3, ROUTE)))
+        moved = route_resource("r", "shop.example", "/r/", "other")
+        new = write(json.dumps(configuration(4, moved)))
+        result = self.run_command("policy", "check-store", new, "--previous", old, "--json")
+        self.assertEqual(result.exit_code, 0, result.output)
+        (change,) = json.loads(result.output)["changes"]
+        self.assertEqual(change["change"], "services")
+        self.assertEqual((change["old"], change["new"]), ({"browse": 1.0}, {"other": 1.0}))
+
+    def test_logs(self) -> None:
+        """A request that no line names is an error."""
+        line = '{"event":"request_failed","request_id":"r1","timestamp":"2026-01-01T00:00:10Z"}\n'
+        found = self.run_command("logs", "r1", write(line), "--json")
+        missing = self.run_command("logs", "r2", write(line))
+        self.assertEqual(found.exit_code, 0, found.output)
+        self.assertNotEqual(missing.exit_code, 0)
