--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -374,7 +374,7 @@
         now_ms = state.now_ms()
         latency_ms = now_ms - call.received_ms
         is_success = 200 <= answer.status < 300
-        # Only lateness tells of overload; a failure that comes in time is no reason to refuse others.
+        # Only lateness tells of overload; failing in time is no reason to refuse other requests.
         if not call.is_call and (is_success or answer.status == _TIMED_OUT):
             is_useful = is_success and (
                 call.route.rank == 0 or latency_ms <= call.route.objective_ms
