--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 from attrs import frozen
 
@@ -47,9 +48,18 @@
 
 async def hang_up(_fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
     """The node is told that its settings changed."""
+    while not _minds_hang_up(vm):
+        await asyncio.sleep(0.005)
     vm.send(signal.SIGHUP)
 
 
+def _minds_hang_up(vm: SoakVm) -> bool:
+    """Return whether the process has run its first line; no program can handle a signal before."""
+    status = Path(f"/proc/{vm.process.pid}/status").read_text()
+    masks = dict(line.split(":\t") for line in status.splitlines() if line.startswith("Sig"))
+    return any(int(masks[name], 16) & 1 for name in ("SigIgn", "SigCgt"))
+
+
 async def delay(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Bytes to the node's peers' side come late."""
     vm.peer_proxy.delay_s = 0.15
--- a/src/cottonlink/overload/_directory.py
+++ b/src/cottonlink/overload/_directory.py
@@ -2,7 +2,9 @@
 
 Load pattern: the store is away, entries lapse meanwhile although their upstreams live, and all
 nodes would drop most of the fleet at the moment of its return. An entry that went missing around an
-outage is kept until the store has been back long enough for living upstreams to return.
+outage is kept until the store has been back long enough for living upstreams to return. After a
+restart of many VMs the entries of their former upstreams are still there for a while; an address
+belongs to the one that started last.
 """
 
 from __future__ import annotations
@@ -14,7 +16,7 @@
 
 
 class Directory:
-    """Entries by id. An entry is any object with ``revision``; None stands for unreadable."""
+    """Entries by id. An entry is a ``path.Upstream``; None stands for an unreadable one."""
 
     def __init__(self) -> None:
         self._entries: dict[str, Any] = {}
@@ -70,13 +72,24 @@
         return dropped
 
     def entries(self) -> list[Any]:
-        """Return all readable entries in force."""
-        return [entry for entry in self._entries.values() if entry is not None]
+        """Return the readable entries in force, one for each address."""
+        latest: dict[Any, Any] = {}
+        for entry in self._entries.values():
+            if entry is None:
+                continue
+            other = latest.get(entry.address)
+            if other is None or _start(entry) > _start(other):
+                latest[entry.address] = entry
+        return list(latest.values())
 
     def _is_unsettled(self, now_ms: float) -> bool:
         return self._is_store_away or now_ms - self._store_back_at_ms < RETURN_GRACE_MS
 
 
+def _start(entry: Any) -> int:
+    return -1 if entry.started_at_ms is None else entry.started_at_ms
+
+
 def make_directory() -> Directory:
     """Return an empty directory."""
     return Directory()
--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -33,17 +33,18 @@
 def main() -> int:
     """Run a node until SIGTERM; return the exit status."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
+    modified_ns = _modified_ns(path)
     try:
         settings = load_path_settings(path)
     except SettingsError as error:
         print(f"{error} ({error.peer})", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_run(settings, path))
+        runner.run(_run(settings, path, modified_ns))
     return 0
 
 
-async def _run(settings: PathSettings, path: str) -> None:
+async def _run(settings: PathSettings, path: str, modified_ns: int) -> None:
     loop = asyncio.get_running_loop()
     rng = random.Random()
     log = make_event_log(settings.node, loop)
@@ -56,7 +57,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     follower = make_follower(settings, node, log, rng, loop)
     tasks = [loop.create_task(follower.run()), loop.create_task(follower.keep_house())]
-    tasks.append(loop.create_task(_follow_settings(path, node, log, reload)))
+    tasks.append(loop.create_task(_follow_settings(path, modified_ns, node, log, reload)))
     await stopped.wait()
     for task in tasks:
         task.cancel()
@@ -79,8 +80,10 @@
     return follower
 
 
-async def _follow_settings(path: str, node: Node, log: EventLog, reload: asyncio.Event) -> None:
-    known = _modified_ns(path)
+async def _follow_settings(
+    path: str, known: int, node: Node, log: EventLog, reload: asyncio.Event
+) -> None:
+    """Read the settings again when the file is newer than ``known``, or when asked."""
     while True:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(reload.wait(), SETTINGS_CHECK_S)
--- a/tests/test_platform_tools.py
+++ b/tests/test_platform_tools.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import os
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -151,6 +153,34 @@
         self.assertEqual(explain_in_logs("r9", lines), [])
 
 
+class TestStart(unittest.TestCase):
+    """The process, from its first line on."""
+
+    def test_signal_about_settings_before_the_start_is_survived(self) -> None:
+        """A node that isn't listening yet stays alive when its settings change."""
+        path = write(settings_text())
+        program = (
+            "import os, runpy, signal, sys;"
+            "sys.argv = ['run_node'];"
+            "import importlib.abc\n"
+            "class Hang(importlib.abc.MetaPathFinder):\n"
+            "    def find_spec(self, name, *rest):\n"
+            "        if name == 'cottonlink.platform._process':\n"
+            "            os.kill(os.getpid(), signal.SIGHUP)\n"
+            "            print('survived', flush=True)\n"
+            "            os._exit(0)\n"
+            "sys.meta_path.insert(0, Hang())\n"
+            "runpy.run_path(sys.argv_path, run_name='__main__')\n"
+        )
+        runner = Path(__file__).parent.parent / "src" / "run_node.py"
+        program = program.replace("sys.argv_path", repr(str(runner)))
+        environment = {**os.environ, "COTTONLINK_NODE_FILE": path}
+        result = subprocess.run(
+            [sys.executable, "-c", program], env=environment, capture_output=True, text=True
+        )
+        self.assertEqual((result.returncode, result.stdout), (0, "survived\n"), result.stderr)
+
+
 class TestCommands(unittest.TestCase):
     """The command line."""
 
