--- a/tests/test_quarantine_histories.py
+++ b/tests/test_quarantine_histories.py
@@ -10,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from cottonlink.decisions import News, Quarantine, make_quarantine, request_fingerprint
-from cottonlink.decisions import _quarantine as quarantine
+from cottonlink.overload import _quarantine as quarantine
 from tests.histories import run_histories
 
 NAMES = ("a", "b", "c")
