--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -157,28 +157,33 @@
         exchange.cancel = lambda: self._caller_gone(call)
         delay_s = max(0.0, call.ends_at_ms + END_GRACE_MS - now_ms) / 1000.0
         call.timer = state.loop.call_later(delay_s, self._time_out, call)
-        self._place(call)
+        self._place(call, _NO_UPSTREAM)
 
-    def _place(self, call: IngressCall) -> None:
+    def _place(self, call: IngressCall, otherwise: NotRun) -> None:
+        """Send a call to an upstream that hasn't had it, or give up with ``otherwise``."""
         state = self._state
-        now_ms = state.now_ms()
-        upstream = state.placement.choose(
-            call.service,
-            call.route.name,
-            call.route.objective_ms,
-            call.tried,
-            call.route.is_repeatable,
-            now_ms,
-        )
+        upstream = self._choose(call)
         if upstream is None:
-            self._give_up(call, NotRun("no_upstream"))
+            self._give_up(call, otherwise)
             return
+        now_ms = state.now_ms()
         call.tried.add(upstream.upstream_id)
         call.upstream = upstream
         call.sent_at_ms = now_ms
         if not self._send(call, upstream):
             state.placement.unreachable(upstream.upstream_id, now_ms)
-            self._place(call)
+            self._place(call, otherwise)
+
+    def _choose(self, call: IngressCall) -> Upstream | None:
+        route = call.route
+        return self._state.placement.choose(
+            call.service,
+            route.name,
+            route.objective_ms,
+            call.tried,
+            route.is_repeatable,
+            self._state.now_ms(),
+        )
 
     def _send(self, call: IngressCall, upstream: Upstream) -> bool:
         """Hand a call to the node next to ``upstream``; return False if it can't be reached."""
@@ -294,7 +299,7 @@
             if may_go_on and now_ms < call.ends_at_ms:
                 # Nothing reached a target, so this is no repeat.
                 state.metrics.count("placements_refused", outcome.reason)
-                self._place_after_refusal(call, outcome)
+                self._place(call, outcome)
                 return
         self._give_up(call, outcome)
 
@@ -313,21 +318,6 @@
             return
         self._give_up(call, outcome)
 
-    def _place_after_refusal(self, call: IngressCall, refusal: NotRun) -> None:
-        state = self._state
-        upstream = state.placement.choose(
-            call.service,
-            call.route.name,
-            call.route.objective_ms,
-            call.tried,
-            call.route.is_repeatable,
-            state.now_ms(),
-        )
-        if upstream is None:
-            self._give_up(call, refusal)
-        else:
-            self._place(call)
-
     def _may_send_again(self, call: IngressCall, now_ms: float) -> bool:
         state = self._state
         route = call.route
@@ -356,18 +346,10 @@
             upstream=call.upstream.upstream_id,
             sends=call.reached_count,
         )
-        upstream = state.placement.choose(
-            call.service,
-            call.route.name,
-            call.route.objective_ms,
-            call.tried,
-            call.route.is_repeatable,
-            now_ms,
-        )
-        if upstream is None:
+        if self._choose(call) is None:
             # The last upstream left is the one that failed.
             call.tried.clear()
-        self._place(call)
+        self._place(call, _NO_UPSTREAM)
 
     def _answer(self, call: IngressCall, answer: Answered) -> None:
         state = self._state
@@ -489,6 +471,7 @@
 
 
 _TIMED_OUT = 504
+_NO_UPSTREAM = NotRun("no_upstream")
 _UNREACHABLE = frozenset(
     (
         "peer_unreachable",
