Keep all entries that tell no start

Change: entries without a start are all kept, as before the rule; test_entries_without_a_start_are_all_kept failed before.

--- a/src/cottonlink/overload/_directory.py
+++ b/src/cottonlink/overload/_directory.py
@@ -77,8 +77,12 @@
         for entry in self._entries.values():
             if entry is None:
                 continue
+            if entry.started_at_ms is None:
+                # Nothing tells which of two such entries is the later one, so both are kept.
+                latest[entry.upstream_id] = entry
+                continue
             other = latest.get(entry.address)
-            if other is None or _start(entry) > _start(other):
+            if other is None or entry.started_at_ms > other.started_at_ms:
                 latest[entry.address] = entry
         return list(latest.values())
 
@@ -86,10 +90,6 @@
         return self._is_store_away or now_ms - self._store_back_at_ms < RETURN_GRACE_MS
 
 
-def _start(entry: Any) -> int:
-    return -1 if entry.started_at_ms is None else entry.started_at_ms
-
-
 def make_directory() -> Directory:
     """Return an empty directory."""
     return Directory()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -402,6 +402,14 @@
         self.directory.put("one", None)
         self.assertEqual(self.directory.entries(), [])
 
+    def test_entries_without_a_start_are_all_kept(self) -> None:
+        """Dropping the wrong one would leave only an upstream that is gone."""
+        unknown = evolve(self.entry, started_at_ms=None)
+        later = evolve(unknown, upstream_id="two")
+        self.directory.put("one", unknown)
+        self.directory.put("two", later)
+        self.assertEqual(self.directory.entries(), [unknown, later])
+
     def test_address_belongs_to_the_upstream_that_started_last(self) -> None:
         """After a restart the former entry at the same address names nobody."""
         later = evolve(self.entry, upstream_id="two", started_at_ms=2)
