Give an address to the entry written last

Cause: after a loss of power of all VMs the entries of the former upstreams stay in the store for some seconds, at the addresses of the new ones. Ruled out: dropping either by order of reading, which lost the living one. Change: the store's revision of an entry's last change decides where starts don't; only an upstream that lives writes. A target that refuses an id as not its own gets no calls for a while; that rule was there, but never reached for refusals by targets. The test that kept both entries is replaced by one that demands the living one whatever the order.

--- a/src/cottonlink/overload/_directory.py
+++ b/src/cottonlink/overload/_directory.py
@@ -4,7 +4,7 @@
 nodes would drop most of the fleet at the moment of its return. An entry that went missing around an
 outage is kept until the store has been back long enough for living upstreams to return. After a
 restart of many VMs the entries of their former upstreams are still there for a while; an address
-belongs to the one that started last.
+belongs to the one that started last, or, where entries don't tell, was written last.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, Any] = {}
+        self._revisions: dict[str, int] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._is_store_away = False
         self._store_back_at_ms = float("-inf")
@@ -34,9 +35,10 @@
             self._is_store_away = False
             self._store_back_at_ms = now_ms
 
-    def put(self, entry_id: str, entry: Any) -> bool:
-        """Take in an entry; return whether it changed anything."""
+    def put(self, entry_id: str, entry: Any, revision: int) -> bool:
+        """Take in an entry as of the store's ``revision``; return whether it changed anything."""
         self._missing_since_ms.pop(entry_id, None)
+        self._revisions[entry_id] = revision
         if self._entries.get(entry_id) == entry:
             return False
         self._entries[entry_id] = entry
@@ -49,14 +51,14 @@
         if self._is_unsettled(now_ms):
             self._missing_since_ms.setdefault(entry_id, now_ms)
             return False
-        del self._entries[entry_id]
+        self._forget(entry_id)
         return True
 
-    def replace_all(self, entries: dict[str, Any], now_ms: float) -> bool:
-        """Take in a whole listing; return whether anything changed."""
+    def replace_all(self, entries: dict[str, tuple[Any, int]], now_ms: float) -> bool:
+        """Take in a whole listing of (entry, revision); return whether anything changed."""
         has_changed = False
-        for entry_id, entry in entries.items():
-            has_changed |= self.put(entry_id, entry)
+        for entry_id, (entry, revision) in entries.items():
+            has_changed |= self.put(entry_id, entry, revision)
         for entry_id in [known for known in self._entries if known not in entries]:
             has_changed |= self.remove(entry_id, now_ms)
         return has_changed
@@ -68,23 +70,30 @@
         dropped = list(self._missing_since_ms)
         self._missing_since_ms.clear()
         for entry_id in dropped:
-            self._entries.pop(entry_id, None)
+            self._forget(entry_id)
         return dropped
 
     def entries(self) -> list[Any]:
         """Return the readable entries in force, one for each address."""
-        latest: dict[Any, Any] = {}
-        for entry in self._entries.values():
+        latest: dict[Any, str] = {}
+        for entry_id, entry in self._entries.items():
             if entry is None:
                 continue
-            if entry.started_at_ms is None:
-                # Nothing tells which of two such entries is the later one, so both are kept.
-                latest[entry.upstream_id] = entry
-                continue
-            other = latest.get(entry.address)
-            if other is None or entry.started_at_ms > other.started_at_ms:
-                latest[entry.address] = entry
-        return list(latest.values())
+            other_id = latest.get(entry.address)
+            if other_id is None or self._is_later(entry_id, other_id):
+                latest[entry.address] = entry_id
+        return [self._entries[entry_id] for entry_id in latest.values()]
+
+    def _is_later(self, entry_id: str, other_id: str) -> bool:
+        start_ms = self._entries[entry_id].started_at_ms
+        other_start_ms = self._entries[other_id].started_at_ms
+        if start_ms is not None and other_start_ms is not None and start_ms != other_start_ms:
+            return start_ms > other_start_ms
+        return self._revisions[entry_id] > self._revisions[other_id]
+
+    def _forget(self, entry_id: str) -> None:
+        self._entries.pop(entry_id, None)
+        self._revisions.pop(entry_id, None)
 
     def _is_unsettled(self, now_ms: float) -> bool:
         return self._is_store_away or now_ms - self._store_back_at_ms < RETURN_GRACE_MS
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -280,8 +280,8 @@
             state.placement.failed(upstream.upstream_id, now_ms)
         else:
             state.placement.released(upstream.upstream_id)
-            if outcome.reason in _UNREACHABLE:
-                state.placement.unreachable(upstream.upstream_id, now_ms)
+        if outcome.reason in _UNREACHABLE:
+            state.placement.unreachable(upstream.upstream_id, now_ms)
         if call.is_done:
             return
         call.stop = None
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -169,12 +169,12 @@
         self.call_count += 1
         listing = await self._store.read_all()
         self._regained()
-        entries: dict[str, Upstream | None] = {}
+        entries: dict[str, tuple[Upstream | None, int]] = {}
         for item in listing.items:
             if self._store.is_configuration(item.key):
                 self._take_configuration(item)
             elif self._store.is_upstream(item.key):
-                entries[item.key] = self._decode(item)
+                entries[item.key] = (self._decode(item), item.revision)
                 self._item_revisions[item.key] = item.revision
         if self._directory.replace_all(entries, self._now_ms()):
             self._publish()
@@ -213,7 +213,7 @@
         self._item_revisions[item.key] = item.revision
         if item.value is None:
             return self._directory.remove(item.key, self._now_ms())
-        return self._directory.put(item.key, self._decode(item))
+        return self._directory.put(item.key, self._decode(item), item.revision)
 
     def _take_configuration(self, item: Item) -> None:
         if item.value is None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -372,7 +372,7 @@
     def setUp(self) -> None:
         self.directory = make_directory()
         self.entry = make_upstream("one")
-        self.directory.put("one", self.entry)
+        self.directory.put("one", self.entry, 1)
 
     def test_removal_counts_at_once_in_calm(self) -> None:
         """An upstream that left must get no new calls."""
@@ -394,27 +394,31 @@
         self.directory.store_lost()
         self.directory.store_regained(1_000)
         self.directory.remove("one", 1_100)
-        self.directory.put("one", self.entry)
+        self.directory.put("one", self.entry, 2)
         self.assertEqual(self.directory.drop_missing(9_000), [])
 
     def test_unreadable_entry_names_nothing(self) -> None:
         """What another writer left under an id replaces what was known."""
-        self.directory.put("one", None)
+        self.directory.put("one", None, 2)
         self.assertEqual(self.directory.entries(), [])
 
-    def test_entries_without_a_start_are_all_kept(self) -> None:
-        """Dropping the wrong one would leave only an upstream that is gone."""
-        unknown = evolve(self.entry, started_at_ms=None)
-        later = evolve(unknown, upstream_id="two")
-        self.directory.put("one", unknown)
-        self.directory.put("two", later)
-        self.assertEqual(self.directory.entries(), [unknown, later])
+    def test_address_without_starts_belongs_to_the_entry_written_last(self) -> None:
+        """The order in which entries are read says nothing; only an upstream that lives writes."""
+        former = evolve(self.entry, started_at_ms=None)
+        later = evolve(former, upstream_id="two")
+        for order in ((former, 5), (later, 7)), ((later, 7), (former, 5)):
+            directory = make_directory()
+            for entry, revision in order:
+                directory.put(entry.upstream_id, entry, revision)
+            self.assertEqual(directory.entries(), [later])
+            directory.put("one", former, 9)
+            self.assertEqual(directory.entries(), [former])
 
     def test_address_belongs_to_the_upstream_that_started_last(self) -> None:
         """After a restart the former entry at the same address names nobody."""
         later = evolve(self.entry, upstream_id="two", started_at_ms=2)
-        self.directory.put("two", later)
-        self.directory.put("one", evolve(self.entry, slots=9))
+        self.directory.put("two", later, 2)
+        self.directory.put("one", evolve(self.entry, slots=9), 3)
         self.assertEqual(self.directory.entries(), [later])
         self.directory.remove("two", 100)
         self.assertEqual([entry.slots for entry in self.directory.entries()], [9])
