Reserve the ports of the platform fixtures

Cause: one of fourteen runs of the path tests ended with 'address already in use' on a node's port. The fixtures took ports that were free at the moment; by the time of listening, an outgoing connection or the stand-in of a target had one of them. Ruled out: a node left over by an earlier test (the address was taken during the set-up, on the port of the other nodes, and the next run passed). Change: the reserver that the other fixtures use holds the ports, now on all loopback addresses.

--- a/emulator/addresses.py
+++ b/emulator/addresses.py
@@ -1,10 +1,11 @@
-"""Reserves TCP ports on 127.0.0.1 for the processes of a fleet."""
+"""Reserves TCP ports on loopback addresses for the processes of a fleet."""
 
 from __future__ import annotations
 
 import socket
 
 HOST = "127.0.0.1"
+_EVERY_HOST = "0.0.0.0"
 
 
 class PortReserver:
@@ -19,11 +20,11 @@
 
     def reserve(self) -> str:
         """Return a free ``ip:port`` that stays reserved until ``close``."""
-        holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind((HOST, 0))
-        self._sockets.append(holder)
-        return f"{HOST}:{holder.getsockname()[1]}"
+        return f"{HOST}:{self._hold(HOST)}"
+
+    def reserve_everywhere(self) -> int:
+        """Return a port that is free on all loopback addresses and stays reserved there."""
+        return self._hold(_EVERY_HOST)
 
     def close(self) -> None:
         """Release all ports."""
@@ -31,6 +32,13 @@
             holder.close()
         self._sockets.clear()
 
+    def _hold(self, host: str) -> int:
+        holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((host, 0))
+        self._sockets.append(holder)
+        return holder.getsockname()[1]
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of ``ip:port``."""
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -8,7 +8,6 @@
 import asyncio
 import os
 import random
-import socket
 import unittest
 from collections.abc import Callable
 
@@ -18,6 +17,7 @@
 from cottonlink.path import EventLog, Node, PathSettings, StoreFollower
 from cottonlink.platform._headers import PlatformDialect
 from cottonlink.platform._process import make_follower
+from emulator.addresses import PortReserver
 from emulator.platform_store import PlatformStore
 from emulator.platform_target import PlatformTarget
 
@@ -25,13 +25,6 @@
 PATIENCE_S = 20.0
 
 
-def free_port(host: str) -> int:
-    """Return a port that is free on ``host`` now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 @define(eq=False)
 class Vm:
     """A target and the node next to it."""
@@ -132,8 +125,10 @@
         self.store = PlatformStore()
         await self.store.start()
         self.vms: list[Vm] = []
-        self._ports = {name: free_port("127.0.0.1") for name in ("caller", "peer", "ready")}
-        self._ports["metrics"] = free_port("127.0.0.1")
+        self._reserver = PortReserver()
+        self.addCleanup(self._reserver.close)
+        names = ("caller", "peer", "ready", "metrics")
+        self._ports = {name: self._reserver.reserve_everywhere() for name in names}
         self._null = os.open(os.devnull, os.O_WRONLY)
 
     async def asyncTearDown(self) -> None:
@@ -149,7 +144,8 @@
     async def add_vm(self, service: str, upstream_id: str, *, slots: int = 16) -> Vm:
         """Start a target, its entry in the store, and its node."""
         host = f"127.0.0.{len(self.vms) + 2}"
-        target = PlatformTarget(service, host, free_port(host), upstream_id, slots)
+        port = self._reserver.reserve_everywhere()
+        target = PlatformTarget(service, host, port, upstream_id, slots)
         await target.start()
         await self.store.put(f"servers/{upstream_id}", target.entry())
         settings = PathSettings(
