Run calls on a leaving node while no other one can

Cause: a node that gets SIGTERM refused the calls of other nodes at once. Ruled out: missing entries of the targets; the nodes still knew 13 upstreams. Change: a leaving node tells its peers in two steps. First it is used only where no other one can be; 2.3 s later it takes no calls, and the rest of its notice is for those on their way. Test: the last node of a service runs calls while it leaves (503 before).

--- a/src/cottonlink/overload/_placement.py
+++ b/src/cottonlink/overload/_placement.py
@@ -32,6 +32,10 @@
 COLD_FACTOR = 2.0
 # Upstreams that are compared for one call; more would draw all nodes to the same one.
 SAMPLE_SIZE = 4
+# A node that shuts down is gone within this time, and another one starts in its place.
+LEAVING_MS = 6_000.0
+# Time from a node's last call until another one has started in its place.
+RESTART_MS = 1_000.0
 # A new upstream gets its first call from each node after a random part of this time.
 FIRST_CALL_SPREAD_MS = 2_500.0
 
@@ -52,6 +56,7 @@
     failure_rate: float = 0.0
     failure_at_ms: float = 0.0
     unavailable_until_ms: float = 0.0
+    leaving_until_ms: float = 0.0
     failures_in_row: int = 0
     latency_ms: dict[str, float] = Factory(dict)
 
@@ -112,6 +117,9 @@
         ]
         if not states:
             return None
+        # A node that shuts down still runs what no other one can.
+        staying = [state for state in states if state.leaving_until_ms <= now_ms]
+        states = staying or states
         if is_repeatable:
             for state in states:
                 if not state.was_called and now_ms >= state.first_call_after_ms:
@@ -164,6 +172,21 @@
         state.unavailable_until_ms = now_ms + pause_ms
         return pause_ms
 
+    def leaving(self, upstream_id: str, now_ms: float, *, takes_calls: bool) -> None:
+        """The node next to an upstream shuts down; the upstream itself may go on running."""
+        state = self._states.get(upstream_id)
+        if state is not None:
+            state.leaving_until_ms = now_ms + LEAVING_MS
+            if not takes_calls:
+                state.unavailable_until_ms = now_ms + RESTART_MS
+
+    def reachable(self, upstream_id: str) -> None:
+        """A new connection to the node next to an upstream was opened."""
+        state = self._states.get(upstream_id)
+        if state is not None:
+            state.leaving_until_ms = 0.0
+            state.unavailable_until_ms = 0.0
+
     def reported(self, upstream_id: str, load: Any, now_ms: float) -> None:
         """The node next to an upstream reported its load."""
         state = self._states.get(upstream_id)
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -79,7 +79,9 @@
 
 @frozen
 class LeavingFrame:
-    """The sender is shutting down and takes no more calls."""
+    """The sender is shutting down; ``takes_calls`` tells whether it still runs what comes."""
+
+    takes_calls: bool
 
 
 @frozen
@@ -156,8 +158,8 @@
 
 
 @encode.register
-def _(_frame: LeavingFrame) -> bytes:
-    return msgpack.packb((_LEAVING,))
+def _(frame: LeavingFrame) -> bytes:
+    return msgpack.packb((_LEAVING, frame.takes_calls))
 
 
 @encode.register
@@ -262,7 +264,7 @@
     _CANCEL: lambda p: CancelFrame(p[1]),
     _PING: lambda p: PingFrame(p[1]),
     _PONG: lambda p: PongFrame(p[1], _unpack_load(p[2])),
-    _LEAVING: lambda _p: LeavingFrame(),
+    _LEAVING: lambda p: LeavingFrame(p[1]),
     _SUSPECT: lambda p: SuspectFrame(p[1]),
     _NEWS: lambda p: NewsFrame(*p[1:]),
 }
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -39,6 +39,9 @@
 # Time after SIGTERM in which a node goes on taking connections: whoever sends callers here asks
 # once a second and needs two answers to stop.
 LEAVING_NOTICE_MS = 2_600.0
+# Time after SIGTERM in which a node goes on running calls of other nodes that find no other target.
+# The rest of the notice is for calls that are already on their way.
+RUNNING_NOTICE_MS = 2_300.0
 # Part of the time until SIGKILL after which requests are refused, so that those taken before can
 # still end.
 TAKING_SHARE = 0.47
@@ -53,6 +56,7 @@
 class _Shutdown:
     started_ms: float
     on_done: Callable[[], None]
+    takes_calls: bool = True
 
 
 class Node(PeerHandler):
@@ -128,8 +132,7 @@
         self._shutdown = _Shutdown(self.now_ms(), on_done)
         self.state.log.event("node_leaving", callers=len(self._callers), peers=len(self._peers))
         for peer in self._peers:
-            peer.send_leaving()
-        self.desk.close("node_leaving")
+            peer.send_leaving(takes_calls=True)
 
     def close(self) -> None:
         """Stop at once."""
@@ -238,7 +241,7 @@
     def peer_opened(self, connection: PeerConnection) -> None:
         self._peers.add(connection)
         if self._shutdown is not None:
-            connection.send_leaving()
+            connection.send_leaving(takes_calls=self._shutdown.takes_calls)
 
     def peer_closed(self, connection: PeerConnection) -> None:
         self._peers.discard(connection)
@@ -252,12 +255,19 @@
                 self.state.quarantine.learn(fingerprint, level, round(self.now_ms()))
 
     # What links to other nodes tell.
-    def peer_leaving(self, address: Address) -> None:
+    def peer_leaving(self, address: Address, *, takes_calls: bool) -> None:
         now_ms = self.now_ms()
-        for upstream in self.state.placement.upstreams():
+        placement = self.state.placement
+        for upstream in placement.upstreams():
+            if upstream.vm_ip == address[0]:
+                placement.leaving(upstream.upstream_id, now_ms, takes_calls=takes_calls)
+        self.state.log.event("peer_leaving", peer=address[0], takes_calls=takes_calls)
+
+    def peer_opened_link(self, address: Address) -> None:
+        placement = self.state.placement
+        for upstream in placement.upstreams():
             if upstream.vm_ip == address[0]:
-                self.state.placement.unreachable(upstream.upstream_id, now_ms)
-        self.state.log.event("peer_leaving", peer=address[0])
+                placement.reachable(upstream.upstream_id)
 
     def peer_load(self, address: Address, load: Load) -> None:
         now_ms = self.now_ms()
@@ -300,7 +310,7 @@
         if newest.is_draining:
             self.desk.close("target_leaving")
             self.state.log.event("target_draining", upstream=newest.upstream_id)
-        elif self._shutdown is None:
+        elif self._shutdown is None or self._shutdown.takes_calls:
             self.desk.reopen()
 
     def _is_past_taking(self) -> bool:
@@ -337,6 +347,11 @@
 
     def _continue_shutdown(self, shutdown: _Shutdown) -> None:
         elapsed_ms = self.now_ms() - shutdown.started_ms
+        if shutdown.takes_calls and elapsed_ms >= RUNNING_NOTICE_MS:
+            shutdown.takes_calls = False
+            for peer in self._peers:
+                peer.send_leaving(takes_calls=False)
+            self.desk.close("node_leaving")
         if elapsed_ms < LEAVING_NOTICE_MS:
             return
         # Kept connections without a request are closed only once no new callers come.
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -40,8 +40,11 @@
 class PeerHandler:
     """What a link tells the node. All methods run in the event loop."""
 
-    def peer_leaving(self, address: Address) -> None:
-        """The node at ``address`` takes no more calls."""
+    def peer_leaving(self, address: Address, *, takes_calls: bool) -> None:
+        """The node at ``address`` is shutting down."""
+
+    def peer_opened_link(self, address: Address) -> None:
+        """The node at ``address`` accepted a connection."""
 
     def peer_load(self, address: Address, load: Load) -> None:
         """The node at ``address`` reported the load of its target."""
@@ -190,7 +193,7 @@
         elif isinstance(frame, PongFrame):
             self._handler.peer_load(self.address, frame.load)
         elif isinstance(frame, LeavingFrame):
-            self._handler.peer_leaving(self.address)
+            self._handler.peer_leaving(self.address, takes_calls=frame.takes_calls)
         else:
             self._handler.peer_frame(self.address, frame)
 
@@ -220,6 +223,7 @@
         self._connections.add(connection)
         self._current = connection
         self.log_state("open", "")
+        self._handler.peer_opened_link(self.address)
         if self._unsent is not None:
             connection.transport.write(encode(self._unsent))
             self._unsent = None
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -75,9 +75,9 @@
         except CottonlinkError:
             self._transport.abort()
 
-    def send_leaving(self) -> None:
-        """Tell the peer that this node takes no more calls."""
-        self._transport.write(encode(LeavingFrame()))
+    def send_leaving(self, *, takes_calls: bool) -> None:
+        """Tell the peer that this node is shutting down."""
+        self._transport.write(encode(LeavingFrame(takes_calls)))
 
     def send(self, frame: Any) -> None:
         """Send a frame that belongs to no call."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,7 +8,7 @@
 from cottonlink.path._frames import NewsFrame
 from emulator.http_stand_in import Received
 from emulator.platform_target import PlatformTarget, configuration, not_run, route_resource
-from tests.platform_fixtures import FleetCase, request_bytes
+from tests.platform_fixtures import FleetCase, Vm, request_bytes
 
 READS = route_resource("reads", "shop.example", "/reads/", "browse")
 BOOKINGS = route_resource("bookings", "shop.example", "/bookings/", "booking", kind="unsafe")
@@ -418,6 +418,22 @@
             self.assertEqual(answer.status, 200)
         self.assertEqual(len(self.first.target.runs), runs)
 
+    async def test_last_node_of_a_service_runs_calls_while_it_leaves(self) -> None:
+        """Nodes that are restarted in turn leave no moment in which nobody runs a service."""
+        await self.call(self.first, "/bookings/0", method="POST", body=b"x")
+        self.booking.node.begin_shutdown(lambda: None)
+        answer = await self.call(self.first, "/bookings/1", method="POST", body=b"x")
+        self.assertEqual(answer.status, 200)
+        self._age_shutdown(2_400)
+        await self.until(lambda: not self._can_place(self.first, "booking"))
+        answer = await self.call(self.first, "/bookings/2", method="POST", body=b"x")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self.booking.target.runs), 2)
+
+    def _can_place(self, vm: Vm, service: str) -> bool:
+        placement = vm.node.state.placement
+        return placement.choose(service, "", 1_000.0, (), False, vm.node.now_ms()) is not None
+
     def _age_shutdown(self, by_ms: float) -> None:
         for vm in self.vms:
             if vm.node._shutdown is not None:
