Let a restarted node learn from its peers while the store is away

Cause: a node that started while the store was silent had no configuration until the store came back. Ruled out: nodes being unreachable; their peers' calls ran. Change: nodes open lost links again by themselves; a node without a configuration asks a peer that has connected, one at a time, and takes over the items that it knows with their revisions. What the store itself says always replaces that. The follower is there before the listeners are open. Test: a node restarted beside a silent store serves callers (it waited for the store before).

--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -100,10 +100,24 @@
     items: tuple[tuple[str, int, bytes | None], ...]
 
 
+@frozen
+class AskFrame:
+    """The sender has just started and asks what the store holds, as far as the receiver knows."""
+
+
+@frozen
+class KnownFrame:
+    """What the sender knows of the store as of a revision, as (key, revision, value) each."""
+
+    revision: int
+    items: tuple[tuple[str, int, bytes], ...]
+
+
 # Pressure travels as an integer, in these parts of one.
 _PRESSURE_UNITS = 50
 
 _CALL, _ANSWER, _NOT_RUN, _UNKNOWN, _CANCEL, _PING, _PONG, _LEAVING, _SUSPECT, _NEWS = range(10)
+_ASK, _KNOWN = range(10, 12)
 
 
 @singledispatch
@@ -172,6 +186,16 @@
     return msgpack.packb((_NEWS, frame.after, frame.revision, frame.items))
 
 
+@encode.register
+def _(_frame: AskFrame) -> bytes:
+    return msgpack.packb((_ASK,))
+
+
+@encode.register
+def _(frame: KnownFrame) -> bytes:
+    return msgpack.packb((_KNOWN, frame.revision, frame.items))
+
+
 @singledispatch
 def _encode_outcome(outcome: Any, _stream: int) -> bytes:
     raise TypeError(f"no encoding for {type(outcome).__name__}")
@@ -267,4 +291,6 @@
     _LEAVING: lambda p: LeavingFrame(p[1]),
     _SUSPECT: lambda p: SuspectFrame(p[1]),
     _NEWS: lambda p: NewsFrame(*p[1:]),
+    _ASK: lambda _p: AskFrame(),
+    _KNOWN: lambda p: KnownFrame(*p[1:]),
 }
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from attrs import define
 
@@ -18,7 +18,7 @@
 )
 from cottonlink.path._caller_connection import CallerConnection, Exchange
 from cottonlink.path._dialect import Dialect
-from cottonlink.path._frames import NewsFrame, SuspectFrame
+from cottonlink.path._frames import AskFrame, KnownFrame, NewsFrame, SuspectFrame
 from cottonlink.path._http import Headers, parse_address
 from cottonlink.path._ingress import Ingress
 from cottonlink.path._log import EventLog
@@ -50,6 +50,21 @@
 # When a refused caller may come back: another node serves it at once.
 LEAVING_RETRY_AFTER_MS = 50.0
 LISTEN_BACKLOG = 1024
+# A node without a configuration asks one other node at a time; an answer takes a few round trips.
+ASK_PERIOD_MS = 300.0
+
+
+class StoreView(Protocol):
+    """What is known of the store, and what other nodes tell of it."""
+
+    def take_news(self, frame: NewsFrame) -> None:
+        """Take in changes that a watcher tells."""
+
+    def take_known(self, frame: KnownFrame) -> None:
+        """Take in all that another node knows."""
+
+    def known(self) -> KnownFrame | None:
+        """Return what this node knows, or None if it knows nothing yet."""
 
 
 @define
@@ -103,7 +118,8 @@
         self._shutdown: _Shutdown | None = None
         self._sweep_count = 0
         self._is_closed = False
-        self.on_news: Callable[[NewsFrame], None] | None = None
+        self.store_view: StoreView | None = None
+        self._asked_at_ms = float("-inf")
         self._own_upstream: Upstream | None = None
 
     async def start(self) -> None:
@@ -242,14 +258,16 @@
         self._peers.add(connection)
         if self._shutdown is not None:
             connection.send_leaving(takes_calls=self._shutdown.takes_calls)
+        self._ask(connection)
 
     def peer_closed(self, connection: PeerConnection) -> None:
         self._peers.discard(connection)
 
     def peer_told(self, frame: Any) -> None:
         if isinstance(frame, NewsFrame):
-            if self.on_news is not None:
-                self.on_news(frame)
+            self.store_view.take_news(frame)
+        elif isinstance(frame, KnownFrame):
+            self.store_view.take_known(frame)
         elif isinstance(frame, SuspectFrame):
             for fingerprint, level in frame.levels:
                 self.state.quarantine.learn(fingerprint, level, round(self.now_ms()))
@@ -276,12 +294,24 @@
                 self.state.placement.reported(upstream.upstream_id, load, now_ms)
 
     def peer_frame(self, address: Address, frame: Any) -> None:
+        if isinstance(frame, AskFrame):
+            known = self.store_view.known()
+            if known is not None:
+                self.state.peers.link(address).send(known)
+            return
         self.peer_told(frame)
 
     def peer_state(self, address: Address, state: str, detail: str) -> None:
         self.state.metrics.count("peer_links", state)
         self.state.log.event(f"peer_{state}", peer=f"{address[0]}:{address[1]}", detail=detail)
 
+    def _ask(self, connection: PeerConnection) -> None:
+        """Ask a node that has connected what the store holds, unless that is known here."""
+        now_ms = self.now_ms()
+        if self.state.configuration is None and now_ms - self._asked_at_ms >= ASK_PERIOD_MS:
+            self._asked_at_ms = now_ms
+            connection.send(AskFrame())
+
     def _target_crashed(self, fingerprints: list[str]) -> None:
         verdicts = self.state.quarantine.crashed(fingerprints, round(self.now_ms()))
         levels = tuple((verdict.fingerprint, verdict.level) for verdict in verdicts)
@@ -336,6 +366,8 @@
         self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
         self.state.peers.sweep()
         self._pool.sweep()
+        if self.state.configuration is None and self._peers:
+            self._ask(self.state.rng.choice(list(self._peers)))
         self._sweep_count += 1
         if self._sweep_count % CONNECTION_SWEEP_EVERY == 0:
             now_ms = self.now_ms()
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -35,6 +35,10 @@
 DEAD_MS = 2_600.0
 # Time after a failed attempt until the next one.
 RECONNECT_PAUSE_MS = 250.0
+# A lost connection is opened again after this time without waiting for a call, since a node that
+# was restarted may need what its peers know. The pause grows with each failure up to the longest.
+REOPEN_PAUSE_MS = 400.0
+LONGEST_REOPEN_PAUSE_MS = 3_200.0
 
 
 class PeerHandler:
@@ -111,6 +115,9 @@
         self._opening: asyncio.Task | None = None
         self._retry_at_ms = 0.0
         self._unsent: Any = None
+        self._reopen_pause_ms = REOPEN_PAUSE_MS
+        self._reopen_at_ms: float | None = None
+        self._is_closed = False
 
     def now_ms(self) -> float:
         """Return the monotonic time of the event loop."""
@@ -155,6 +162,10 @@
     def sweep(self) -> None:
         """Ask quiet peers for a sign of life, and give up those that don't answer."""
         now_ms = self.now_ms()
+        if self._reopen_at_ms is not None and now_ms >= self._reopen_at_ms:
+            self._reopen_at_ms = None
+            if self._current is None and self._opening is None:
+                self._opening = self._loop.create_task(self._open())
         for connection in list(self._connections):
             if not connection.is_open or not connection.outstanding:
                 continue
@@ -171,6 +182,8 @@
 
     def close(self) -> None:
         """Close all connections; calls in progress get an unknown outcome."""
+        self._is_closed = True
+        self._reopen_at_ms = None
         if self._opening is not None:
             self._opening.cancel()
         for connection in list(self._connections):
@@ -202,6 +215,8 @@
         self._connections.discard(connection)
         if self._current is connection:
             self._current = None
+        if not self._is_closed:
+            self._reopen_at_ms = self.now_ms() + REOPEN_PAUSE_MS
         self.log_state("lost", reason)
         outstanding, connection.outstanding = connection.outstanding, {}
         for entry in outstanding.values():
@@ -213,13 +228,17 @@
             _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError) as error:
             self._opening = None
-            self._retry_at_ms = self.now_ms() + RECONNECT_PAUSE_MS
+            now_ms = self.now_ms()
+            self._retry_at_ms = now_ms + RECONNECT_PAUSE_MS
+            self._reopen_at_ms = now_ms + self._reopen_pause_ms
+            self._reopen_pause_ms = min(self._reopen_pause_ms * 2, LONGEST_REOPEN_PAUSE_MS)
             self.log_state("unreachable", type(error).__name__)
             waiting, self._waiting = self._waiting, []
             for _, outstanding in waiting:
                 outstanding.on_outcome(NotRun("peer_unreachable"))
             return
         self._opening = None
+        self._reopen_pause_ms = REOPEN_PAUSE_MS
         self._connections.add(connection)
         self._current = connection
         self.log_state("open", "")
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -1,7 +1,8 @@
 """Keeps a node's view of what operators and targets publish up to date.
 
 A few nodes watch the store and pass the changes on; the others listen to them, and read the store
-themselves when they miss a change or hear nothing.
+themselves when they miss a change or hear nothing. A node that starts while the store is away takes
+over what another node knows.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 
 from cottonlink.errors import CottonlinkError
 from cottonlink.overload import SIGN_PERIOD_MS, make_directory, make_watch_rota
-from cottonlink.path._frames import NewsFrame
+from cottonlink.path._frames import KnownFrame, NewsFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
 
@@ -111,7 +112,7 @@
         self._directory = make_directory()
         self._rota = make_watch_rota(name)
         self._revision: int | None = None
-        self._item_revisions: dict[str, int] = {}
+        self._items: dict[str, Item] = {}
         self._is_away = False
         self._pause_s = SHORTEST_PAUSE_S
         self._sign_due_ms = 0.0
@@ -155,6 +156,22 @@
         self._take_changes(tuple(Item(*item) for item in frame.items))
         self._revision = frame.revision
 
+    def known(self) -> KnownFrame | None:
+        """Return what this node knows of the store, or None if it knows nothing yet."""
+        if self._revision is None:
+            return None
+        items = [item for item in self._items.values() if item.value is not None]
+        packed = tuple((item.key, item.revision, item.value) for item in items)
+        return KnownFrame(self._revision, packed)
+
+    def take_known(self, frame: KnownFrame) -> None:
+        """Take in what another node knows, unless this one has read the store itself."""
+        if self._revision is not None:
+            return
+        items = tuple(Item(*item) for item in frame.items)
+        self._log.event("store_known_by_peer", revision=frame.revision, items=len(items))
+        self._take_listing(Listing(items, frame.revision))
+
     async def _step(self) -> None:
         if self._revision is None or (self._is_away and self._rota.must_watch(self._now_ms())):
             # A plain read tells at once whether the store answers again; a watch doesn't.
@@ -169,13 +186,16 @@
         self.call_count += 1
         listing = await self._store.read_all()
         self._regained()
+        self._take_listing(listing)
+
+    def _take_listing(self, listing: Listing) -> None:
+        self._items = {item.key: item for item in listing.items}
         entries: dict[str, tuple[Upstream | None, int]] = {}
         for item in listing.items:
             if self._store.is_configuration(item.key):
                 self._take_configuration(item)
             elif self._store.is_upstream(item.key):
                 entries[item.key] = (self._decode(item), item.revision)
-                self._item_revisions[item.key] = item.revision
         if self._directory.replace_all(entries, self._now_ms()):
             self._publish()
         self._revision = listing.revision
@@ -199,6 +219,11 @@
     def _take_changes(self, items: tuple[Item, ...]) -> None:
         has_changed = False
         for item in items:
+            known = self._items.get(item.key)
+            # News and a watch of one's own may tell the same changes in different order.
+            if known is not None and item.revision <= known.revision:
+                continue
+            self._items[item.key] = item
             if self._store.is_configuration(item.key):
                 self._take_configuration(item)
             elif self._store.is_upstream(item.key):
@@ -207,10 +232,6 @@
             self._publish()
 
     def _take_entry(self, item: Item) -> bool:
-        # News and a watch of one's own may tell the same changes in different order.
-        if item.revision <= self._item_revisions.get(item.key, 0):
-            return False
-        self._item_revisions[item.key] = item.revision
         if item.value is None:
             return self._directory.remove(item.key, self._now_ms())
         return self._directory.put(item.key, self._decode(item), item.revision)
--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -49,13 +49,13 @@
     rng = random.Random()
     log = make_event_log(settings.node, loop)
     node = Node(settings, PlatformDialect(), log, loop, rng)
+    follower = make_follower(settings, node, log, rng, loop)
     await node.start()
     stopped = asyncio.Event()
     reload = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, lambda: node.begin_shutdown(stopped.set))
     loop.add_signal_handler(signal.SIGINT, lambda: node.begin_shutdown(stopped.set))
     loop.add_signal_handler(signal.SIGHUP, reload.set)
-    follower = make_follower(settings, node, log, rng, loop)
     tasks = [loop.create_task(follower.run()), loop.create_task(follower.keep_house())]
     tasks.append(loop.create_task(_follow_settings(path, modified_ns, node, log, reload)))
     await stopped.wait()
@@ -76,7 +76,7 @@
     # Targets' entries name VMs by their addresses.
     name = settings.target_address.rsplit(":", 1)[0]
     follower = StoreFollower(store, node, name, settings.data_centre, log, rng, loop)
-    node.on_news = follower.take_news
+    node.store_view = follower
     return follower
 
 
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -172,11 +172,21 @@
         rng = random.Random(len(self.vms))
         log = EventLog(settings.node, loop, self._null)
         node = Node(settings, PlatformDialect(), log, loop, rng)
-        await node.start()
         follower = make_follower(settings, node, log, rng, loop)
+        await node.start()
         tasks = [loop.create_task(follower.run()), loop.create_task(follower.keep_house())]
         return Vm(node, target, follower, tasks, settings)
 
+    async def restart_node(self, vm: Vm) -> Vm:
+        """Kill a node and start another one next to the same target."""
+        for task in vm.tasks:
+            task.cancel()
+        vm.node.close()
+        await asyncio.sleep(0.05)
+        new = await self._start_node(vm.settings, vm.target)
+        self.vms[self.vms.index(vm)] = new
+        return new
+
     async def until(self, condition: Callable[[], bool]) -> None:
         """Wait until ``condition`` holds; fail if it doesn't in a long time."""
         for _ in range(int(PATIENCE_S / 0.01)):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -430,6 +430,18 @@
         self.assertEqual(answer.status, 503)
         self.assertEqual(len(self.booking.target.runs), 2)
 
+    async def test_restarted_node_learns_from_others_while_the_store_is_silent(self) -> None:
+        """Its callers are served, and its target's calls are carried, before the store is back."""
+        await self.call(self.first, "/bookings/0", method="POST", body=b"x")
+        self.store.fault = "silent"
+        restarted = await self.restart_node(self.booking)
+        await self.until(lambda: restarted.node.state.configuration_version == 4)
+        answer = await self.call(restarted, "/reads/1")
+        self.assertEqual(answer.status, 200)
+        self.store.fault = None
+        await self.store.put("op/config", configuration(5, READS, BOOKINGS))
+        await self.until_version(5)
+
     def _can_place(self, vm: Vm, service: str) -> bool:
         placement = vm.node.state.placement
         return placement.choose(service, "", 1_000.0, (), False, vm.node.now_ms()) is not None
