Split the ingress into its call, its course and its final answer

Cause: _ingress.py had grown to about 500 lines with three jobs; a newcomer had to read all of it to follow one request. Change: _ingress_call.py holds what is known of one request, _final_answer.py ends it (log line, counts, answer), _ingress.py routes, places and sends again. No behaviour changes; the tests of the path and of the decisions pass unchanged.

--- /dev/null
+++ b/src/cottonlink/path/_final_answer.py
@@ -0,0 +1,144 @@
+"""The final answer of a request: a target's own, a refusal with a time to return, or a failure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cottonlink.path._caller_connection import Exchange
+from cottonlink.path._ingress_call import IngressCall
+from cottonlink.path._model import Answered, NotRun, Outcome, Request
+from cottonlink.path._state import NodeState
+
+# Time after which a refused caller is asked to come back, as a part of its objective: late enough
+# for room to come free, early enough for the answer to be of use.
+RETRY_AFTER_SHARE = 0.25
+SHORTEST_RETRY_AFTER_MS = 100.0
+# Callers return over this multiple of the shortest time, so that they don't return together.
+RETRY_AFTER_SPREAD = 2.0
+# Time after which a node that knows no configuration yet may be asked again.
+STARTING_RETRY_AFTER_MS = 500.0
+
+TIMED_OUT = 504
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+
+
+class FinalAnswers:
+    """Ends requests: writes the log line, counts, and answers the caller."""
+
+    def __init__(self, state: NodeState, on_final: Callable[[IngressCall], None]) -> None:
+        self._state = state
+        self._on_final = on_final
+
+    def refuse_starting(self, exchange: Exchange) -> None:
+        """Refuse a request because no configuration is known yet."""
+        headers = self._state.dialect.retry_after(STARTING_RETRY_AFTER_MS)
+        self._count_refusal(exchange.request, None, "no_configuration", STARTING_RETRY_AFTER_MS)
+        exchange.respond(_UNAVAILABLE, headers, b"")
+
+    def refuse_unknown(self, exchange: Exchange, version: int) -> None:
+        """Refuse a request that no route fits."""
+        self._state.log.event(
+            "request_without_route",
+            request_id=exchange.request.request_id,
+            configuration_version=version,
+        )
+        exchange.respond(_NOT_FOUND, (), b"")
+
+    def answer(self, call: IngressCall, answer: Answered) -> None:
+        """Pass on what a target answered."""
+        state = self._state
+        now_ms = state.now_ms()
+        latency_ms = now_ms - call.received_ms
+        is_success = 200 <= answer.status < 300
+        if not call.is_call:
+            self._judge_use(call, is_success, answer.status, latency_ms)
+        state.metrics.record_latency("call" if call.is_call else "request", latency_ms)
+        state.metrics.count("answers", str(answer.status))
+        state.log.event(
+            "request_answered" if is_success else "request_failed_by_target",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            status=answer.status,
+            upstream=call.upstream.upstream_id,
+            latency_ms=round(latency_ms, 1),
+            sends=call.reached_count,
+            is_call=call.is_call,
+            configuration_version=state.configuration_version,
+        )
+        self._on_final(call)
+        call.exchange.respond(answer.status, answer.headers, answer.body)
+
+    def _judge_use(self, call: IngressCall, is_success: bool, status: int, ms: float) -> None:
+        """Tell the throttle of lateness; failing in time is no reason to refuse other requests."""
+        state = self._state
+        route = call.route
+        now_ms = state.now_ms()
+        if is_success:
+            is_useful = route.rank == 0 or ms <= route.objective_ms
+            state.route_throttle.answered(
+                route.name, route.rank, ms, is_useful=is_useful, now_ms=now_ms
+            )
+        elif status == TIMED_OUT:
+            state.route_throttle.failed(route.name, route.rank, now_ms)
+
+    def give_up(self, call: IngressCall, outcome: Outcome) -> None:
+        """Give the final answer to a request that got no usable answer."""
+        if call.fallback is not None:
+            self.answer(call, call.fallback)
+        elif isinstance(outcome, NotRun) and not call.has_unknown_send:
+            self.refuse(call, outcome.reason, outcome.retry_after_ms)
+        else:
+            self.fail(call, _BAD_GATEWAY, outcome.reason)
+
+    def refuse(self, call: IngressCall, reason: str, hint_ms: float) -> None:
+        """Tell the caller that the request hasn't run, and when to come back."""
+        state = self._state
+        shortest_ms = max(
+            SHORTEST_RETRY_AFTER_MS, hint_ms, RETRY_AFTER_SHARE * call.route.objective_ms
+        )
+        delay_ms = shortest_ms * state.rng.uniform(1.0, RETRY_AFTER_SPREAD)
+        self._count_refusal(call.request, call, reason, delay_ms)
+        self._on_final(call)
+        call.exchange.respond(_UNAVAILABLE, state.dialect.retry_after(delay_ms), b"")
+
+    def fail(self, call: IngressCall, status: int, reason: str) -> None:
+        """Tell the caller that no usable answer came; the request may have run."""
+        state = self._state
+        now_ms = state.now_ms()
+        if not call.is_call and status == TIMED_OUT:
+            state.route_throttle.failed(call.route.name, call.route.rank, now_ms)
+        state.metrics.count("requests_failed", reason)
+        state.log.event(
+            "request_failed",
+            request_id=call.request.request_id,
+            route=call.route.name,
+            reason=reason,
+            status=status,
+            upstream=call.upstream.upstream_id if call.upstream else None,
+            waited_ms=round(now_ms - call.received_ms, 1),
+            sends=call.reached_count,
+            is_call=call.is_call,
+            configuration_version=state.configuration_version,
+        )
+        self._on_final(call)
+        call.exchange.respond(status, (), b"")
+
+    def _count_refusal(
+        self, request: Request, call: IngressCall | None, reason: str, delay_ms: float
+    ) -> None:
+        state = self._state
+        state.metrics.count("requests_refused", reason)
+        state.log.event(
+            "request_refused",
+            request_id=request.request_id,
+            route=call.route.name if call else None,
+            rank=call.rank if call else None,
+            is_call=call.is_call if call else None,
+            reason=reason,
+            upstream=call.upstream.upstream_id if call and call.upstream else None,
+            accepted_share=(state.route_throttle.accepted_share(call.route.name) if call else None),
+            retry_after_ms=round(delay_ms),
+            configuration_version=state.configuration_version,
+        )
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -1,30 +1,26 @@
-"""Serves one caller's request: routes it, places it, sends it again where allowed, and answers."""
+"""Serves a caller's request: routes it, places it, and sends it again where that is allowed."""
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
-from attrs import define, field
-
 from cottonlink.overload import CALL_TIER, NEW_TIER
 from cottonlink.path._caller_connection import Exchange
+from cottonlink.path._final_answer import TIMED_OUT, FinalAnswers
 from cottonlink.path._frames import CallFrame
-from cottonlink.path._http import Headers, end_to_end
+from cottonlink.path._http import end_to_end
+from cottonlink.path._ingress_call import IngressCall
 from cottonlink.path._model import (
     Answered,
     NotRun,
     Outcome,
     OutcomeUnknown,
-    Request,
     Route,
     TargetReport,
     Upstream,
 )
 from cottonlink.path._state import NodeState
-from cottonlink.path._target_desk import Parent
 
 # Time after a request's end within which the target's own answer about it may still arrive.
 END_GRACE_MS = 60.0
@@ -32,64 +28,18 @@
 REFUSED_PLACEMENTS = 3
 # A request is not sent again with less than this part of its objective left.
 RESEND_MIN_SHARE = 0.1
-# Time after which a refused caller is asked to come back, as a part of its objective: late enough
-# for room to come free, early enough for the answer to be of use.
-RETRY_AFTER_SHARE = 0.25
-SHORTEST_RETRY_AFTER_MS = 100.0
-# Callers return over this multiple of the shortest time, so that they don't return together.
-RETRY_AFTER_SPREAD = 2.0
-# Time after which a node that knows no configuration yet may be asked again.
-STARTING_RETRY_AFTER_MS = 500.0
 
 # Headers that the path sets itself or that only make sense towards this node.
 _HOST = b"host"
 
 
-@define(eq=False)
-class IngressCall:
-    """A request on its way, from its arrival to its final answer."""
-
-    exchange: Exchange
-    route: Route
-    service: str
-    parent: Parent | None
-    tier: int
-    received_ms: float
-    ends_at_ms: float
-    headers: Headers
-    tried: set[str] = field(factory=set)
-    reached_count: int = 0
-    refused_count: int = 0
-    sent_at_ms: float = 0.0
-    upstream: Upstream | None = None
-    stop: Callable[[], None] | None = None
-    timer: asyncio.TimerHandle | None = None
-    fallback: Answered | None = None
-    is_done: bool = False
-    has_unknown_send: bool = False
-
-    @property
-    def request(self) -> Request:
-        """The caller's request."""
-        return self.exchange.request
-
-    @property
-    def is_call(self) -> bool:
-        """Whether a request that runs at the local target makes this call."""
-        return self.tier == CALL_TIER
-
-    @property
-    def rank(self) -> int:
-        """The importance of the request, which calls inherit from the one that makes them."""
-        return self.parent.rank if self.parent is not None else self.route.rank
-
-
 class Ingress:
     """Requests that enter at this node."""
 
     def __init__(self, state: NodeState) -> None:
         self._state = state
         self._calls: set[IngressCall] = set()
+        self._final = FinalAnswers(state, self._close)
 
     @property
     def is_idle(self) -> bool:
@@ -102,18 +52,11 @@
         request = exchange.request
         configuration = state.configuration
         if configuration is None:
-            headers = state.dialect.retry_after(STARTING_RETRY_AFTER_MS)
-            self._log_refusal(request, None, "no_configuration", STARTING_RETRY_AFTER_MS)
-            exchange.respond(503, headers, b"")
+            self._final.refuse_starting(exchange)
             return
         route = configuration.find_route(request.host.decode("latin-1"), request.path)
         if route is None:
-            state.log.event(
-                "request_without_route",
-                request_id=request.request_id,
-                configuration_version=configuration.version,
-            )
-            exchange.respond(404, (), b"")
+            self._final.refuse_unknown(exchange, configuration.version)
             return
         self._admit(exchange, route)
 
@@ -145,7 +88,7 @@
             headers=end_to_end(request.headers, frozenset((_HOST,))),
         )
         if tier == NEW_TIER and not state.route_throttle.admits(route.name, route.rank, now_ms):
-            self._refuse(call, "route_throttled", 0.0)
+            self._final.refuse(call, "route_throttled", 0.0)
             return
         if is_called:
             state.desk.call_made()
@@ -164,7 +107,7 @@
         state = self._state
         upstream = self._choose(call)
         if upstream is None:
-            self._give_up(call, otherwise)
+            self._final.give_up(call, otherwise)
             return
         now_ms = state.now_ms()
         call.tried.add(upstream.upstream_id)
@@ -270,7 +213,7 @@
             call.fallback = outcome
             self._send_again(call, f"answer_{outcome.status}")
             return
-        self._answer(call, outcome)
+        self._final.answer(call, outcome)
 
     @_handle.register
     def _(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
@@ -286,7 +229,7 @@
             return
         call.stop = None
         if outcome.reason == "quarantined":
-            self._give_up(call, outcome)
+            self._final.give_up(call, outcome)
             return
         if outcome.reached_target:
             call.reached_count += 1
@@ -301,7 +244,7 @@
                 state.metrics.count("placements_refused", outcome.reason)
                 self._place(call, outcome)
                 return
-        self._give_up(call, outcome)
+        self._final.give_up(call, outcome)
 
     @_handle.register
     def _(self, outcome: OutcomeUnknown, call: IngressCall, upstream: Upstream) -> None:
@@ -316,7 +259,7 @@
         if self._may_send_again(call, now_ms):
             self._send_again(call, outcome.reason)
             return
-        self._give_up(call, outcome)
+        self._final.give_up(call, outcome)
 
     def _may_send_again(self, call: IngressCall, now_ms: float) -> bool:
         state = self._state
@@ -351,90 +294,13 @@
             call.tried.clear()
         self._place(call, _NO_UPSTREAM)
 
-    def _answer(self, call: IngressCall, answer: Answered) -> None:
-        state = self._state
-        now_ms = state.now_ms()
-        latency_ms = now_ms - call.received_ms
-        is_success = 200 <= answer.status < 300
-        if not call.is_call:
-            self._judge_use(call, is_success, answer.status, latency_ms)
-        state.metrics.record_latency("call" if call.is_call else "request", latency_ms)
-        state.metrics.count("answers", str(answer.status))
-        state.log.event(
-            "request_answered" if is_success else "request_failed_by_target",
-            request_id=call.request.request_id,
-            route=call.route.name,
-            status=answer.status,
-            upstream=call.upstream.upstream_id,
-            latency_ms=round(latency_ms, 1),
-            sends=call.reached_count,
-            is_call=call.is_call,
-            configuration_version=state.configuration_version,
-        )
-        self._close(call)
-        call.exchange.respond(answer.status, answer.headers, answer.body)
-
-    def _judge_use(self, call: IngressCall, is_success: bool, status: int, ms: float) -> None:
-        """Tell the throttle of lateness; failing in time is no reason to refuse other requests."""
-        state = self._state
-        route = call.route
-        now_ms = state.now_ms()
-        if is_success:
-            is_useful = route.rank == 0 or ms <= route.objective_ms
-            state.route_throttle.answered(
-                route.name, route.rank, ms, is_useful=is_useful, now_ms=now_ms
-            )
-        elif status == _TIMED_OUT:
-            state.route_throttle.failed(route.name, route.rank, now_ms)
-
-    def _give_up(self, call: IngressCall, outcome: Outcome) -> None:
-        """Give the final answer to a request that got no usable answer."""
-        if call.fallback is not None:
-            self._answer(call, call.fallback)
-        elif isinstance(outcome, NotRun) and not call.has_unknown_send:
-            self._refuse(call, outcome.reason, outcome.retry_after_ms)
-        else:
-            self._fail(call, 502, outcome.reason)
-
-    def _refuse(self, call: IngressCall, reason: str, hint_ms: float) -> None:
-        """Tell the caller that the request hasn't run, and when to come back."""
-        state = self._state
-        shortest_ms = max(
-            SHORTEST_RETRY_AFTER_MS, hint_ms, RETRY_AFTER_SHARE * call.route.objective_ms
-        )
-        delay_ms = shortest_ms * state.rng.uniform(1.0, RETRY_AFTER_SPREAD)
-        self._log_refusal(call.request, call, reason, delay_ms)
-        self._close(call)
-        call.exchange.respond(503, state.dialect.retry_after(delay_ms), b"")
-
-    def _fail(self, call: IngressCall, status: int, reason: str) -> None:
-        state = self._state
-        now_ms = state.now_ms()
-        if not call.is_call and status == _TIMED_OUT:
-            state.route_throttle.failed(call.route.name, call.route.rank, now_ms)
-        state.metrics.count("requests_failed", reason)
-        state.log.event(
-            "request_failed",
-            request_id=call.request.request_id,
-            route=call.route.name,
-            reason=reason,
-            status=status,
-            upstream=call.upstream.upstream_id if call.upstream else None,
-            waited_ms=round(now_ms - call.received_ms, 1),
-            sends=call.reached_count,
-            is_call=call.is_call,
-            configuration_version=state.configuration_version,
-        )
-        self._close(call)
-        call.exchange.respond(status, (), b"")
-
     def _time_out(self, call: IngressCall) -> None:
         if call.is_done:
             return
         stop = call.stop
         if call.upstream is not None:
             self._state.placement.failed(call.upstream.upstream_id, self._state.now_ms())
-        self._fail(call, _TIMED_OUT, "timeout")
+        self._final.fail(call, TIMED_OUT, "timeout")
         if stop is not None:
             stop()
 
@@ -456,26 +322,7 @@
             call.timer.cancel()
         self._calls.discard(call)
 
-    def _log_refusal(
-        self, request: Request, call: IngressCall | None, reason: str, delay_ms: float
-    ) -> None:
-        state = self._state
-        state.metrics.count("requests_refused", reason)
-        state.log.event(
-            "request_refused",
-            request_id=request.request_id,
-            route=call.route.name if call else None,
-            rank=call.rank if call else None,
-            is_call=call.is_call if call else None,
-            reason=reason,
-            upstream=call.upstream.upstream_id if call and call.upstream else None,
-            accepted_share=(state.route_throttle.accepted_share(call.route.name) if call else None),
-            retry_after_ms=round(delay_ms),
-            configuration_version=state.configuration_version,
-        )
-
 
-_TIMED_OUT = 504
 _NO_UPSTREAM = NotRun("no_upstream")
 _UNREACHABLE = frozenset(
     (
