End the connections of the platform's stand-ins with them

Cause: runs of the path's tests and of the soak printed 'Task was destroyed but it is pending'. The event loop holds its tasks weakly, and a connection whose handler waits for good was collected. Ruled out: the nodes' own tasks; all lines named serve_http. Change: the server holds its connections' tasks and cancels them when it is closed, so that a target that is stopped also breaks its connections, as a crash does.

--- a/emulator/http_stand_in.py
+++ b/emulator/http_stand_in.py
@@ -32,10 +32,34 @@
 Handler = Callable[[Received, asyncio.StreamWriter], Awaitable[Reply]]
 
 
-async def serve_http(handler: Handler, host: str, port: int) -> asyncio.Server:
+class HttpStandIn:
+    """A listening server and the connections that it serves."""
+
+    def __init__(self, server: asyncio.Server, tasks: set[asyncio.Task]) -> None:
+        self._server = server
+        self._tasks = tasks
+
+    @property
+    def port(self) -> int:
+        """The port on which it listens."""
+        return self._server.sockets[0].getsockname()[1]
+
+    def close(self) -> None:
+        """Stop listening, and end all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+
+async def serve_http(handler: Handler, host: str, port: int) -> HttpStandIn:
     """Serve requests; ``handler`` returns the bytes to send, or None to close the connection."""
+    # The event loop holds its tasks weakly: one that waits for good would be collected.
+    tasks: set[asyncio.Task] = set()
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
         try:
             while (request := await _read_request(reader)) is not None:
                 reply = await handler(request, writer)
@@ -48,7 +72,7 @@
         finally:
             writer.close()
 
-    return await asyncio.start_server(serve, host, port)
+    return HttpStandIn(await asyncio.start_server(serve, host, port), tasks)
 
 
 def reply(status: int, body: bytes, *headers: tuple[str, str]) -> bytes:
--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -8,7 +8,7 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
-from emulator.http_stand_in import Received, reply, serve_http
+from emulator.http_stand_in import HttpStandIn, Received, reply, serve_http
 
 
 class PlatformStore:
@@ -22,7 +22,7 @@
         self._history: list[dict] = []
         self._history_starts_at = 0
         self._changed = asyncio.Event()
-        self._server: asyncio.Server | None = None
+        self._server: HttpStandIn | None = None
         self.fault: str | None = None
         self.calls: list[str] = []
         self.address = ""
@@ -30,7 +30,7 @@
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
         self._server = await serve_http(self._handle, host, 0)
-        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
+        self.address = f"{host}:{self._server.port}"
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/emulator/platform_target.py
+++ b/emulator/platform_target.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from emulator.http_stand_in import Received, reply, serve_http
+from emulator.http_stand_in import HttpStandIn, Received, reply, serve_http
 
 Behaviour = Callable[["PlatformTarget", Received, asyncio.StreamWriter], Awaitable[bytes | None]]
 
@@ -27,7 +27,7 @@
     runs: list[Received] = field(factory=list)
     loses_answers: bool = False
     gate: asyncio.Event = field(factory=asyncio.Event)
-    _server: asyncio.Server | None = None
+    _server: HttpStandIn | None = None
     _numbers: itertools.count = field(factory=itertools.count)
 
     async def start(self) -> None:
