Name what a reader stumbled over

Change: the handler's method for a link that this node opened no longer looks like the one for a connection that it accepted; a request without a route is answered, not refused; the throttle is told of answers.

--- a/src/cottonlink/path/_final_answer.py
+++ b/src/cottonlink/path/_final_answer.py
@@ -37,8 +37,8 @@
         self._count_refusal(exchange.request, None, "no_configuration", STARTING_RETRY_AFTER_MS)
         exchange.respond(_UNAVAILABLE, headers, b"")
 
-    def refuse_unknown(self, exchange: Exchange, version: int) -> None:
-        """Refuse a request that no route fits."""
+    def answer_no_route(self, exchange: Exchange, version: int) -> None:
+        """Tell the caller that no route fits the request."""
         self._state.log.event(
             "request_without_route",
             request_id=exchange.request.request_id,
@@ -53,7 +53,7 @@
         latency_ms = now_ms - call.received_ms
         is_success = 200 <= answer.status < 300
         if not call.is_call:
-            self._judge_use(call, is_success, answer.status, latency_ms)
+            self._tell_throttle(call, is_success, answer.status, latency_ms)
         state.metrics.record_latency("call" if call.is_call else "request", latency_ms)
         state.metrics.count("answers", str(answer.status))
         state.log.event(
@@ -70,15 +70,17 @@
         self._on_final(call)
         call.exchange.respond(answer.status, answer.headers, answer.body)
 
-    def _judge_use(self, call: IngressCall, is_success: bool, status: int, ms: float) -> None:
+    def _tell_throttle(
+        self, call: IngressCall, is_success: bool, status: int, latency_ms: float
+    ) -> None:
         """Tell the throttle of lateness; failing in time is no reason to refuse other requests."""
         state = self._state
         route = call.route
         now_ms = state.now_ms()
         if is_success:
-            is_useful = route.rank == 0 or ms <= route.objective_ms
+            is_useful = route.rank == 0 or latency_ms <= route.objective_ms
             state.route_throttle.answered(
-                route.name, route.rank, ms, is_useful=is_useful, now_ms=now_ms
+                route.name, route.rank, latency_ms, is_useful=is_useful, now_ms=now_ms
             )
         elif status == TIMED_OUT:
             state.route_throttle.failed(route.name, route.rank, now_ms)
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -56,7 +56,7 @@
             return
         route = configuration.find_route(request.host.decode("latin-1"), request.path)
         if route is None:
-            self._final.refuse_unknown(exchange, configuration.version)
+            self._final.answer_no_route(exchange, configuration.version)
             return
         self._admit(exchange, route)
 
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -282,7 +282,7 @@
                 placement.leaving(upstream.upstream_id, now_ms, takes_calls=takes_calls)
         self.state.log.event("peer_leaving", peer=address[0], takes_calls=takes_calls)
 
-    def peer_opened_link(self, address: Address) -> None:
+    def link_opened(self, address: Address) -> None:
         placement = self.state.placement
         for upstream in placement.upstreams():
             if upstream.vm_ip == address[0]:
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -47,8 +47,8 @@
     def peer_leaving(self, address: Address, *, takes_calls: bool) -> None:
         """The node at ``address`` is shutting down."""
 
-    def peer_opened_link(self, address: Address) -> None:
-        """The node at ``address`` accepted a connection."""
+    def link_opened(self, address: Address) -> None:
+        """A connection to the node at ``address`` was opened."""
 
     def peer_load(self, address: Address, load: Load) -> None:
         """The node at ``address`` reported the load of its target."""
@@ -242,7 +242,7 @@
         self._connections.add(connection)
         self._current = connection
         self.log_state("open", "")
-        self._handler.peer_opened_link(self.address)
+        self._handler.link_opened(self.address)
         if self._unsent is not None:
             connection.transport.write(encode(self._unsent))
             self._unsent = None
