--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,208 @@
+"""Requests that crash every target that runs them, sent again and again to a fleet of nodes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cottonlink.path._frames import CallFrame, PingFrame
+from cottonlink.path._model import Answered, NotRun, Outcome, OutcomeUnknown
+from emulator.http_stand_in import ReceivedRequest, make_response
+from emulator.platform_target import PlatformTarget, configuration, route_resource
+from tests.platform_fixtures import FleetCase, Vm
+
+READS = route_resource("reads", "shop.example", "/reads/", "browse")
+CRASH_PATH = "/reads/crash"
+# The caller may resend the request this often; no test depends on the exact number.
+RESENDS = 4
+
+
+class CrashCase(FleetCase):
+    """Three VMs of one service, linked with each other, whose targets can crash."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.crash_count = 0
+        self.is_crashing = True
+        # While this is cleared, requests that crash wait for it before they do.
+        self.crash_gate = asyncio.Event()
+        self.crash_gate.set()
+        for number in range(3):
+            await self.add_crashing_vm(f"i-{number}")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_version(4)
+        await self.open_links(self.vms)
+
+    async def add_crashing_vm(self, upstream_id: str, *, slots: int = 16) -> Vm:
+        """Start a VM whose target crashes when it runs ``CRASH_PATH``."""
+        vm = await self.add_vm("browse", upstream_id, slots=slots)
+        vm.target.behaviour = self._run
+        return vm
+
+    async def _run(
+        self, target: PlatformTarget, request: ReceivedRequest, _writer: asyncio.StreamWriter
+    ) -> bytes | None:
+        if not request.target.startswith(CRASH_PATH):
+            await target.answer_gate.wait()
+            return target.success_response(request)
+        if not self.is_crashing:
+            attempt = request.header("x-attempt-id")
+            return make_response(500, b"", ("X-Attempt-Id", attempt), ("X-Server-Seal", "s"))
+        await self.crash_gate.wait()
+        self.crash_count += 1
+        await target.stop()
+        return None
+
+    async def open_links(self, vms: list[Vm]) -> None:
+        """Open a link between each two of ``vms``."""
+        links = [
+            vm.node.state.peer_links.link((peer.target.host, vm.node.state.peer_port))
+            for vm in vms
+            for peer in vms
+            if vm is not peer
+        ]
+        for link in links:
+            link.send_or_open(PingFrame(0))
+        await self.wait_until(lambda: all(link._current is not None for link in links))
+
+    async def run_at(self, vm: Vm, path: str = CRASH_PATH) -> Outcome:
+        """Run a request at the target of ``vm`` and return its outcome."""
+        done: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        stream = vm.node.state.next_stream()
+        frame = CallFrame(
+            stream=stream,
+            upstream_id=vm.target.upstream_id,
+            caller_service="browse",
+            request_id=b"a%d" % stream,
+            method=b"GET",
+            target=path.encode(),
+            host=b"shop.example",
+            headers=(),
+            body=b"",
+            remaining_ms=5_000,
+            objective_ms=1_000,
+            tier=1,
+            rank=1,
+            is_repeatable=True,
+            is_retry=False,
+            route="reads",
+        )
+        vm.node.dispatcher.submit(frame, ("test", stream), done.set_result)
+        return await asyncio.wait_for(done, 5.0)
+
+    async def crash(self, vm: Vm) -> None:
+        """Crash the target of ``vm``, let its node find it unreachable, and start it again."""
+        self.assertIsInstance(await self.run_at(vm), OutcomeUnknown)
+        await self.run_at(vm, "/reads/other")
+        await vm.target.start()
+
+    def is_refused_at(self, vm: Vm) -> bool:
+        """Return whether ``vm`` refuses all requests that its quarantine lists."""
+        return any(
+            vm.node.state.quarantine.is_refused(fingerprint, round(vm.node.now_ms()))
+            for fingerprint in vm.node.state.quarantine._entries
+        )
+
+
+class TestCrashDetection(CrashCase):
+    """Which ends of a run count as a crash of the target."""
+
+    async def test_crash_counts_without_another_call_while_the_target_is_down(self) -> None:
+        """A request that crashes a target must be suspect even if nothing else is sent there.
+
+        Its caller sends it again once the targets are back, so that no call fails meanwhile.
+        """
+        for _ in range(RESENDS):
+            for vm in self.vms:
+                await self.run_at(vm)
+                await asyncio.sleep(0.05)
+                if vm.target._server is None:
+                    await vm.target.start()
+        self.assertLessEqual(self.crash_count, 3)
+
+    async def test_error_response_does_not_clear_a_suspect(self) -> None:
+        """A target that fails every request must not make a crashing request look harmless."""
+        await self.crash(self.vms[0])
+        self.is_crashing = False
+        for vm in self.vms:
+            self.assertIsInstance(await self.run_at(vm), Answered)
+        self.is_crashing = True
+        for vm in self.vms * RESENDS:
+            if not isinstance(await self.run_at(vm), NotRun):
+                await self.run_at(vm, "/reads/other")
+                await vm.target.start()
+        self.assertLessEqual(self.crash_count, 3)
+
+
+class TestCrashNotices(CrashCase):
+    """What nodes tell each other of requests that crash targets."""
+
+    async def test_crashes_at_several_nodes_at_once_add_up(self) -> None:
+        """Crashes whose notices cross must count as several, not as one.
+
+        A caller that sends copies of a request at once would otherwise crash as many targets again.
+        """
+        self.crash_gate.clear()
+        runs = [asyncio.ensure_future(self.run_at(vm)) for vm in self.vms]
+        await self.wait_until(lambda: all(vm.target.runs for vm in self.vms))
+        self.crash_gate.set()
+        await asyncio.gather(*runs)
+        await asyncio.gather(*(self.run_at(vm, "/reads/other") for vm in self.vms))
+        for vm in self.vms:
+            await vm.target.start()
+        await asyncio.sleep(0.1)
+        for vm in self.vms:
+            await self.run_at(vm)
+        self.assertEqual(self.crash_count, 3)
+
+    async def test_restarted_node_learns_of_a_quarantine(self) -> None:
+        """A node that starts after a quarantine began must not run the request at its target."""
+        for vm in self.vms[:2]:
+            await self.crash(vm)
+        await self.wait_until(lambda: self.is_refused_at(self.vms[2]))
+        restarted = await self.restart_node(self.vms[2])
+        await asyncio.sleep(3.0)
+        self.assertIsInstance(await self.run_at(restarted), NotRun)
+        self.assertEqual(self.crash_count, 2)
+
+    async def test_node_without_links_learns_of_a_quarantine(self) -> None:
+        """A node that joins while nobody calls it must hear of a quarantine, too."""
+        for vm in self.vms[:2]:
+            await self.crash(vm)
+        added = await self.add_crashing_vm("i-3")
+        await self.wait_until_version(4)
+        await asyncio.sleep(3.0)
+        self.assertIsInstance(await self.run_at(added), NotRun)
+        self.assertEqual(self.crash_count, 2)
+
+    async def test_node_that_missed_a_notice_learns_of_it_later(self) -> None:
+        """A notice that is lost on its way must reach the node within seconds all the same."""
+        missing = self.vms[2]
+        receive = missing.node.on_peer_frame
+        missing.node.on_peer_frame = lambda frame: None
+        for vm in self.vms[:2]:
+            await self.crash(vm)
+        missing.node.on_peer_frame = receive
+        await asyncio.sleep(3.0)
+        self.assertIsInstance(await self.run_at(missing), NotRun)
+        self.assertEqual(self.crash_count, 2)
+
+
+class TestRefusal(CrashCase):
+    """Where a request in quarantine is stopped."""
+
+    async def test_queued_request_does_not_run_once_it_is_in_quarantine(self) -> None:
+        """A copy that waits at a target when the quarantine begins must not be started."""
+        added = await self.add_crashing_vm("i-3", slots=1)
+        await self.wait_until_version(4)
+        await self.open_links(self.vms)
+        added.target.answer_gate.clear()
+        running = asyncio.ensure_future(self.run_at(added, "/reads/other"))
+        await self.wait_until(lambda: len(added.target.runs) == 1)
+        queued = asyncio.ensure_future(self.run_at(added))
+        for vm in self.vms[:2]:
+            await self.crash(vm)
+        await self.wait_until(lambda: self.is_refused_at(added))
+        added.target.answer_gate.set()
+        await running
+        self.assertIsInstance(await queued, NotRun)
+        self.assertEqual(self.crash_count, 2)
