Log which crashing requests a node knows, lets through and refuses

Change: one line for each lost connection to the target, the levels in target_crashed, a line for each suspect that is sent to the target or refused with its fingerprint and level, and one for a quarantine learned from a peer with the level known before. All are limited like the other events.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -59,6 +59,8 @@
 # A node without a configuration requests a snapshot from one peer at a time; a reply takes a few
 # round trips.
 SNAPSHOT_REQUEST_INTERVAL_MS = 300.0
+# Fingerprints in one log line about a crash.
+LOGGED_FINGERPRINTS = 16
 
 
 class StoreView(Protocol):
@@ -114,7 +116,7 @@
             quarantine=make_quarantine(),
         )
         self.dispatcher = TargetDispatcher(
-            self._pool, header_codec, self.state.quarantine, self._on_target_crashed, loop
+            self._pool, header_codec, self.state.quarantine, self._on_target_crashed, log, loop
         )
         self.state.dispatcher = self.dispatcher
         self.state.peer_links = PeerLinks(self, loop)
@@ -278,8 +280,7 @@
         elif isinstance(frame, StoreSnapshotFrame):
             self.store_view.apply_snapshot(frame)
         elif isinstance(frame, QuarantineFrame):
-            for fingerprint, level in frame.levels:
-                self.state.quarantine.learn(fingerprint, level, round(self.now_ms()))
+            self._learn_quarantine(frame)
 
     # Implements PeerLinkListener.
     def on_link_leaving(self, address: Address, *, takes_calls: bool) -> None:
@@ -336,6 +337,19 @@
             self._snapshot_requested_at_ms = now_ms
             connection.send(SnapshotRequestFrame())
 
+    def _learn_quarantine(self, frame: QuarantineFrame) -> None:
+        now_ms = round(self.now_ms())
+        for fingerprint, level in frame.levels:
+            known_level = self.state.quarantine.suspicion_level(fingerprint, now_ms)
+            self.state.quarantine.learn(fingerprint, level, now_ms)
+            if level > known_level and level >= 2:
+                self.state.log.event(
+                    "quarantine_learned",
+                    fingerprint=fingerprint,
+                    level=level,
+                    known_level=known_level,
+                )
+
     def _on_target_crashed(self, fingerprints: list[str]) -> None:
         decisions = self.state.quarantine.record_crash(fingerprints, round(self.now_ms()))
         levels = tuple((decision.fingerprint, decision.level) for decision in decisions)
@@ -343,6 +357,7 @@
             "target_crashed",
             requests=len(fingerprints),
             quarantined=sum(decision.refused for decision in decisions),
+            levels=levels[:LOGGED_FINGERPRINTS],
         )
         for link in self.state.peer_links.all():
             link.send(QuarantineFrame(levels))
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -26,6 +26,7 @@
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import end_to_end_headers, request_bytes
 from cottonlink.path._http_client import ExchangeFailed, ExchangeResult, HttpResponse
+from cottonlink.path._log import EventLog
 from cottonlink.path._model import (
     Answered,
     Load,
@@ -82,12 +83,14 @@
         header_codec: HeaderCodec,
         quarantine: Quarantine,
         on_crash: Callable[[list[str]], None],
+        log: EventLog,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
         self._quarantine = quarantine
         self._on_crash = on_crash
+        self._log = log
         self._loop = loop
         self._queue = make_target_queue(DEFAULT_SLOTS)
         self.running_requests: RunningRequests = make_running_requests()
@@ -109,7 +112,7 @@
         if self._closed_reason is not None:
             on_outcome(NotRun(self._closed_reason))
             return
-        if len(self._quarantine) and self._quarantine.is_refused(_fingerprint(frame), now_ms):
+        if self._is_quarantined(frame):
             on_outcome(NotRun("quarantined"))
             return
         wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.remaining_ms)
@@ -192,6 +195,20 @@
     def _makes_calls(self) -> bool:
         return self._nested_call_count > MIN_NESTED_CALLS_PER_RUN * self._run_count
 
+    def _is_quarantined(self, frame: CallFrame) -> bool:
+        if not len(self._quarantine):
+            return False
+        fingerprint = _fingerprint(frame)
+        level = self._quarantine.suspicion_level(fingerprint, round(self._now_ms()))
+        if level:
+            self._log.event(
+                "request_quarantined" if level >= 2 else "suspect_sent_to_target",
+                request_id=frame.request_id,
+                fingerprint=fingerprint,
+                level=level,
+            )
+        return level >= 2
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -267,6 +284,7 @@
     def _on_exchange_failed(self, frame: CallFrame, failure: ExchangeFailed) -> Outcome:
         if failure.is_connection_lost:
             self._recent_losses.append((self._now_ms(), frame))
+            self._log.event("target_connection_lost", request_id=frame.request_id)
         return OutcomeUnknown(failure.reason)
 
     def _detect_crash(self, now_ms: float) -> None:
