Count a target's crash although no other call finds it unreachable

Callers saw: a request that crashes every target was sent on as often as its caller came back. Each time another target ended.

Cause: a lost connection counted as a crash only if a later call for that target failed to connect within 1.5 s. If the next call came once the target was back, or the node saw the losses late, nothing was recorded. Class of fault: evidence of a failure that depends on unrelated traffic.

Why it works: the node opens a connection as soon as one breaks. A refusal shows the crash; otherwise the connection replaces the lost one in the pool. A new incarnation that registers within 5 s of the losses shows the crash as well. Copies of one request count once for one crash, since more checks could otherwise split the losses of one crash in two.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -375,6 +375,7 @@
         newest = max(own, key=lambda upstream: upstream.started_at_ms or 0)
         if previous is not None and newest.started_at_ms != previous.started_at_ms:
             self._pool.drop_idle()
+            self.dispatcher.detect_restart()
         self._own_upstream = newest
         self.dispatcher.resize(newest.slots)
         if newest.is_draining:
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -42,6 +42,9 @@
 DEFAULT_SLOTS = 32
 # A target that is unreachable within this time after connections broke is taken to have crashed.
 CRASH_WINDOW_MS = 1_500.0
+# A new incarnation of the target that registers within this time after connections broke shows the
+# crash of the former one, if the target was back before its node could find it unreachable.
+RESTART_WINDOW_MS = 5_000.0
 # A target counts as making nested calls above this number of them per run. Below it, they may be
 # callers' requests that were mistaken for nested calls.
 MIN_NESTED_CALLS_PER_RUN = 0.1
@@ -97,6 +100,11 @@
         self._calls: dict[Any, _Call] = {}
         self._call_numbers = itertools.count(1)
         self._recent_losses: deque[tuple[float, CallFrame]] = deque(maxlen=512)
+        self._is_checking_target = False
+        # Fingerprints counted for the latest crash, and the number of connections opened until
+        # then: no new connection succeeds before the target is back.
+        self._counted_fingerprints: set[str] = set()
+        self._opened_before_crash = 0
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._closed_reason: str | None = None
         self.route_classifier: RouteClassifier = make_route_classifier()
@@ -166,6 +174,10 @@
         downstream = self._downstream_pressure * 0.5 ** (age_ms / PRESSURE_HALF_LIFE_MS)
         return max(self._queue.pressure(now_ms), downstream)
 
+    def detect_restart(self) -> None:
+        """Count runs that ended without a response as ended by the crash before a restart."""
+        self._detect_crash(RESTART_WINDOW_MS)
+
     def resize(self, slots: int) -> None:
         """Set the number of calls that the target can run concurrently."""
         self._queue.resize(slots)
@@ -255,9 +267,8 @@
         )
 
     def _on_connect_failed(self, call: _Call, reason: str) -> None:
-        now_ms = self._now_ms()
         if reason == "target_unreachable":
-            self._detect_crash(now_ms)
+            self._detect_crash(CRASH_WINDOW_MS)
         self._deliver(call, NotRun(reason))
         self._release(call, is_sample=False)
 
@@ -285,18 +296,44 @@
         if failure.is_connection_lost:
             self._recent_losses.append((self._now_ms(), frame))
             self._log.event("target_connection_lost", request_id=frame.request_id)
+            self._check_target()
         return OutcomeUnknown(failure.reason)
 
-    def _detect_crash(self, now_ms: float) -> None:
+    def _check_target(self) -> None:
+        """Find out whether a connection was lost because the target crashed.
+
+        The next call may come only after the target has been started again.
+        """
+        if self._is_checking_target:
+            return
+        self._is_checking_target = True
+        self._pool.check_target(
+            on_reachable=lambda: self._end_target_check("reachable"),
+            on_failure=self._end_target_check,
+        )
+
+    def _end_target_check(self, result: str) -> None:
+        self._is_checking_target = False
+        self._log.event("target_checked", result=result, lost_connections=len(self._recent_losses))
+        if result == "target_unreachable":
+            self._detect_crash(CRASH_WINDOW_MS)
+
+    def _detect_crash(self, window_ms: float) -> None:
         """Report the requests that may have crashed the target.
 
-        These are the ones whose connections broke shortly before it became unreachable.
+        These are the ones whose connections broke within ``window_ms`` before now. Copies of a
+        request count once for a crash, also if their losses are noticed one after another.
         """
-        frames = [f for lost_ms, f in self._recent_losses if now_ms - lost_ms <= CRASH_WINDOW_MS]
+        now_ms = self._now_ms()
+        frames = [f for lost_ms, f in self._recent_losses if now_ms - lost_ms <= window_ms]
         self._recent_losses.clear()
-        if frames:
-            fingerprints = [_fingerprint(frame) for frame in frames]
-            self._on_crash(fingerprints)
+        if self._pool.opened_count != self._opened_before_crash:
+            self._opened_before_crash = self._pool.opened_count
+            self._counted_fingerprints.clear()
+        fingerprints = {_fingerprint(frame) for frame in frames} - self._counted_fingerprints
+        if fingerprints:
+            self._counted_fingerprints |= fingerprints
+            self._on_crash(sorted(fingerprints))
 
     def _release(self, call: _Call, *, is_sample: bool) -> None:
         """Free the slot of a call and run queued calls.
--- a/src/cottonlink/path/_target_pool.py
+++ b/src/cottonlink/path/_target_pool.py
@@ -50,9 +50,18 @@
         if len(self._open) + len(self._connect_tasks) >= self.limit:
             on_failure("target_connections")
             return
-        task = self._loop.create_task(self._connect(on_ready, on_failure))
-        self._connect_tasks.add(task)
-        task.add_done_callback(self._connect_tasks.discard)
+        self._start_connecting(on_ready, on_failure)
+
+    def check_target(
+        self, on_reachable: Callable[[], None], on_failure: Callable[[str], None]
+    ) -> None:
+        """Find out whether the target accepts connections, with a new one that then stays idle."""
+
+        def keep(connection: HttpConnection) -> None:
+            self.release(connection)
+            on_reachable()
+
+        self._start_connecting(keep, on_failure)
 
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool when its exchange has ended."""
@@ -89,6 +98,13 @@
             return self._idle.pop()
         return None
 
+    def _start_connecting(
+        self, on_ready: Callable[[HttpConnection], None], on_failure: Callable[[str], None]
+    ) -> None:
+        task = self._loop.create_task(self._connect(on_ready, on_failure))
+        self._connect_tasks.add(task)
+        task.add_done_callback(self._connect_tasks.discard)
+
     async def _connect(
         self, on_ready: Callable[[HttpConnection], None], on_failure: Callable[[str], None]
     ) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -119,6 +119,29 @@
                     await vm.target.start()
         self.assertLessEqual(self.crash_count, 3)
 
+    async def test_crash_counts_if_the_target_is_back_before_it_is_checked(self) -> None:
+        """A node that is too slow to see a crashed target down learns of it from the new entry."""
+        for number, vm in enumerate(self.vms):
+            vm.node._pool.check_target = lambda on_reachable, on_failure: on_reachable()
+            if isinstance(await self.run_at(vm), OutcomeUnknown):
+                await vm.target.start()
+                entry = vm.target.entry(born=1_800_000_000_000 + number)
+                await self.store.put(f"servers/{vm.target.upstream_id}", entry)
+                await asyncio.sleep(0.3)
+        self.assertEqual(self.crash_count, 2)
+
+    async def test_copies_at_one_target_count_once_for_a_crash(self) -> None:
+        """Copies of a harmless request that run at a target when it crashes must stay allowed."""
+        vm = self.vms[0]
+        vm.target.answer_gate.clear()
+        copies = [asyncio.ensure_future(self.run_at(vm, "/reads/hot")) for _ in range(4)]
+        await self.wait_until(lambda: len(vm.target.runs) == len(copies))
+        await self.run_at(vm)
+        await asyncio.gather(*copies)
+        vm.target.answer_gate.set()
+        await vm.target.start()
+        self.assertIsInstance(await self.run_at(vm, "/reads/hot"), Answered)
+
     async def test_error_response_does_not_clear_a_suspect(self) -> None:
         """A target that fails every request must not make a crashing request look harmless."""
         await self.crash(self.vms[0])
