Keep a request suspect after an error response

Callers saw: while a target failed all requests, a request that had crashed another target was let through again and crashed the next one.

Cause: any response counted as a run that ended well and cleared the suspect. A target that fails sends errors without running the part that crashes.

--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -45,6 +45,8 @@
 # A new incarnation of the target that registers within this time after connections broke shows the
 # crash of the former one, if the target was back before its node could find it unreachable.
 RESTART_WINDOW_MS = 5_000.0
+# Responses below this HTTP status come from a run that ended well.
+FIRST_ERROR_STATUS = 400
 # A target counts as making nested calls above this number of them per run. Below it, they may be
 # callers' requests that were mistaken for nested calls.
 MIN_NESTED_CALLS_PER_RUN = 0.1
@@ -287,7 +289,8 @@
             return NotRun("wrong_upstream", reached_target=True)
         if self._header_codec.is_not_run(response):
             return NotRun("target_refused", reached_target=True)
-        if len(self._quarantine):
+        # An error response may come from a target that fails before it runs anything.
+        if len(self._quarantine) and response.status < FIRST_ERROR_STATUS:
             self._quarantine.record_completion(_fingerprint(frame), self._now_ms())
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
