Add up crashes of one request at several nodes

Callers saw: a caller that sent copies of a crashing request at once crashed that many targets, and as many again when it came back.

Cause: nodes told each other quarantine levels and kept the highest one. Each of the crashes began at level 1, so that all of them together stayed at level 1, which is let through. Class of fault: a count merged by maximum.

Why it works: a node tells the crash itself, with an id, and every node counts each id once in its own quarantine. A doubled notice has no effect. So that harmless requests that were running at two crashes are not refused, a node whose target runs a suspect to its end tells the others within a second.

Nodes of the former version read the levels of the same frame, and theirs are read as before (test_frame_of_an_earlier_version_is_read).

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -4,6 +4,11 @@
 that are passed as arguments.
 """
 
+from cottonlink.overload._crash_registry import (
+    CrashNotice,
+    CrashRegistry,
+    make_crash_registry,
+)
 from cottonlink.overload._load_balancer import LoadBalancer, make_load_balancer
 from cottonlink.overload._quarantine import (
     Quarantine,
@@ -36,6 +41,8 @@
     "HEARTBEAT_PERIOD_MS",
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
+    "CrashNotice",
+    "CrashRegistry",
     "Job",
     "LimitChange",
     "LoadBalancer",
@@ -51,6 +58,7 @@
     "UpstreamDirectory",
     "WatcherElection",
     "allowed_wait_ms",
+    "make_crash_registry",
     "make_load_balancer",
     "make_quarantine",
     "make_retry_budget",
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -15,6 +15,7 @@
 from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
+from cottonlink.overload import CrashNotice
 from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 
 # Largest frame that is accepted; it has room for the largest body of a caller and its headers.
@@ -87,9 +88,17 @@
 
 @frozen
 class QuarantineFrame:
-    """Quarantine levels of requests that were running when a target crashed, by fingerprint."""
+    """What the sender knows of requests that crash targets, by fingerprint.
 
-    levels: tuple[tuple[str, int], ...]
+    ``levels`` holds quarantine levels, and ``ages_ms`` for how long each of them has been in force.
+    ``crashes`` holds crashes of targets. ``cleared`` lists suspects that ran to their end since.
+    Nodes of earlier versions send and read only ``levels``.
+    """
+
+    levels: tuple[tuple[str, int], ...] = ()
+    ages_ms: tuple[int, ...] = ()
+    crashes: tuple[CrashNotice, ...] = ()
+    cleared: tuple[str, ...] = ()
 
 
 @frozen
@@ -193,7 +202,8 @@
 
 @encode.register
 def _(frame: QuarantineFrame) -> bytes:
-    return msgpack.packb((_QUARANTINE, frame.levels))
+    crashes = tuple((c.crash_id, c.age_ms, c.fingerprints) for c in frame.crashes)
+    return msgpack.packb((_QUARANTINE, frame.levels, frame.ages_ms, crashes, frame.cleared))
 
 
 @encode.register
@@ -299,6 +309,16 @@
     )
 
 
+def _decode_quarantine(fields: tuple) -> QuarantineFrame:
+    levels, *later_fields = fields[1:]
+    if not later_fields:
+        return QuarantineFrame(levels)
+    ages_ms, crashes, cleared = later_fields[:3]
+    return QuarantineFrame(
+        levels, ages_ms, tuple(CrashNotice(*crash) for crash in crashes), cleared
+    )
+
+
 _DECODERS = {
     _CALL: lambda fields: CallFrame(*fields[1:]),
     _ANSWERED: _decode_answered,
@@ -308,7 +328,7 @@
     _PING: lambda fields: PingFrame(fields[1]),
     _PONG: lambda fields: PongFrame(fields[1], _unpack_load(fields[2])),
     _LEAVING: lambda fields: LeavingFrame(fields[1]),
-    _QUARANTINE: lambda fields: QuarantineFrame(fields[1]),
+    _QUARANTINE: _decode_quarantine,
     _STORE_CHANGES: lambda fields: StoreChangesFrame(*fields[1:]),
     _SNAPSHOT_REQUEST: lambda _fields: SnapshotRequestFrame(),
     _STORE_SNAPSHOT: lambda fields: StoreSnapshotFrame(*fields[1:]),
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -11,6 +11,7 @@
 
 from cottonlink.overload import (
     LimitChange,
+    make_crash_registry,
     make_load_balancer,
     make_quarantine,
     make_retry_budget,
@@ -23,6 +24,7 @@
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
+    encode,
 )
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers, parse_address
@@ -42,6 +44,8 @@
 SWEEP_INTERVAL_S = 0.1
 # Callers' connections are checked for time-outs in every nth sweep.
 SWEEPS_PER_CALLER_SWEEP = 5
+# Suspects that ran to their end are reported to other nodes in every nth sweep.
+SWEEPS_PER_QUARANTINE_SPREAD = 10
 # Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
 # runs once a second and needs two failures to stop.
 NEW_CALLERS_AFTER_SHUTDOWN_MS = 2_600.0
@@ -113,10 +117,13 @@
             ),
             route_throttle=make_route_throttle(self._on_route_limit_changed),
             traffic_split=make_traffic_split(rng),
-            quarantine=make_quarantine(),
+            # The random part tells this incarnation of the node from earlier ones.
+            crash_registry=make_crash_registry(
+                f"{settings.node}-{rng.getrandbits(32):08x}", make_quarantine()
+            ),
         )
         self.dispatcher = TargetDispatcher(
-            self._pool, header_codec, self.state.quarantine, self._on_target_crashed, log, loop
+            self._pool, header_codec, self.state.crash_registry, self._on_target_crashed, log, loop
         )
         self.state.dispatcher = self.dispatcher
         self.state.peer_links = PeerLinks(self, loop)
@@ -338,29 +345,60 @@
             connection.send(SnapshotRequestFrame())
 
     def _learn_quarantine(self, frame: QuarantineFrame) -> None:
+        registry = self.state.crash_registry
         now_ms = round(self.now_ms())
-        for fingerprint, level in frame.levels:
-            known_level = self.state.quarantine.suspicion_level(fingerprint, now_ms)
-            self.state.quarantine.learn(fingerprint, level, now_ms)
+        for notice in frame.crashes:
+            decisions = registry.apply_notice(notice, now_ms)
+            if decisions:
+                self.state.log.event(
+                    "crash_learned",
+                    crash=notice.crash_id,
+                    age_ms=notice.age_ms,
+                    requests=len(decisions),
+                    quarantined=sum(decision.refused for decision in decisions),
+                )
+        registry.apply_cleared(frame.cleared, now_ms)
+        for index, (fingerprint, level) in enumerate(frame.levels):
+            # A suspect is counted by the crash itself, except by nodes that report only levels.
+            if level < 2 and frame.crashes:
+                continue
+            age_ms = frame.ages_ms[index] if index < len(frame.ages_ms) else 0
+            known_level = registry.quarantine.suspicion_level(fingerprint, now_ms)
+            registry.quarantine.learn(fingerprint, level, now_ms, age_ms)
             if level > known_level and level >= 2:
                 self.state.log.event(
                     "quarantine_learned",
                     fingerprint=fingerprint,
                     level=level,
                     known_level=known_level,
+                    age_ms=age_ms,
                 )
 
     def _on_target_crashed(self, fingerprints: list[str]) -> None:
-        decisions = self.state.quarantine.record_crash(fingerprints, round(self.now_ms()))
+        notice, decisions = self.state.crash_registry.record_own_crash(
+            fingerprints, round(self.now_ms())
+        )
         levels = tuple((decision.fingerprint, decision.level) for decision in decisions)
         self.state.log.event(
             "target_crashed",
+            crash=notice.crash_id,
             requests=len(fingerprints),
             quarantined=sum(decision.refused for decision in decisions),
             levels=levels[:LOGGED_FINGERPRINTS],
         )
+        self._send_to_all_peers(QuarantineFrame(levels, (0,) * len(levels), (notice,)))
+
+    def _send_to_all_peers(self, frame: Any) -> None:
+        data = encode(frame)
         for link in self.state.peer_links.all():
-            link.send(QuarantineFrame(levels))
+            link.send_encoded(data)
+        for connection in self._peer_connections:
+            connection.send_encoded(data)
+
+    def _spread_quarantine(self) -> None:
+        cleared = self.state.crash_registry.take_cleared()
+        if cleared:
+            self._send_to_all_peers(QuarantineFrame(cleared=cleared))
 
     def _update_own_upstream(self, own: list[Upstream]) -> None:
         previous = self._own_upstream
@@ -410,6 +448,8 @@
         if self.state.configuration is None and self._peer_connections:
             self._request_snapshot(self.state.rng.choice(list(self._peer_connections)))
         self._sweep_count += 1
+        if self._sweep_count % SWEEPS_PER_QUARANTINE_SPREAD == 0:
+            self._spread_quarantine()
         if self._sweep_count % SWEEPS_PER_CALLER_SWEEP == 0:
             now_ms = self.now_ms()
             limits = self.caller_limits()
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -151,8 +151,12 @@
 
     def send(self, frame: Any) -> None:
         """Send a frame that doesn't belong to a call, if the peer is connected."""
+        self.send_encoded(encode(frame))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send an encoded frame that doesn't belong to a call, if the peer is connected."""
         if self._current is not None and self._current.is_open:
-            self._current.transport.write(encode(frame))
+            self._current.transport.write(data)
 
     def send_or_open(self, frame: Any) -> None:
         """Send a frame that doesn't belong to a call, opening a connection if there is none.
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -81,7 +81,11 @@
 
     def send(self, frame: Any) -> None:
         """Send a frame that doesn't belong to a call."""
-        self._transport.write(encode(frame))
+        self.send_encoded(encode(frame))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send an encoded frame that doesn't belong to a call."""
+        self._transport.write(data)
 
     def close(self) -> None:
         """Close the connection after the data that was written has been sent."""
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -10,8 +10,8 @@
 from attrs import define, field
 
 from cottonlink.overload import (
+    CrashRegistry,
     LoadBalancer,
-    Quarantine,
     RetryBudget,
     RouteThrottle,
     TrafficSplit,
@@ -42,7 +42,7 @@
     retry_budget: RetryBudget
     route_throttle: RouteThrottle
     traffic_split: TrafficSplit
-    quarantine: Quarantine
+    crash_registry: CrashRegistry
     dispatcher: TargetDispatcher = field(init=False)
     peer_links: PeerLinks = field(init=False)
     configuration: Configuration | None = None
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -11,8 +11,8 @@
 from attrs import define, frozen
 
 from cottonlink.overload import (
+    CrashRegistry,
     Job,
-    Quarantine,
     Refusal,
     RouteClassifier,
     RunningRequests,
@@ -86,14 +86,15 @@
         self,
         pool: TargetPool,
         header_codec: HeaderCodec,
-        quarantine: Quarantine,
+        crash_registry: CrashRegistry,
         on_crash: Callable[[list[str]], None],
         log: EventLog,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
-        self._quarantine = quarantine
+        self._crash_registry = crash_registry
+        self._quarantine = crash_registry.quarantine
         self._on_crash = on_crash
         self._log = log
         self._loop = loop
@@ -291,7 +292,7 @@
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
         if len(self._quarantine) and response.status < FIRST_ERROR_STATUS:
-            self._quarantine.record_completion(_fingerprint(frame), self._now_ms())
+            self._crash_registry.record_completion(_fingerprint(frame), round(self._now_ms()))
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
 
--- /dev/null
+++ b/tests/test_crash_registry.py
@@ -0,0 +1,92 @@
+"""Tests of how crashes at several nodes are counted, and of the frame that reports them."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgpack
+
+from cottonlink.overload import CrashNotice, CrashRegistry, make_crash_registry, make_quarantine
+from cottonlink.overload._crash_registry import KNOWN_CRASH_LIMIT
+from cottonlink.overload._quarantine import SUSPECT_MS
+from cottonlink.path._frames import FrameReader, QuarantineFrame, encode
+
+
+class TestCrashRegistry(unittest.TestCase):
+    """Which crashes count at a node that hears of them from others."""
+
+    def setUp(self) -> None:
+        self.registries = {
+            name: make_crash_registry(f"{name}-1", make_quarantine()) for name in "abc"
+        }
+
+    def crash(self, name: str, now_ms: int = 0, fingerprint: str = "f") -> CrashNotice:
+        notice, _ = self.registries[name].record_own_crash([fingerprint], now_ms)
+        return notice
+
+    def is_refused(self, registry: CrashRegistry, now_ms: int = 1) -> bool:
+        return registry.quarantine.is_refused("f", now_ms)
+
+    def test_crashes_of_different_nodes_add_up(self) -> None:
+        """Copies of one request that crash targets at once must be refused everywhere after it."""
+        notices = [self.crash(name) for name in self.registries]
+        for registry in self.registries.values():
+            for notice in notices:
+                registry.apply_notice(notice, 1)
+            self.assertTrue(self.is_refused(registry))
+
+    def test_doubled_notice_counts_once(self) -> None:
+        """One crash whose notice comes on several links must not start a quarantine."""
+        notice = self.crash("a")
+        for registry in self.registries.values():
+            for _ in range(3):
+                registry.apply_notice(notice, 1)
+            self.assertFalse(self.is_refused(registry))
+
+    def test_old_notice_has_no_effect(self) -> None:
+        """A notice that was held up for as long as a suspect lasts must not make one again."""
+        notice = CrashNotice("a-1/1", SUSPECT_MS, ("f",))
+        self.assertEqual(self.registries["b"].apply_notice(notice, SUSPECT_MS), ())
+
+    def test_suspect_cleared_at_another_node_starts_anew(self) -> None:
+        """A harmless request that ran well after a crash must survive a second, unrelated crash."""
+        b, c = self.registries["b"], self.registries["c"]
+        notice = self.crash("a")
+        b.apply_notice(notice, 1)
+        c.apply_notice(notice, 1)
+        b.record_completion("f", 2)
+        c.apply_cleared(b.take_cleared(), 3)
+        self.assertEqual(b.take_cleared(), ())
+        c.record_own_crash(["f"], 4)
+        self.assertFalse(self.is_refused(c, 5))
+
+    def test_known_crashes_are_bounded(self) -> None:
+        """Targets that go on crashing must not use up the memory of a node."""
+        registry = self.registries["a"]
+        for number in range(KNOWN_CRASH_LIMIT + 10):
+            registry.apply_notice(CrashNotice(f"b-1/{number}", 0, ("f",)), 0)
+        self.assertEqual(len(registry._known_crash_ids), KNOWN_CRASH_LIMIT)
+
+
+class TestQuarantineFrame(unittest.TestCase):
+    """The frame between nodes of this version and of earlier ones."""
+
+    def decode(self, data: bytes) -> QuarantineFrame:
+        (frame,) = FrameReader().feed(data)
+        return frame
+
+    def test_frame_survives_the_wire(self) -> None:
+        """No part of a report may be lost or moved to another field on its way."""
+        crash = CrashNotice("a-1/1", 20, ("f", "g"))
+        frame = QuarantineFrame((("f", 2),), (30,), (crash,), ("h",))
+        self.assertEqual(self.decode(encode(frame)), frame)
+
+    def test_frame_of_an_earlier_version_is_read(self) -> None:
+        """In a fleet that is being updated, levels from nodes of the former version must count."""
+        code = msgpack.unpackb(encode(QuarantineFrame()))[0]
+        frame = self.decode(msgpack.packb((code, (("f", 2),))))
+        self.assertEqual(frame, QuarantineFrame((("f", 2),)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -98,8 +98,8 @@
     def is_refused_at(self, vm: Vm) -> bool:
         """Return whether ``vm`` refuses all requests that its quarantine lists."""
         return any(
-            vm.node.state.quarantine.is_refused(fingerprint, round(vm.node.now_ms()))
-            for fingerprint in vm.node.state.quarantine._entries
+            vm.node.state.crash_registry.quarantine.is_refused(fingerprint, round(vm.node.now_ms()))
+            for fingerprint in vm.node.state.crash_registry.quarantine._entries
         )
 
 
