Tell nodes of requests in quarantine that missed the notice

Callers saw: a request that was refused everywhere ran, and crashed its target, beside a node that had been restarted, had joined, or was cut off when the notice went round.

Cause: a notice was sent once, over the links that were open at that moment. Class of fault: knowledge that is pushed once and never reconciled.

Why it works: each new connection between nodes begins with what is in quarantine, with its age, and with the node's own recent crashes. In addition a node tells two random nodes of its quarantines each second, which also passes over links that lost a notice or were never opened. Nothing is sent while nothing is in quarantine. Ages keep a report from lasting longer at each node.

--- a/src/cottonlink/overload/_crash_registry.py
+++ b/src/cottonlink/overload/_crash_registry.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 
 from attrs import frozen
 
 from cottonlink.overload._quarantine import SUSPECT_MS, Quarantine, QuarantineDecision
 
+# Own crashes that are repeated to nodes that connect.
+OWN_CRASH_LIMIT = 8
 # Ids of crashes that are remembered, so that a doubled notice has no effect.
 KNOWN_CRASH_LIMIT = 4_096
 
@@ -30,6 +33,13 @@
     fingerprints: tuple[str, ...]
 
 
+@frozen
+class _OwnCrash:
+    crash_id: str
+    occurred_at_ms: int
+    fingerprints: tuple[str, ...]
+
+
 class CrashRegistry:
     """Counts each crash once in the node's quarantine.
 
@@ -39,6 +49,7 @@
     def __init__(self, incarnation: str, quarantine: Quarantine) -> None:
         self._incarnation = incarnation
         self.quarantine = quarantine
+        self._own_crashes: deque[_OwnCrash] = deque(maxlen=OWN_CRASH_LIMIT)
         self._own_crash_count = 0
         # A dict keeps the order in which ids were added, for dropping the oldest.
         self._known_crash_ids: dict[str, None] = {}
@@ -49,9 +60,12 @@
     ) -> tuple[CrashNotice, tuple[QuarantineDecision, ...]]:
         """Count a crash of the node's own target; return the notice for other nodes."""
         self._own_crash_count += 1
-        crash_id = f"{self._incarnation}/{self._own_crash_count}"
-        notice = CrashNotice(crash_id, 0, tuple(fingerprints))
-        return notice, self.quarantine.record_crash(notice.fingerprints, now_ms)
+        crash = _OwnCrash(
+            f"{self._incarnation}/{self._own_crash_count}", now_ms, tuple(fingerprints)
+        )
+        self._own_crashes.append(crash)
+        decisions = self.quarantine.record_crash(crash.fingerprints, now_ms)
+        return CrashNotice(crash.crash_id, 0, crash.fingerprints), decisions
 
     def apply_notice(self, notice: CrashNotice, now_ms: int) -> tuple[QuarantineDecision, ...]:
         """Count a crash that another node reports, unless it is known already or too old."""
@@ -63,6 +77,19 @@
             del self._known_crash_ids[next(iter(self._known_crash_ids))]
         return self.quarantine.record_crash(notice.fingerprints, now_ms)
 
+    def own_notices(self, now_ms: int) -> tuple[CrashNotice, ...]:
+        """Return notices of the own target's recent crashes, without requests cleared since."""
+        notices = (
+            CrashNotice(
+                crash.crash_id,
+                now_ms - crash.occurred_at_ms,
+                tuple(f for f in crash.fingerprints if self.quarantine.suspicion_level(f, now_ms)),
+            )
+            for crash in self._own_crashes
+            if now_ms - crash.occurred_at_ms < SUSPECT_MS
+        )
+        return tuple(notice for notice in notices if notice.fingerprints)
+
     def record_completion(self, fingerprint: str, now_ms: int) -> None:
         """Clear a suspect that ran to its end at the node's own target."""
         if self.quarantine.suspicion_level(fingerprint, now_ms) == 1:
--- a/src/cottonlink/overload/_quarantine.py
+++ b/src/cottonlink/overload/_quarantine.py
@@ -107,6 +107,16 @@
         until_ms = entry.suspect_until_ms if level == 1 else entry.until_ms
         return SuspicionReport(level, now_ms - until_ms + _duration_ms(level))
 
+    def refused(self, now_ms: int) -> dict[str, SuspicionReport]:
+        """Return what to report of each fingerprint that is refused now."""
+        return {f: self.report(f, now_ms) for f in self._entries if self.is_refused(f, now_ms)}
+
+    def remaining_ms(self, fingerprint: str, now_ms: int) -> int:
+        """Return for how long requests with this fingerprint are still refused."""
+        if not self.is_refused(fingerprint, now_ms):
+            return 0
+        return self._entries[fingerprint].until_ms - now_ms
+
     def is_refused(self, fingerprint: str, now_ms: int) -> bool:
         """Return whether requests with this fingerprint must not run."""
         return self.suspicion_level(fingerprint, now_ms) >= 2
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -44,8 +44,10 @@
 SWEEP_INTERVAL_S = 0.1
 # Callers' connections are checked for time-outs in every nth sweep.
 SWEEPS_PER_CALLER_SWEEP = 5
-# Suspects that ran to their end are reported to other nodes in every nth sweep.
+# A node tells QUARANTINE_FANOUT random nodes of requests in quarantine in every nth sweep. A node
+# that missed a notice hears of it within a second or two in a fleet of any size.
 SWEEPS_PER_QUARANTINE_SPREAD = 10
+QUARANTINE_FANOUT = 2
 # Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
 # runs once a second and needs two failures to stop.
 NEW_CALLERS_AFTER_SHUTDOWN_MS = 2_600.0
@@ -277,6 +279,9 @@
         if self._shutdown is not None:
             connection.send_leaving(takes_calls=self._shutdown.takes_calls)
         self._request_snapshot(connection)
+        summary = self._quarantine_summary()
+        if summary is not None:
+            connection.send(summary)
 
     def on_peer_disconnected(self, connection: PeerConnection) -> None:
         self._peer_connections.discard(connection)
@@ -303,6 +308,9 @@
         for upstream in load_balancer.upstreams():
             if upstream.vm_ip == address[0]:
                 load_balancer.mark_reachable(upstream.upstream_id)
+        summary = self._quarantine_summary()
+        if summary is not None:
+            self.state.peer_links.link(address).send(summary)
 
     def on_link_load(self, address: Address, load: Load) -> None:
         now_ms = self.now_ms()
@@ -388,6 +396,20 @@
         )
         self._send_to_all_peers(QuarantineFrame(levels, (0,) * len(levels), (notice,)))
 
+    def _quarantine_summary(self) -> QuarantineFrame | None:
+        """Return what another node should know of crashing requests, or None if there are none."""
+        registry = self.state.crash_registry
+        if not len(registry.quarantine):
+            return None
+        now_ms = round(self.now_ms())
+        refused = registry.quarantine.refused(now_ms)
+        crashes = registry.own_notices(now_ms)
+        if not refused and not crashes:
+            return None
+        levels = tuple((fingerprint, report.level) for fingerprint, report in refused.items())
+        ages_ms = tuple(report.age_ms for report in refused.values())
+        return QuarantineFrame(levels, ages_ms, crashes)
+
     def _send_to_all_peers(self, frame: Any) -> None:
         data = encode(frame)
         for link in self.state.peer_links.all():
@@ -396,9 +418,20 @@
             connection.send_encoded(data)
 
     def _spread_quarantine(self) -> None:
+        """Tell a few random nodes which requests are refused, and all peers which are cleared.
+
+        Notices can be lost on links that are silent or not open.
+        """
         cleared = self.state.crash_registry.take_cleared()
         if cleared:
             self._send_to_all_peers(QuarantineFrame(cleared=cleared))
+        frame = self._quarantine_summary()
+        if frame is None:
+            return
+        own_ip = self.state.target_address[0]
+        vm_ips = sorted({u.vm_ip for u in self.state.load_balancer.upstreams()} - {own_ip})
+        for vm_ip in self.state.rng.sample(vm_ips, min(QUARANTINE_FANOUT, len(vm_ips))):
+            self.state.peer_links.link((vm_ip, self.state.peer_port)).send_or_open(frame)
 
     def _update_own_upstream(self, own: list[Upstream]) -> None:
         previous = self._own_upstream
--- a/tests/test_crash_registry.py
+++ b/tests/test_crash_registry.py
@@ -60,6 +60,22 @@
         c.record_own_crash(["f"], 4)
         self.assertFalse(self.is_refused(c, 5))
 
+    def test_crash_is_repeated_until_its_requests_are_cleared(self) -> None:
+        """A node that connects late must hear of a crash, without requests that ran well since."""
+        a = self.registries["a"]
+        a.record_own_crash(["f", "g"], 0)
+        a.record_completion("g", 1)
+        self.assertEqual(a.own_notices(10), (CrashNotice("a-1/1", 10, ("f",)),))
+        a.record_completion("f", 11)
+        self.assertEqual(a.own_notices(12), ())
+
+    def test_crash_is_not_repeated_once_its_requests_are_no_longer_suspect(self) -> None:
+        """Nodes must not tell each other of a crash for ever."""
+        a = self.registries["a"]
+        self.crash("a")
+        self.assertEqual(len(a.own_notices(SUSPECT_MS - 1)), 1)
+        self.assertEqual(a.own_notices(SUSPECT_MS), ())
+
     def test_known_crashes_are_bounded(self) -> None:
         """Targets that go on crashing must not use up the memory of a node."""
         registry = self.registries["a"]
