Refuse requests in quarantine when they are sent and when they start

Callers saw: a copy that waited at a busy target when its quarantine began ran all the same and crashed it. A refused caller was asked back after a fraction of a second, although the request is refused for a minute.

Cause: only the node next to the target checked the quarantine, and only when a call arrived there. Class of fault: a check made before a wait and not after.

Why it works: CrashGuard makes the same check at the node that receives the request, before each send, and right before a call is written to the target. Retry-After tells when the quarantine ends.

--- /dev/null
+++ b/src/cottonlink/path/_crash_guard.py
@@ -0,0 +1,73 @@
+"""Keeps requests in quarantine from targets, and reports those that run well."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cottonlink.overload import CrashRegistry, request_fingerprint
+from cottonlink.path._frames import CallFrame
+from cottonlink.path._log import EventLog
+from cottonlink.path._model import NotRun, Request
+
+
+class CrashGuard:
+    """Checks requests against the quarantine of ``crash_registry``.
+
+    Fingerprints are only computed while the quarantine has entries.
+    """
+
+    def __init__(
+        self, crash_registry: CrashRegistry, log: EventLog, now_ms: Callable[[], float]
+    ) -> None:
+        self._crash_registry = crash_registry
+        self._quarantine = crash_registry.quarantine
+        self._log = log
+        self._now_ms = now_ms
+
+    def refuse_request(self, request: Request, caller_service: str) -> NotRun | None:
+        """Return the refusal of a caller's request, or None if it isn't in quarantine."""
+        if not len(self._quarantine):
+            return None
+        fingerprint = _fingerprint(caller_service, request.method, request.target, request.body)
+        return self._refuse(request.request_id, fingerprint, "ingress")
+
+    def refuse_call(self, frame: CallFrame) -> NotRun | None:
+        """Return the refusal of a call for the target, or None if it isn't in quarantine."""
+        if not len(self._quarantine):
+            return None
+        return self._refuse(frame.request_id, call_fingerprint(frame), "target")
+
+    def record_completion(self, frame: CallFrame) -> None:
+        """Clear a suspect that the target ran to its end."""
+        if len(self._quarantine):
+            now_ms = round(self._now_ms())
+            self._crash_registry.record_completion(call_fingerprint(frame), now_ms)
+
+    def _refuse(self, request_id: bytes, fingerprint: str, place: str) -> NotRun | None:
+        now_ms = round(self._now_ms())
+        report = self._quarantine.report(fingerprint, now_ms)
+        if report is None:
+            return None
+        is_refused = report.level >= 2
+        self._log.event(
+            "request_quarantined" if is_refused else "suspect_let_through",
+            request_id=request_id,
+            fingerprint=fingerprint,
+            level=report.level,
+            age_ms=report.age_ms,
+            place=place,
+        )
+        if not is_refused:
+            return None
+        return NotRun("quarantined", self._quarantine.remaining_ms(fingerprint, now_ms))
+
+
+def call_fingerprint(frame: CallFrame) -> str:
+    """Return the hash by which all nodes recognize equal calls."""
+    return _fingerprint(frame.caller_service, frame.method, frame.target, frame.body)
+
+
+def _fingerprint(caller_service: str, method: bytes, target: bytes, body: bytes) -> str:
+    return request_fingerprint(
+        caller_service, method.decode("latin-1"), target.decode("latin-1"), body
+    )
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -109,6 +109,10 @@
     def _place(self, call: IngressCall, refusal: NotRun) -> None:
         """Send a call to an upstream not tried yet; if there is none, end it with ``refusal``."""
         state = self._state
+        quarantine_refusal = state.crash_guard.refuse_request(call.request, state.service)
+        if quarantine_refusal is not None:
+            self._final_responses.give_up(call, quarantine_refusal)
+            return
         upstream = self._choose(call)
         if upstream is None:
             self._final_responses.give_up(call, refusal)
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -19,6 +19,7 @@
     make_traffic_split,
 )
 from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._crash_guard import CrashGuard
 from cottonlink.path._frames import (
     QuarantineFrame,
     SnapshotRequestFrame,
@@ -103,6 +104,10 @@
         self._settings = settings
         self._loop = loop
         target_address = parse_address(settings.target_address)
+        # The random part tells this incarnation of the node from earlier ones.
+        crash_registry = make_crash_registry(
+            f"{settings.node}-{rng.getrandbits(32):08x}", make_quarantine()
+        )
         self._pool = TargetPool(target_address, header_codec.id_header, loop)
         self.state = NodeState(
             loop=loop,
@@ -119,13 +124,11 @@
             ),
             route_throttle=make_route_throttle(self._on_route_limit_changed),
             traffic_split=make_traffic_split(rng),
-            # The random part tells this incarnation of the node from earlier ones.
-            crash_registry=make_crash_registry(
-                f"{settings.node}-{rng.getrandbits(32):08x}", make_quarantine()
-            ),
+            crash_registry=crash_registry,
+            crash_guard=CrashGuard(crash_registry, log, self.now_ms),
         )
         self.dispatcher = TargetDispatcher(
-            self._pool, header_codec, self.state.crash_registry, self._on_target_crashed, log, loop
+            self._pool, header_codec, self.state.crash_guard, self._on_target_crashed, log, loop
         )
         self.state.dispatcher = self.dispatcher
         self.state.peer_links = PeerLinks(self, loop)
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -16,6 +16,7 @@
     RouteThrottle,
     TrafficSplit,
 )
+from cottonlink.path._crash_guard import CrashGuard
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
@@ -43,6 +44,7 @@
     route_throttle: RouteThrottle
     traffic_split: TrafficSplit
     crash_registry: CrashRegistry
+    crash_guard: CrashGuard
     dispatcher: TargetDispatcher = field(init=False)
     peer_links: PeerLinks = field(init=False)
     configuration: Configuration | None = None
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -11,7 +11,6 @@
 from attrs import define, frozen
 
 from cottonlink.overload import (
-    CrashRegistry,
     Job,
     Refusal,
     RouteClassifier,
@@ -20,8 +19,8 @@
     make_route_classifier,
     make_running_requests,
     make_target_queue,
-    request_fingerprint,
 )
+from cottonlink.path._crash_guard import CrashGuard, call_fingerprint
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import end_to_end_headers, request_bytes
@@ -86,15 +85,14 @@
         self,
         pool: TargetPool,
         header_codec: HeaderCodec,
-        crash_registry: CrashRegistry,
+        crash_guard: CrashGuard,
         on_crash: Callable[[list[str]], None],
         log: EventLog,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
-        self._crash_registry = crash_registry
-        self._quarantine = crash_registry.quarantine
+        self._crash_guard = crash_guard
         self._on_crash = on_crash
         self._log = log
         self._loop = loop
@@ -123,8 +121,9 @@
         if self._closed_reason is not None:
             on_outcome(NotRun(self._closed_reason))
             return
-        if self._is_quarantined(frame):
-            on_outcome(NotRun("quarantined"))
+        refusal = self._crash_guard.refuse_call(frame)
+        if refusal is not None:
+            on_outcome(refusal)
             return
         wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.remaining_ms)
         job = Job(key, frame.tier, frame.rank, wait_ms)
@@ -210,20 +209,6 @@
     def _makes_calls(self) -> bool:
         return self._nested_call_count > MIN_NESTED_CALLS_PER_RUN * self._run_count
 
-    def _is_quarantined(self, frame: CallFrame) -> bool:
-        if not len(self._quarantine):
-            return False
-        fingerprint = _fingerprint(frame)
-        level = self._quarantine.suspicion_level(fingerprint, round(self._now_ms()))
-        if level:
-            self._log.event(
-                "request_quarantined" if level >= 2 else "suspect_sent_to_target",
-                request_id=frame.request_id,
-                fingerprint=fingerprint,
-                level=level,
-            )
-        return level >= 2
-
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -251,12 +236,15 @@
     def _send(self, call: _Call, connection: Any) -> None:
         now_ms = self._now_ms()
         remaining_ms = int(call.deadline_ms - now_ms)
-        if call.is_cancelled or remaining_ms <= 0:
+        frame = call.frame
+        refusal = NotRun("deadline") if call.is_cancelled or remaining_ms <= 0 else None
+        # The quarantine may have begun while the call was waiting.
+        refusal = refusal or self._crash_guard.refuse_call(frame)
+        if refusal is not None:
             self._pool.release(connection)
-            self._deliver(call, NotRun("deadline"))
+            self._deliver(call, refusal)
             self._release(call, is_sample=False)
             return
-        frame = call.frame
         call.connection = connection
         call.sent_deadline_ms = now_ms + remaining_ms
         parent = ParentRequest(frame.rank, frame.is_retry, frame.route)
@@ -291,8 +279,8 @@
         if self._header_codec.is_not_run(response):
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
-        if len(self._quarantine) and response.status < FIRST_ERROR_STATUS:
-            self._crash_registry.record_completion(_fingerprint(frame), round(self._now_ms()))
+        if response.status < FIRST_ERROR_STATUS:
+            self._crash_guard.record_completion(frame)
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
 
@@ -334,7 +322,7 @@
         if self._pool.opened_count != self._opened_before_crash:
             self._opened_before_crash = self._pool.opened_count
             self._counted_fingerprints.clear()
-        fingerprints = {_fingerprint(frame) for frame in frames} - self._counted_fingerprints
+        fingerprints = {call_fingerprint(frame) for frame in frames} - self._counted_fingerprints
         if fingerprints:
             self._counted_fingerprints |= fingerprints
             self._on_crash(sorted(fingerprints))
@@ -352,12 +340,3 @@
             next_call = self._calls.get(job.key)
             if next_call is not None:
                 self._run(next_call)
-
-
-def _fingerprint(frame: CallFrame) -> str:
-    return request_fingerprint(
-        frame.caller_service,
-        frame.method.decode("latin-1"),
-        frame.target.decode("latin-1"),
-        frame.body,
-    )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -229,3 +229,19 @@
         await running
         self.assertIsInstance(await queued, NotRun)
         self.assertEqual(self.crash_count, 2)
+
+    async def test_node_does_not_send_a_request_in_quarantine(self) -> None:
+        """The node that receives a request must refuse it where the target's node doesn't know.
+
+        The caller learns that it didn't run, and when it may come back.
+        """
+        for vm in self.vms[:2]:
+            await self.crash(vm)
+        caller_vm = self.vms[2]
+        await self.wait_until(lambda: self.is_refused_at(caller_vm))
+        for vm in self.vms[:2]:
+            vm.node.state.crash_registry.quarantine._entries.clear()
+        response = await self.call(caller_vm, CRASH_PATH)
+        self.assertEqual(response.status, 503)
+        self.assertGreater(float(response.headers["retry-after"]), 30.0)
+        self.assertEqual(self.crash_count, 2)
