Don't suspect a read that the target has just answered

Cause: now that crashes at several nodes add up, three targets that fail at once for another reason would put a popular read that runs at all of them in quarantine for a minute.

Change: each node remembers for one to two seconds which reads without a body its target has answered, and leaves them out of a crash. A read that begins to crash targets is suspect again two seconds after its last answer.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -16,6 +16,7 @@
     make_quarantine,
     request_fingerprint,
 )
+from cottonlink.overload._recent_answers import RecentAnswers, make_recent_answers
 from cottonlink.overload._retry_budget import RetryBudget, make_retry_budget
 from cottonlink.overload._route_classifier import RouteClassifier, make_route_classifier
 from cottonlink.overload._route_throttle import LimitChange, RouteThrottle, make_route_throttle
@@ -48,6 +49,7 @@
     "LoadBalancer",
     "Quarantine",
     "QuarantineDecision",
+    "RecentAnswers",
     "Refusal",
     "RetryBudget",
     "RouteClassifier",
@@ -61,6 +63,7 @@
     "make_crash_registry",
     "make_load_balancer",
     "make_quarantine",
+    "make_recent_answers",
     "make_retry_budget",
     "make_route_classifier",
     "make_route_throttle",
--- a/src/cottonlink/path/_crash_guard.py
+++ b/src/cottonlink/path/_crash_guard.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from cottonlink.overload import CrashRegistry, request_fingerprint
+from cottonlink.overload import CrashRegistry, make_recent_answers, request_fingerprint
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import NotRun, Request
@@ -23,6 +23,7 @@
         self._quarantine = crash_registry.quarantine
         self._log = log
         self._now_ms = now_ms
+        self._recent_answers = make_recent_answers()
 
     def refuse_request(self, request: Request, caller_service: str) -> NotRun | None:
         """Return the refusal of a caller's request, or None if it isn't in quarantine."""
@@ -38,11 +39,22 @@
         return self._refuse(frame.request_id, call_fingerprint(frame), "target")
 
     def record_completion(self, frame: CallFrame) -> None:
-        """Clear a suspect that the target ran to its end."""
+        """Record that the target ran a call to its end, which clears a suspect."""
+        now_ms = round(self._now_ms())
+        if _is_read(frame):
+            self._recent_answers.record(_read_key(frame), now_ms)
         if len(self._quarantine):
-            now_ms = round(self._now_ms())
             self._crash_registry.record_completion(call_fingerprint(frame), now_ms)
 
+    def suspects(self, frames: Iterable[CallFrame]) -> set[str]:
+        """Return the fingerprints of those calls that may have crashed the target they ran at."""
+        now_ms = round(self._now_ms())
+        return {
+            call_fingerprint(frame)
+            for frame in frames
+            if not (_is_read(frame) and self._recent_answers.contains(_read_key(frame), now_ms))
+        }
+
     def _refuse(self, request_id: bytes, fingerprint: str, place: str) -> NotRun | None:
         now_ms = round(self._now_ms())
         report = self._quarantine.report(fingerprint, now_ms)
@@ -62,6 +74,14 @@
         return NotRun("quarantined", self._quarantine.remaining_ms(fingerprint, now_ms))
 
 
+def _is_read(frame: CallFrame) -> bool:
+    return frame.is_repeatable and not frame.body
+
+
+def _read_key(frame: CallFrame) -> tuple[str, bytes, bytes]:
+    return frame.caller_service, frame.method, frame.target
+
+
 def call_fingerprint(frame: CallFrame) -> str:
     """Return the hash by which all nodes recognize equal calls."""
     return _fingerprint(frame.caller_service, frame.method, frame.target, frame.body)
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -20,7 +20,7 @@
     make_running_requests,
     make_target_queue,
 )
-from cottonlink.path._crash_guard import CrashGuard, call_fingerprint
+from cottonlink.path._crash_guard import CrashGuard
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import end_to_end_headers, request_bytes
@@ -322,7 +322,7 @@
         if self._pool.opened_count != self._opened_before_crash:
             self._opened_before_crash = self._pool.opened_count
             self._counted_fingerprints.clear()
-        fingerprints = {call_fingerprint(frame) for frame in frames} - self._counted_fingerprints
+        fingerprints = self._crash_guard.suspects(frames) - self._counted_fingerprints
         if fingerprints:
             self._counted_fingerprints |= fingerprints
             self._on_crash(sorted(fingerprints))
--- a/tests/test_crash_registry.py
+++ b/tests/test_crash_registry.py
@@ -6,9 +6,16 @@
 
 import msgpack
 
-from cottonlink.overload import CrashNotice, CrashRegistry, make_crash_registry, make_quarantine
+from cottonlink.overload import (
+    CrashNotice,
+    CrashRegistry,
+    make_crash_registry,
+    make_quarantine,
+    make_recent_answers,
+)
 from cottonlink.overload._crash_registry import KNOWN_CRASH_LIMIT
 from cottonlink.overload._quarantine import SUSPECT_MS
+from cottonlink.overload._recent_answers import PERIOD_ENTRY_LIMIT, PERIOD_MS
 from cottonlink.path._frames import FrameReader, QuarantineFrame, encode
 
 
@@ -84,6 +91,25 @@
         self.assertEqual(len(registry._known_crash_ids), KNOWN_CRASH_LIMIT)
 
 
+class TestRecentAnswers(unittest.TestCase):
+    """Which reads count as answered a moment ago."""
+
+    def test_read_that_begins_to_crash_targets_is_forgotten(self) -> None:
+        """A read that was harmless until now must become suspect within two periods."""
+        answers = make_recent_answers()
+        answers.record("read", 500)
+        self.assertTrue(answers.contains("read", PERIOD_MS))
+        self.assertFalse(answers.contains("read", 2 * PERIOD_MS + 500))
+
+    def test_memory_is_bounded(self) -> None:
+        """Many different reads must not use up the memory of a node."""
+        answers = make_recent_answers()
+        for number in range(PERIOD_ENTRY_LIMIT + 10):
+            answers.record(number, 0)
+        self.assertTrue(answers.contains(0, 0))
+        self.assertFalse(answers.contains(PERIOD_ENTRY_LIMIT, 0))
+
+
 class TestQuarantineFrame(unittest.TestCase):
     """The frame between nodes of this version and of earlier ones."""
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -142,6 +142,21 @@
         await vm.target.start()
         self.assertIsInstance(await self.run_at(vm, "/reads/hot"), Answered)
 
+    async def test_popular_read_survives_the_failure_of_several_targets(self) -> None:
+        """A read that runs everywhere when several targets fail at once must not be refused."""
+        for vm in self.vms:
+            self.assertIsInstance(await self.run_at(vm, "/reads/popular"), Answered)
+            vm.target.answer_gate.clear()
+        runs = [asyncio.ensure_future(self.run_at(vm, "/reads/popular")) for vm in self.vms]
+        await self.wait_until(lambda: all(len(vm.target.runs) == 2 for vm in self.vms))
+        for vm in self.vms:
+            await vm.target.stop()
+        await asyncio.gather(*runs)
+        await asyncio.sleep(0.1)
+        for vm in self.vms:
+            await vm.target.start()
+            self.assertIsInstance(await self.run_at(vm, "/reads/popular"), Answered)
+
     async def test_error_response_does_not_clear_a_suspect(self) -> None:
         """A target that fails every request must not make a crashing request look harmless."""
         await self.crash(self.vms[0])
