Soak: send a crashing request again all through each run

Change: a caller sends one crashing request to the nodes of one service in turn, beside all faults. Targets are back after half a second as a new incarnation under their former id. From 3 s after the third crash, at most three more targets may crash.

The stand-in's close() no longer cancels the handler that calls it; the event loop reported that as an unhandled cancellation.

--- a/emulator/http_stand_in.py
+++ b/emulator/http_stand_in.py
@@ -46,9 +46,9 @@
         return self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
-        """Stop listening, and cancel all connections."""
+        """Stop listening, and cancel all connections but the one whose handler calls this."""
         self._server.close()
-        for task in self._tasks:
+        for task in self._tasks - {asyncio.current_task()}:
             task.cancel()
 
 
--- a/emulator/platform_target.py
+++ b/emulator/platform_target.py
@@ -47,6 +47,11 @@
             self._server.close()
             self._server = None
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None
+
     def entry(self, **changes: object) -> dict:
         """Return the target's entry in the store, with ``changes`` to its fields."""
         entry = {
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+from collections.abc import Sequence
 
 import httptools
 from attrs import define, field
@@ -66,6 +67,23 @@
         if connection is not None:
             connection[1].close()
 
+    async def resend(
+        self,
+        path: str,
+        addresses: Sequence[tuple[str, int]],
+        pause_s: float,
+        stop_event: asyncio.Event,
+    ) -> None:
+        """Send a read with the same path to each of the nodes in turn until the event is set."""
+        for address in itertools.cycle(addresses):
+            if stop_event.is_set():
+                return
+            connection = await _connect(address)
+            if connection is not None:
+                await self._exchange(connection, f"r{next(self._request_numbers)}", path)
+                connection[1].close()
+            await asyncio.sleep(pause_s)
+
     async def send_on_new_connection(
         self, address: tuple[str, int], kind: str
     ) -> ObservedRequest | None:
@@ -81,7 +99,14 @@
         """Send a request to one of the routes ``kinds``, in turn; return it with its response."""
         number = next(self._request_numbers)
         kind = kinds[number % len(kinds)]
-        observed = ObservedRequest(f"r{number}", f"/{kind}/{number}", kind == "bookings")
+        return await self._exchange(
+            connection, f"r{number}", f"/{kind}/{number}", is_booking=kind == "bookings"
+        )
+
+    async def _exchange(
+        self, connection: tuple, request_id: str, path: str, *, is_booking: bool = False
+    ) -> ObservedRequest:
+        observed = ObservedRequest(request_id, path, is_booking)
         self.observed.append(observed)
         reader, writer = connection
         body = b"x" if observed.is_booking else b""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,10 @@
 
 # Statuses that guarantee that the request has not run and will not run.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+# After a fault, nodes reach each other and the store again within this time.
+CONTACT_S = 3.0
+# Targets that a request may crash later than that after its third crash.
+MAX_LATER_CRASHES = 3
 
 
 def find_violations(fleet: SoakFleet, requests: list[ObservedRequest]) -> list[str]:
@@ -40,6 +44,23 @@
     return problems
 
 
+def find_uncontained_crashes(crash_times_s: list[float]) -> list[str]:
+    """Return a line if a request went on to crash targets although three had crashed before.
+
+    The nodes have ``CONTACT_S`` after the third crash to tell each other.
+    """
+    if len(crash_times_s) < 3:
+        return []
+    allowed_until_s = sorted(crash_times_s)[2] + CONTACT_S
+    later = sum(time_s > allowed_until_s for time_s in crash_times_s)
+    if later <= MAX_LATER_CRASHES:
+        return []
+    return [
+        f"a request crashed {len(crash_times_s)} targets,"
+        f" {later} of them more than {CONTACT_S} s after the third"
+    ]
+
+
 def find_unserved(requests: list[ObservedRequest | None]) -> list[str]:
     """Return a line for each request sent after the faults that wasn't answered with status 200."""
     return [
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -120,9 +120,7 @@
 async def crash_target(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Stop the target without removing its store entry, as in a crash; then start a new one."""
     await vm.target.stop()
-    await asyncio.sleep(for_s)
-    await vm.target.start()
-    await fleet.register(vm, born=1_700_000_000_000 + int(for_s * 1000))
+    await fleet.restart_target(vm, for_s)
 
 
 async def lose_answers(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -24,6 +24,10 @@
 )
 ADDED_ROUTE = route_resource("added", "shop.example", "/added/", "browse", timeout_s=3)
 REQUEST_DURATION_S = 0.02
+# A request with this path crashes the target that runs it, which is started again after a while.
+CRASH_PATH = "/reads/crash"
+CRASH_DOWNTIME_S = 0.5
+FIRST_START_MS = 1_700_000_000_000
 
 
 @define(eq=False)
@@ -88,6 +92,10 @@
         self.store = PlatformStore()
         self.vms: list[SoakVm] = []
         self.configuration_version = 3
+        # When a run of CRASH_PATH crashed a target, in seconds of the event loop's clock.
+        self.crash_times_s: list[float] = []
+        self._restarts: set[asyncio.Task] = set()
+        self._last_start_ms = FIRST_START_MS
 
     async def start(self) -> None:
         """Start the store, targets and proxies, publish the configuration and start the nodes."""
@@ -109,6 +117,8 @@
 
         Only the processes that this fleet started are ended, by their ids.
         """
+        for restart in self._restarts:
+            restart.cancel()
         for vm in self.vms:
             vm.signal_node(signal.SIGCONT)
             if vm.process is not None and vm.process.returncode is None:
@@ -122,13 +132,44 @@
         """Write a target's entry to the store; ``changes`` replace fields of the entry."""
         await self.store.put(f"servers/{vm.target.upstream_id}", vm.target.entry(**changes))
 
+    async def restart_target(self, vm: SoakVm, after_s: float) -> None:
+        """Start a target again that has crashed, as a new incarnation under its former id."""
+        await asyncio.sleep(after_s)
+        if vm.target.is_running:
+            return
+        await vm.target.start()
+        self._last_start_ms += 1
+        await self.register(vm, born=self._last_start_ms)
+
+    async def _serve_request(
+        self, target: PlatformTarget, request: ReceivedRequest, _writer: object
+    ) -> bytes | None:
+        if request.target == CRASH_PATH:
+            await self._crash(target)
+            return None
+        await asyncio.sleep(REQUEST_DURATION_S)
+        if target.loses_answers:
+            return None
+        return target.success_response(request)
+
+    async def _crash(self, target: PlatformTarget) -> None:
+        loop = asyncio.get_running_loop()
+        self.crash_times_s.append(loop.time())
+        (vm,) = (vm for vm in self.vms if vm.target is target)
+        restart = loop.create_task(self.restart_target(vm, CRASH_DOWNTIME_S))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+        await target.stop()
+
     async def _make_vm(self, number: int, store: tuple[str, int]) -> SoakVm:
         # Peers reach the VM at its public address, where the proxy listens; the node listens at
         # another address.
         public_host = f"127.{self._address_block}.1.{number + 1}"
         node_host = f"127.{self._address_block}.2.{number + 1}"
         service = "booking" if number % 2 else "browse"
-        target = PlatformTarget(service, public_host, 7002, f"i-{number}", behaviour=_serve_request)
+        target = PlatformTarget(
+            service, public_host, 7002, f"i-{number}", behaviour=self._serve_request
+        )
         await target.start()
         peer_proxy, store_proxy = FaultyProxy((node_host, 7001)), FaultyProxy(store)
         await peer_proxy.start(public_host, 7001)
@@ -160,12 +201,3 @@
         )
         await self.register(vm)
         return vm
-
-
-async def _serve_request(
-    target: PlatformTarget, request: ReceivedRequest, _writer: object
-) -> bytes | None:
-    await asyncio.sleep(REQUEST_DURATION_S)
-    if target.loses_answers:
-        return None
-    return target.success_response(request)
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,13 +11,14 @@
 from attrs import frozen
 
 from soak.callers import Callers, ObservedRequest
-from soak.checks import find_unserved, find_violations
+from soak.checks import find_uncontained_crashes, find_unserved, find_violations
 from soak.faults import PlannedFault, inject, plan_faults
-from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, READS_ROUTE, ROOT, SoakFleet
+from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, CRASH_PATH, READS_ROUTE, ROOT, SoakFleet
 
 VM_COUNT = 4
 CALLERS_PER_VM = 2
 REQUEST_PAUSE_S = 0.05
+CRASHING_REQUEST_PAUSE_S = 0.3
 FAULT_PHASE_S = 4.0
 # Within 3 s after the last fault nodes reach each other again, and a configuration is in force 2 s
 # after the store acknowledged it.
@@ -58,6 +59,17 @@
             for vm in fleet.vms
             for _ in range(CALLERS_PER_VM)
         ]
+        # A request comes again from the same service, whose nodes are every second one.
+        caller_tasks.append(
+            asyncio.ensure_future(
+                callers.resend(
+                    CRASH_PATH,
+                    [vm.caller_address for vm in fleet.vms[::2]],
+                    CRASHING_REQUEST_PAUSE_S,
+                    stop_event,
+                )
+            )
+        )
         await inject(fleet, faults)
         await fleet.publish(READS_ROUTE, BOOKINGS_ROUTE, ADDED_ROUTE)
         await asyncio.sleep(RECOVERY_S)
@@ -69,6 +81,7 @@
     finally:
         await fleet.stop()
     problems += find_violations(fleet, callers.observed)
+    problems += find_uncontained_crashes(fleet.crash_times_s)
     served = sum(request.status == 200 for request in callers.observed)
     return SoakResult(seed, tuple(faults), len(callers.observed), served, tuple(problems))
 
