Check the target again for connections lost during a check

Cause: the target may accept the connection of a check and crash right after it. Losses that came while the check was under way were then not looked at, although no later call may find the target down.

Evidence: test_crash_counts_if_the_target_accepts_a_check_just_before_it fails without the second check.

The fingerprint of a call is also computed once per call instead of at each step, as the quarantine is now asked at more steps.

--- a/src/cottonlink/path/_crash_guard.py
+++ b/src/cottonlink/path/_crash_guard.py
@@ -11,10 +11,7 @@
 
 
 class CrashGuard:
-    """Checks requests against the quarantine of ``crash_registry``.
-
-    Fingerprints are only computed while the quarantine has entries.
-    """
+    """Checks requests against the quarantine of ``crash_registry``."""
 
     def __init__(
         self, crash_registry: CrashRegistry, log: EventLog, now_ms: Callable[[], float]
@@ -25,37 +22,24 @@
         self._now_ms = now_ms
         self._recent_answers = make_recent_answers()
 
+    @property
+    def has_entries(self) -> bool:
+        """Whether any request is or was suspect; without one, no fingerprint is needed."""
+        return len(self._quarantine) > 0
+
     def refuse_request(self, request: Request, caller_service: str) -> NotRun | None:
         """Return the refusal of a caller's request, or None if it isn't in quarantine."""
-        if not len(self._quarantine):
+        if not self.has_entries:
             return None
         fingerprint = _fingerprint(caller_service, request.method, request.target, request.body)
-        return self._refuse(request.request_id, fingerprint, "ingress")
+        return self.refuse(request.request_id, fingerprint, "ingress")
 
-    def refuse_call(self, frame: CallFrame) -> NotRun | None:
-        """Return the refusal of a call for the target, or None if it isn't in quarantine."""
-        if not len(self._quarantine):
-            return None
-        return self._refuse(frame.request_id, call_fingerprint(frame), "target")
+    def refuse(self, request_id: bytes, fingerprint: str, place: str) -> NotRun | None:
+        """Return the refusal of a request, or None if it isn't in quarantine.
 
-    def record_completion(self, frame: CallFrame) -> None:
-        """Record that the target ran a call to its end, which clears a suspect."""
-        now_ms = round(self._now_ms())
-        if _is_read(frame):
-            self._recent_answers.record(_read_key(frame), now_ms)
-        if len(self._quarantine):
-            self._crash_registry.record_completion(call_fingerprint(frame), now_ms)
-
-    def suspects(self, frames: Iterable[CallFrame]) -> set[str]:
-        """Return the fingerprints of those calls that may have crashed the target they ran at."""
-        now_ms = round(self._now_ms())
-        return {
-            call_fingerprint(frame)
-            for frame in frames
-            if not (_is_read(frame) and self._recent_answers.contains(_read_key(frame), now_ms))
-        }
-
-    def _refuse(self, request_id: bytes, fingerprint: str, place: str) -> NotRun | None:
+        ``place`` tells the log whether the node that received the request or the one next to the
+        target asks.
+        """
         now_ms = round(self._now_ms())
         report = self._quarantine.report(fingerprint, now_ms)
         if report is None:
@@ -73,6 +57,24 @@
             return None
         return NotRun("quarantined", self._quarantine.remaining_ms(fingerprint, now_ms))
 
+    def record_completion(self, frame: CallFrame) -> None:
+        """Record that the target ran a call to its end."""
+        if _is_read(frame):
+            self._recent_answers.record(_read_key(frame), round(self._now_ms()))
+
+    def clear_suspect(self, fingerprint: str) -> None:
+        """Clear a suspect that the target ran to its end."""
+        self._crash_registry.record_completion(fingerprint, round(self._now_ms()))
+
+    def suspects(self, frames: Iterable[CallFrame]) -> set[str]:
+        """Return the fingerprints of those calls that may have crashed the target they ran at."""
+        now_ms = round(self._now_ms())
+        return {
+            call_fingerprint(frame)
+            for frame in frames
+            if not (_is_read(frame) and self._recent_answers.contains(_read_key(frame), now_ms))
+        }
+
 
 def _is_read(frame: CallFrame) -> bool:
     return frame.is_repeatable and not frame.body
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -20,7 +20,7 @@
     make_running_requests,
     make_target_queue,
 )
-from cottonlink.path._crash_guard import CrashGuard
+from cottonlink.path._crash_guard import CrashGuard, call_fingerprint
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import end_to_end_headers, request_bytes
@@ -76,6 +76,14 @@
     sent_deadline_ms: float = 0.0
     connection: Any = None
     is_cancelled: bool = False
+    _fingerprint: str | None = None
+
+    @property
+    def fingerprint(self) -> str:
+        """The hash by which all nodes recognize equal calls, computed when it is first needed."""
+        if self._fingerprint is None:
+            self._fingerprint = call_fingerprint(self.frame)
+        return self._fingerprint
 
 
 class TargetDispatcher:
@@ -102,6 +110,7 @@
         self._call_numbers = itertools.count(1)
         self._recent_losses: deque[tuple[float, CallFrame]] = deque(maxlen=512)
         self._is_checking_target = False
+        self._has_loss_since_check = False
         # Fingerprints counted for the latest crash, and the number of connections opened until
         # then: no new connection succeeds before the target is back.
         self._counted_fingerprints: set[str] = set()
@@ -121,13 +130,13 @@
         if self._closed_reason is not None:
             on_outcome(NotRun(self._closed_reason))
             return
-        refusal = self._crash_guard.refuse_call(frame)
+        call = _Call(frame, key, on_outcome, now_ms + frame.remaining_ms, next(self._call_numbers))
+        refusal = self._refuse_quarantined(call)
         if refusal is not None:
             on_outcome(refusal)
             return
         wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.remaining_ms)
         job = Job(key, frame.tier, frame.rank, wait_ms)
-        call = _Call(frame, key, on_outcome, now_ms + frame.remaining_ms, next(self._call_numbers))
         self._calls[key] = call
         is_started, refused = self._queue.offer(job, now_ms)
         self._deliver_refusals(refused)
@@ -209,6 +218,11 @@
     def _makes_calls(self) -> bool:
         return self._nested_call_count > MIN_NESTED_CALLS_PER_RUN * self._run_count
 
+    def _refuse_quarantined(self, call: _Call) -> NotRun | None:
+        if not self._crash_guard.has_entries:
+            return None
+        return self._crash_guard.refuse(call.frame.request_id, call.fingerprint, "target")
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -239,7 +253,7 @@
         frame = call.frame
         refusal = NotRun("deadline") if call.is_cancelled or remaining_ms <= 0 else None
         # The quarantine may have begun while the call was waiting.
-        refusal = refusal or self._crash_guard.refuse_call(frame)
+        refusal = refusal or self._refuse_quarantined(call)
         if refusal is not None:
             self._pool.release(connection)
             self._deliver(call, refusal)
@@ -267,20 +281,22 @@
         connection = call.connection
         if isinstance(result, HttpResponse):
             self._pool.release(connection)
-            outcome = self._classify(call.frame, result)
+            outcome = self._classify(call, result)
         else:
             outcome = self._on_exchange_failed(call.frame, result)
         self._deliver(call, outcome)
         self._release(call, is_sample=isinstance(outcome, Answered))
 
-    def _classify(self, frame: CallFrame, response: HttpResponse) -> Outcome:
+    def _classify(self, call: _Call, response: HttpResponse) -> Outcome:
         if self._header_codec.is_wrong_upstream(response):
             return NotRun("wrong_upstream", reached_target=True)
         if self._header_codec.is_not_run(response):
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
         if response.status < FIRST_ERROR_STATUS:
-            self._crash_guard.record_completion(frame)
+            self._crash_guard.record_completion(call.frame)
+            if self._crash_guard.has_entries:
+                self._crash_guard.clear_suspect(call.fingerprint)
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
 
@@ -296,6 +312,7 @@
 
         The next call may come only after the target has been started again.
         """
+        self._has_loss_since_check = self._is_checking_target
         if self._is_checking_target:
             return
         self._is_checking_target = True
@@ -309,6 +326,9 @@
         self._log.event("target_checked", result=result, lost_connections=len(self._recent_losses))
         if result == "target_unreachable":
             self._detect_crash(CRASH_WINDOW_MS)
+        elif self._has_loss_since_check:
+            # The target may have accepted the check's connection just before it crashed.
+            self._check_target()
 
     def _detect_crash(self, window_ms: float) -> None:
         """Report the requests that may have crashed the target.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,6 +12,8 @@
 
 READS = route_resource("reads", "shop.example", "/reads/", "browse")
 CRASH_PATH = "/reads/crash"
+# The target runs such a request and closes the connection without an answer.
+LOST_PATH = "/reads/lost"
 # The caller may resend the request this often; no test depends on the exact number.
 RESENDS = 4
 
@@ -41,6 +43,8 @@
     async def _run(
         self, target: PlatformTarget, request: ReceivedRequest, _writer: asyncio.StreamWriter
     ) -> bytes | None:
+        if request.target == LOST_PATH:
+            return None
         if not request.target.startswith(CRASH_PATH):
             await target.answer_gate.wait()
             return target.success_response(request)
@@ -130,6 +134,25 @@
                 await asyncio.sleep(0.3)
         self.assertEqual(self.crash_count, 2)
 
+    async def test_crash_counts_if_the_target_accepts_a_check_just_before_it(self) -> None:
+        """A check that began for an earlier lost connection must not hide a crash."""
+        vm = self.vms[0]
+        pool = vm.node._pool
+        check_target = pool.check_target
+        first_check = []
+
+        def hold_first_check(on_reachable, on_failure) -> None:
+            if first_check:
+                check_target(on_reachable, on_failure)
+            first_check.append(on_reachable)
+
+        pool.check_target = hold_first_check
+        await self.run_at(vm, LOST_PATH)
+        await self.run_at(vm)
+        first_check[0]()
+        quarantine = vm.node.state.crash_registry.quarantine
+        await self.wait_until(lambda: len(quarantine) > 0)
+
     async def test_copies_at_one_target_count_once_for_a_crash(self) -> None:
         """Copies of a harmless request that run at a target when it crashes must stay allowed."""
         vm = self.vms[0]
