Recognize a crashing request that comes again with another query

If the query changes, no two crashes had a fingerprint in common, and the request was never refused.

Evidence: test_request_that_comes_again_with_another_query_is_recognized fails without this change.

Change: a call has a second fingerprint, without its query. Answers to other queries of the same path clear that one, as they do for any suspect, so that one crashing query doesn't close a popular path (test_other_queries_of_a_popular_path_stay_allowed).

--- a/src/cottonlink/path/_crash_guard.py
+++ b/src/cottonlink/path/_crash_guard.py
@@ -31,15 +31,47 @@
         """Return the refusal of a caller's request, or None if it isn't in quarantine."""
         if not self.has_entries:
             return None
-        fingerprint = _fingerprint(caller_service, request.method, request.target, request.body)
-        return self.refuse(request.request_id, fingerprint, "ingress")
+        fingerprints = _fingerprints(caller_service, request.method, request.target, request.body)
+        return self.refuse(request.request_id, fingerprints, "ingress")
 
-    def refuse(self, request_id: bytes, fingerprint: str, place: str) -> NotRun | None:
+    def refuse(self, request_id: bytes, fingerprints: Iterable[str], place: str) -> NotRun | None:
         """Return the refusal of a request, or None if it isn't in quarantine.
 
         ``place`` tells the log whether the node that received the request or the one next to the
         target asks.
         """
+        refusals = (self._refuse_one(request_id, f, place) for f in fingerprints)
+        return next((refusal for refusal in refusals if refusal is not None), None)
+
+    def record_completion(self, frame: CallFrame) -> None:
+        """Record that the target ran a call to its end."""
+        if _is_read(frame):
+            now_ms = round(self._now_ms())
+            for key in _read_keys(frame):
+                self._recent_answers.record(key, now_ms)
+
+    def clear_suspects(self, fingerprints: Iterable[str]) -> None:
+        """Clear the fingerprints of a call that the target ran to its end."""
+        now_ms = round(self._now_ms())
+        for fingerprint in fingerprints:
+            self._crash_registry.record_completion(fingerprint, now_ms)
+
+    def suspects(self, frames: Iterable[CallFrame]) -> set[str]:
+        """Return the fingerprints of those calls that may have crashed the target they ran at."""
+        return {fingerprint for frame in frames for fingerprint in self._suspects_of(frame)}
+
+    def _suspects_of(self, frame: CallFrame) -> tuple[str, ...]:
+        fingerprints = call_fingerprints(frame)
+        if not _is_read(frame):
+            return fingerprints
+        now_ms = round(self._now_ms())
+        return tuple(
+            fingerprint
+            for fingerprint, key in zip(fingerprints, _read_keys(frame), strict=True)
+            if not self._recent_answers.contains(key, now_ms)
+        )
+
+    def _refuse_one(self, request_id: bytes, fingerprint: str, place: str) -> NotRun | None:
         now_ms = round(self._now_ms())
         report = self._quarantine.report(fingerprint, now_ms)
         if report is None:
@@ -57,39 +89,34 @@
             return None
         return NotRun("quarantined", self._quarantine.remaining_ms(fingerprint, now_ms))
 
-    def record_completion(self, frame: CallFrame) -> None:
-        """Record that the target ran a call to its end."""
-        if _is_read(frame):
-            self._recent_answers.record(_read_key(frame), round(self._now_ms()))
 
-    def clear_suspect(self, fingerprint: str) -> None:
-        """Clear a suspect that the target ran to its end."""
-        self._crash_registry.record_completion(fingerprint, round(self._now_ms()))
+def _is_read(frame: CallFrame) -> bool:
+    return frame.is_repeatable and not frame.body
 
-    def suspects(self, frames: Iterable[CallFrame]) -> set[str]:
-        """Return the fingerprints of those calls that may have crashed the target they ran at."""
-        now_ms = round(self._now_ms())
-        return {
-            call_fingerprint(frame)
-            for frame in frames
-            if not (_is_read(frame) and self._recent_answers.contains(_read_key(frame), now_ms))
-        }
 
+def call_fingerprints(frame: CallFrame) -> tuple[str, ...]:
+    """Return the hashes by which all nodes recognize a call that comes again."""
+    return _fingerprints(frame.caller_service, frame.method, frame.target, frame.body)
 
-def _is_read(frame: CallFrame) -> bool:
-    return frame.is_repeatable and not frame.body
 
+def _fingerprints(
+    caller_service: str, method: bytes, target: bytes, body: bytes
+) -> tuple[str, ...]:
+    return tuple(
+        request_fingerprint(caller_service, method.decode("latin-1"), form.decode("latin-1"), body)
+        for form in _target_forms(target)
+    )
 
-def _read_key(frame: CallFrame) -> tuple[str, bytes, bytes]:
-    return frame.caller_service, frame.method, frame.target
 
+def _read_keys(frame: CallFrame) -> list[tuple[str, bytes, bytes]]:
+    return [(frame.caller_service, frame.method, form) for form in _target_forms(frame.target)]
 
-def call_fingerprint(frame: CallFrame) -> str:
-    """Return the hash by which all nodes recognize equal calls."""
-    return _fingerprint(frame.caller_service, frame.method, frame.target, frame.body)
 
+def _target_forms(target: bytes) -> tuple[bytes, ...]:
+    """Return ``target`` and, if it has a query, its path alone.
 
-def _fingerprint(caller_service: str, method: bytes, target: bytes, body: bytes) -> str:
-    return request_fingerprint(
-        caller_service, method.decode("latin-1"), target.decode("latin-1"), body
-    )
+    A crashing request may come again with another query. Where requests with the same path are
+    answered, that clears the path, and only the whole target stays suspect.
+    """
+    path = target.partition(b"?")[0]
+    return (target,) if path == target else (target, path)
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -20,7 +20,7 @@
     make_running_requests,
     make_target_queue,
 )
-from cottonlink.path._crash_guard import CrashGuard, call_fingerprint
+from cottonlink.path._crash_guard import CrashGuard, call_fingerprints
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import end_to_end_headers, request_bytes
@@ -76,14 +76,14 @@
     sent_deadline_ms: float = 0.0
     connection: Any = None
     is_cancelled: bool = False
-    _fingerprint: str | None = None
+    _fingerprints: tuple[str, ...] = ()
 
     @property
-    def fingerprint(self) -> str:
-        """The hash by which all nodes recognize equal calls, computed when it is first needed."""
-        if self._fingerprint is None:
-            self._fingerprint = call_fingerprint(self.frame)
-        return self._fingerprint
+    def fingerprints(self) -> tuple[str, ...]:
+        """The hashes by which nodes recognize the call, computed when they are first needed."""
+        if not self._fingerprints:
+            self._fingerprints = call_fingerprints(self.frame)
+        return self._fingerprints
 
 
 class TargetDispatcher:
@@ -221,7 +221,7 @@
     def _refuse_quarantined(self, call: _Call) -> NotRun | None:
         if not self._crash_guard.has_entries:
             return None
-        return self._crash_guard.refuse(call.frame.request_id, call.fingerprint, "target")
+        return self._crash_guard.refuse(call.frame.request_id, call.fingerprints, "target")
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
@@ -296,7 +296,7 @@
         if response.status < FIRST_ERROR_STATUS:
             self._crash_guard.record_completion(call.frame)
             if self._crash_guard.has_entries:
-                self._crash_guard.clear_suspect(call.fingerprint)
+                self._crash_guard.clear_suspects(call.fingerprints)
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,6 +12,8 @@
 
 READS = route_resource("reads", "shop.example", "/reads/", "browse")
 CRASH_PATH = "/reads/crash"
+LIST_PATH = "/reads/list"
+LIST_CRASH = "/reads/list?crash"
 # The target runs such a request and closes the connection without an answer.
 LOST_PATH = "/reads/lost"
 # The caller may resend the request this often; no test depends on the exact number.
@@ -45,7 +47,7 @@
     ) -> bytes | None:
         if request.target == LOST_PATH:
             return None
-        if not request.target.startswith(CRASH_PATH):
+        if not request.target.startswith((CRASH_PATH, LIST_CRASH)):
             await target.answer_gate.wait()
             return target.success_response(request)
         if not self.is_crashing:
@@ -93,9 +95,9 @@
         vm.node.dispatcher.submit(frame, ("test", stream), done.set_result)
         return await asyncio.wait_for(done, 5.0)
 
-    async def crash(self, vm: Vm) -> None:
+    async def crash(self, vm: Vm, path: str = CRASH_PATH) -> None:
         """Crash the target of ``vm``, let its node find it unreachable, and start it again."""
-        self.assertIsInstance(await self.run_at(vm), OutcomeUnknown)
+        self.assertIsInstance(await self.run_at(vm, path), OutcomeUnknown)
         await self.run_at(vm, "/reads/other")
         await vm.target.start()
 
@@ -180,6 +182,22 @@
             await vm.target.start()
             self.assertIsInstance(await self.run_at(vm, "/reads/popular"), Answered)
 
+    async def test_request_that_comes_again_with_another_query_is_recognized(self) -> None:
+        """A crashing request must not get to further targets because its query has changed."""
+        for number, vm in enumerate(self.vms[:2]):
+            await self.crash(vm, f"{CRASH_PATH}?page={number}")
+        await self.wait_until(lambda: self.is_refused_at(self.vms[2]))
+        self.assertIsInstance(await self.run_at(self.vms[2], f"{CRASH_PATH}?page=2"), NotRun)
+
+    async def test_other_queries_of_a_popular_path_stay_allowed(self) -> None:
+        """A crashing query must be refused without the other queries of the same path."""
+        for vm in self.vms[:2]:
+            self.assertIsInstance(await self.run_at(vm, f"{LIST_PATH}?page=1"), Answered)
+            await self.crash(vm, LIST_CRASH)
+        await self.wait_until(lambda: self.is_refused_at(self.vms[2]))
+        self.assertIsInstance(await self.run_at(self.vms[2], LIST_CRASH), NotRun)
+        self.assertIsInstance(await self.run_at(self.vms[2], f"{LIST_PATH}?page=2"), Answered)
+
     async def test_error_response_does_not_clear_a_suspect(self) -> None:
         """A target that fails every request must not make a crashing request look harmless."""
         await self.crash(self.vms[0])
