--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -5,9 +5,14 @@
 """
 
 from cottonlink.overload._crash_registry import (
+    CountedCrash,
     CrashNotice,
     CrashRegistry,
+    LearnedQuarantine,
+    QuarantineReport,
+    ReportedLevel,
     make_crash_registry,
+    report_of_crash,
 )
 from cottonlink.overload._load_balancer import LoadBalancer, make_load_balancer
 from cottonlink.overload._quarantine import (
@@ -42,15 +47,19 @@
     "HEARTBEAT_PERIOD_MS",
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
+    "CountedCrash",
     "CrashNotice",
     "CrashRegistry",
     "Job",
+    "LearnedQuarantine",
     "LimitChange",
     "LoadBalancer",
     "Quarantine",
     "QuarantineDecision",
+    "QuarantineReport",
     "RecentAnswers",
     "Refusal",
+    "ReportedLevel",
     "RetryBudget",
     "RouteClassifier",
     "RouteThrottle",
@@ -72,5 +81,6 @@
     "make_traffic_split",
     "make_upstream_directory",
     "make_watcher_election",
+    "report_of_crash",
     "request_fingerprint",
 ]
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -15,7 +15,7 @@
 from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.overload import CrashNotice
+from cottonlink.overload import CrashNotice, QuarantineReport, ReportedLevel
 from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 
 # Largest frame that is accepted; it has room for the largest body of a caller and its headers.
@@ -88,17 +88,9 @@
 
 @frozen
 class QuarantineFrame:
-    """What the sender knows of requests that crash targets, by fingerprint.
+    """Reports requests that crash targets."""
 
-    ``levels`` holds quarantine levels, and ``ages_ms`` for how long each of them has been in force.
-    ``crashes`` holds crashes of targets. ``cleared`` lists suspects that ran to their end since.
-    Nodes of earlier versions send and read only ``levels``.
-    """
-
-    levels: tuple[tuple[str, int], ...] = ()
-    ages_ms: tuple[int, ...] = ()
-    crashes: tuple[CrashNotice, ...] = ()
-    cleared: tuple[str, ...] = ()
+    report: QuarantineReport
 
 
 @frozen
@@ -202,8 +194,12 @@
 
 @encode.register
 def _(frame: QuarantineFrame) -> bytes:
-    crashes = tuple((c.crash_id, c.age_ms, c.fingerprints) for c in frame.crashes)
-    return msgpack.packb((_QUARANTINE, frame.levels, frame.ages_ms, crashes, frame.cleared))
+    report = frame.report
+    levels = tuple((reported.fingerprint, reported.level) for reported in report.levels)
+    # Earlier versions read only the levels, as pairs, so the ages follow separately.
+    ages_ms = tuple(reported.age_ms for reported in report.levels)
+    crashes = tuple((c.crash_id, c.age_ms, c.fingerprints) for c in report.crashes)
+    return msgpack.packb((_QUARANTINE, levels, ages_ms, crashes, report.cleared))
 
 
 @encode.register
@@ -312,10 +308,16 @@
 def _decode_quarantine(fields: tuple) -> QuarantineFrame:
     levels, *later_fields = fields[1:]
     if not later_fields:
-        return QuarantineFrame(levels)
+        return QuarantineFrame(QuarantineReport(tuple(ReportedLevel(*pair) for pair in levels)))
     ages_ms, crashes, cleared = later_fields[:3]
     return QuarantineFrame(
-        levels, ages_ms, tuple(CrashNotice(*crash) for crash in crashes), cleared
+        QuarantineReport(
+            tuple(
+                ReportedLevel(*pair, age_ms) for pair, age_ms in zip(levels, ages_ms, strict=True)
+            ),
+            tuple(CrashNotice(*crash) for crash in crashes),
+            cleared,
+        )
     )
 
 
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -25,7 +25,6 @@
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
-    encode,
 )
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers, parse_address
@@ -35,6 +34,7 @@
 from cottonlink.path._model import CallerLimits, Configuration, Load, Request, Upstream
 from cottonlink.path._peer_links import Address, PeerLinkListener, PeerLinks
 from cottonlink.path._peer_server import PeerConnection
+from cottonlink.path._quarantine_exchange import QuarantineExchange
 from cottonlink.path._settings import NodeSettings
 from cottonlink.path._state import NodeState
 from cottonlink.path._status_server import StatusServer
@@ -45,10 +45,8 @@
 SWEEP_INTERVAL_S = 0.1
 # Callers' connections are checked for time-outs in every nth sweep.
 SWEEPS_PER_CALLER_SWEEP = 5
-# A node tells QUARANTINE_FANOUT random nodes of requests in quarantine in every nth sweep. A node
-# that missed a notice hears of it within a second or two in a fleet of any size.
+# What is in quarantine is told to other nodes in every nth sweep.
 SWEEPS_PER_QUARANTINE_SPREAD = 10
-QUARANTINE_FANOUT = 2
 # Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
 # runs once a second and needs two failures to stop.
 NEW_CALLERS_AFTER_SHUTDOWN_MS = 2_600.0
@@ -66,8 +64,6 @@
 # A node without a configuration requests a snapshot from one peer at a time; a reply takes a few
 # round trips.
 SNAPSHOT_REQUEST_INTERVAL_MS = 300.0
-# Fingerprints in one log line about a crash.
-LOGGED_FINGERPRINTS = 16
 
 
 class StoreView(Protocol):
@@ -135,6 +131,7 @@
         self._ingress = Ingress(self.state)
         self._caller_connections: set[CallerConnection] = set()
         self._peer_connections: set[PeerConnection] = set()
+        self._quarantine_exchange = QuarantineExchange(self.state, self._peer_connections)
         self._servers: list[asyncio.Server] = []
         self._shutdown: _Shutdown | None = None
         self._sweep_count = 0
@@ -282,9 +279,7 @@
         if self._shutdown is not None:
             connection.send_leaving(takes_calls=self._shutdown.takes_calls)
         self._request_snapshot(connection)
-        summary = self._quarantine_summary()
-        if summary is not None:
-            connection.send(summary)
+        self._quarantine_exchange.greet_connection(connection)
 
     def on_peer_disconnected(self, connection: PeerConnection) -> None:
         self._peer_connections.discard(connection)
@@ -295,7 +290,7 @@
         elif isinstance(frame, StoreSnapshotFrame):
             self.store_view.apply_snapshot(frame)
         elif isinstance(frame, QuarantineFrame):
-            self._learn_quarantine(frame)
+            self._quarantine_exchange.receive(frame)
 
     # Implements PeerLinkListener.
     def on_link_leaving(self, address: Address, *, takes_calls: bool) -> None:
@@ -311,9 +306,7 @@
         for upstream in load_balancer.upstreams():
             if upstream.vm_ip == address[0]:
                 load_balancer.mark_reachable(upstream.upstream_id)
-        summary = self._quarantine_summary()
-        if summary is not None:
-            self.state.peer_links.link(address).send(summary)
+        self._quarantine_exchange.greet_link(address)
 
     def on_link_load(self, address: Address, load: Load) -> None:
         now_ms = self.now_ms()
@@ -355,86 +348,8 @@
             self._snapshot_requested_at_ms = now_ms
             connection.send(SnapshotRequestFrame())
 
-    def _learn_quarantine(self, frame: QuarantineFrame) -> None:
-        registry = self.state.crash_registry
-        now_ms = round(self.now_ms())
-        for notice in frame.crashes:
-            decisions = registry.apply_notice(notice, now_ms)
-            if decisions:
-                self.state.log.event(
-                    "crash_learned",
-                    crash=notice.crash_id,
-                    age_ms=notice.age_ms,
-                    requests=len(decisions),
-                    quarantined=sum(decision.refused for decision in decisions),
-                )
-        registry.apply_cleared(frame.cleared, now_ms)
-        for index, (fingerprint, level) in enumerate(frame.levels):
-            # A suspect is counted by the crash itself, except by nodes that report only levels.
-            if level < 2 and frame.crashes:
-                continue
-            age_ms = frame.ages_ms[index] if index < len(frame.ages_ms) else 0
-            known_level = registry.quarantine.suspicion_level(fingerprint, now_ms)
-            registry.quarantine.learn(fingerprint, level, now_ms, age_ms)
-            if level > known_level and level >= 2:
-                self.state.log.event(
-                    "quarantine_learned",
-                    fingerprint=fingerprint,
-                    level=level,
-                    known_level=known_level,
-                    age_ms=age_ms,
-                )
-
     def _on_target_crashed(self, fingerprints: list[str]) -> None:
-        notice, decisions = self.state.crash_registry.record_own_crash(
-            fingerprints, round(self.now_ms())
-        )
-        levels = tuple((decision.fingerprint, decision.level) for decision in decisions)
-        self.state.log.event(
-            "target_crashed",
-            crash=notice.crash_id,
-            requests=len(fingerprints),
-            quarantined=sum(decision.refused for decision in decisions),
-            levels=levels[:LOGGED_FINGERPRINTS],
-        )
-        self._send_to_all_peers(QuarantineFrame(levels, (0,) * len(levels), (notice,)))
-
-    def _quarantine_summary(self) -> QuarantineFrame | None:
-        """Return what another node should know of crashing requests, or None if there are none."""
-        registry = self.state.crash_registry
-        if not len(registry.quarantine):
-            return None
-        now_ms = round(self.now_ms())
-        refused = registry.quarantine.refused(now_ms)
-        crashes = registry.own_notices(now_ms)
-        if not refused and not crashes:
-            return None
-        levels = tuple((fingerprint, report.level) for fingerprint, report in refused.items())
-        ages_ms = tuple(report.age_ms for report in refused.values())
-        return QuarantineFrame(levels, ages_ms, crashes)
-
-    def _send_to_all_peers(self, frame: Any) -> None:
-        data = encode(frame)
-        for link in self.state.peer_links.all():
-            link.send_encoded(data)
-        for connection in self._peer_connections:
-            connection.send_encoded(data)
-
-    def _spread_quarantine(self) -> None:
-        """Tell a few random nodes which requests are refused, and all peers which are cleared.
-
-        Notices can be lost on links that are silent or not open.
-        """
-        cleared = self.state.crash_registry.take_cleared()
-        if cleared:
-            self._send_to_all_peers(QuarantineFrame(cleared=cleared))
-        frame = self._quarantine_summary()
-        if frame is None:
-            return
-        own_ip = self.state.target_address[0]
-        vm_ips = sorted({u.vm_ip for u in self.state.load_balancer.upstreams()} - {own_ip})
-        for vm_ip in self.state.rng.sample(vm_ips, min(QUARANTINE_FANOUT, len(vm_ips))):
-            self.state.peer_links.link((vm_ip, self.state.peer_port)).send_or_open(frame)
+        self._quarantine_exchange.report_own_crash(fingerprints)
 
     def _update_own_upstream(self, own: list[Upstream]) -> None:
         previous = self._own_upstream
@@ -485,7 +400,7 @@
             self._request_snapshot(self.state.rng.choice(list(self._peer_connections)))
         self._sweep_count += 1
         if self._sweep_count % SWEEPS_PER_QUARANTINE_SPREAD == 0:
-            self._spread_quarantine()
+            self._quarantine_exchange.spread()
         if self._sweep_count % SWEEPS_PER_CALLER_SWEEP == 0:
             now_ms = self.now_ms()
             limits = self.caller_limits()
--- a/tests/test_crash_registry.py
+++ b/tests/test_crash_registry.py
@@ -9,9 +9,12 @@
 from cottonlink.overload import (
     CrashNotice,
     CrashRegistry,
+    QuarantineReport,
+    ReportedLevel,
     make_crash_registry,
     make_quarantine,
     make_recent_answers,
+    report_of_crash,
 )
 from cottonlink.overload._crash_registry import KNOWN_CRASH_LIMIT
 from cottonlink.overload._quarantine import SUSPECT_MS
@@ -27,44 +30,51 @@
             name: make_crash_registry(f"{name}-1", make_quarantine()) for name in "abc"
         }
 
-    def crash(self, name: str, now_ms: int = 0, fingerprint: str = "f") -> CrashNotice:
-        notice, _ = self.registries[name].record_own_crash([fingerprint], now_ms)
-        return notice
+    def crash(self, name: str, now_ms: int = 0) -> QuarantineReport:
+        """Crash the target of a node that runs ``f``; return the report for the others."""
+        return report_of_crash(self.registries[name].record_own_crash(["f"], now_ms))
 
     def is_refused(self, registry: CrashRegistry, now_ms: int = 1) -> bool:
         return registry.quarantine.is_refused("f", now_ms)
 
     def test_crashes_of_different_nodes_add_up(self) -> None:
         """Copies of one request that crash targets at once must be refused everywhere after it."""
-        notices = [self.crash(name) for name in self.registries]
+        reports = [self.crash(name) for name in self.registries]
         for registry in self.registries.values():
-            for notice in notices:
-                registry.apply_notice(notice, 1)
+            for report in reports:
+                registry.learn(report, 1)
             self.assertTrue(self.is_refused(registry))
 
     def test_doubled_notice_counts_once(self) -> None:
         """One crash whose notice comes on several links must not start a quarantine."""
-        notice = self.crash("a")
+        report = self.crash("a")
         for registry in self.registries.values():
             for _ in range(3):
-                registry.apply_notice(notice, 1)
+                registry.learn(report, 1)
             self.assertFalse(self.is_refused(registry))
 
     def test_old_notice_has_no_effect(self) -> None:
         """A notice that was held up for as long as a suspect lasts must not make one again."""
-        notice = CrashNotice("a-1/1", SUSPECT_MS, ("f",))
-        self.assertEqual(self.registries["b"].apply_notice(notice, SUSPECT_MS), ())
+        report = QuarantineReport(crashes=(CrashNotice("a-1/1", SUSPECT_MS, ("f",)),))
+        self.assertEqual(self.registries["b"].learn(report, SUSPECT_MS), ())
+
+    def test_levels_of_an_earlier_version_count(self) -> None:
+        """In a fleet that is being updated, a suspect of a former version must be one here."""
+        registry = self.registries["a"]
+        registry.learn(QuarantineReport((ReportedLevel("f", 1),)), 0)
+        self.crash("a", 1)
+        self.assertTrue(self.is_refused(registry, 2))
 
     def test_suspect_cleared_at_another_node_starts_anew(self) -> None:
         """A harmless request that ran well after a crash must survive a second, unrelated crash."""
         b, c = self.registries["b"], self.registries["c"]
-        notice = self.crash("a")
-        b.apply_notice(notice, 1)
-        c.apply_notice(notice, 1)
+        report = self.crash("a")
+        b.learn(report, 1)
+        c.learn(report, 1)
         b.record_completion("f", 2)
-        c.apply_cleared(b.take_cleared(), 3)
-        self.assertEqual(b.take_cleared(), ())
-        c.record_own_crash(["f"], 4)
+        c.learn(b.take_cleared(), 3)
+        self.assertIsNone(b.take_cleared())
+        self.crash("c", 4)
         self.assertFalse(self.is_refused(c, 5))
 
     def test_crash_is_repeated_until_its_requests_are_cleared(self) -> None:
@@ -72,22 +82,22 @@
         a = self.registries["a"]
         a.record_own_crash(["f", "g"], 0)
         a.record_completion("g", 1)
-        self.assertEqual(a.own_notices(10), (CrashNotice("a-1/1", 10, ("f",)),))
+        self.assertEqual(a.summary(10).crashes, (CrashNotice("a-1/1", 10, ("f",)),))
         a.record_completion("f", 11)
-        self.assertEqual(a.own_notices(12), ())
+        self.assertIsNone(a.summary(12))
 
     def test_crash_is_not_repeated_once_its_requests_are_no_longer_suspect(self) -> None:
         """Nodes must not tell each other of a crash for ever."""
-        a = self.registries["a"]
         self.crash("a")
-        self.assertEqual(len(a.own_notices(SUSPECT_MS - 1)), 1)
-        self.assertEqual(a.own_notices(SUSPECT_MS), ())
+        self.assertIsNotNone(self.registries["a"].summary(SUSPECT_MS - 1))
+        self.assertIsNone(self.registries["a"].summary(SUSPECT_MS))
 
     def test_known_crashes_are_bounded(self) -> None:
         """Targets that go on crashing must not use up the memory of a node."""
         registry = self.registries["a"]
         for number in range(KNOWN_CRASH_LIMIT + 10):
-            registry.apply_notice(CrashNotice(f"b-1/{number}", 0, ("f",)), 0)
+            notice = CrashNotice(f"b-1/{number}", 0, ("f",))
+            registry.learn(QuarantineReport(crashes=(notice,)), 0)
         self.assertEqual(len(registry._known_crash_ids), KNOWN_CRASH_LIMIT)
 
 
@@ -113,21 +123,21 @@
 class TestQuarantineFrame(unittest.TestCase):
     """The frame between nodes of this version and of earlier ones."""
 
-    def decode(self, data: bytes) -> QuarantineFrame:
+    def decode(self, data: bytes) -> QuarantineReport:
         (frame,) = FrameReader().feed(data)
-        return frame
+        return frame.report
 
-    def test_frame_survives_the_wire(self) -> None:
+    def test_report_survives_the_wire(self) -> None:
         """No part of a report may be lost or moved to another field on its way."""
-        crash = CrashNotice("a-1/1", 20, ("f", "g"))
-        frame = QuarantineFrame((("f", 2),), (30,), (crash,), ("h",))
-        self.assertEqual(self.decode(encode(frame)), frame)
+        levels = (ReportedLevel("f", 2, 30), ReportedLevel("g", 3, 40))
+        report = QuarantineReport(levels, (CrashNotice("a-1/1", 20, ("f", "g")),), ("h",))
+        self.assertEqual(self.decode(encode(QuarantineFrame(report))), report)
 
-    def test_frame_of_an_earlier_version_is_read(self) -> None:
+    def test_report_of_an_earlier_version_is_read(self) -> None:
         """In a fleet that is being updated, levels from nodes of the former version must count."""
-        code = msgpack.unpackb(encode(QuarantineFrame()))[0]
-        frame = self.decode(msgpack.packb((code, (("f", 2),))))
-        self.assertEqual(frame, QuarantineFrame((("f", 2),)))
+        code = msgpack.unpackb(encode(QuarantineFrame(QuarantineReport())))[0]
+        report = self.decode(msgpack.packb((code, (("f", 2),))))
+        self.assertEqual(report, QuarantineReport((ReportedLevel("f", 2),)))
 
 
 if __name__ == "__main__":
