Count a crash against runs that their callers gave up

Cause: a repeatable run whose caller leaves is aborted, and was then forgotten. The target may go on with it and crash, and a request whose callers all leave early would never become suspect.

Evidence: test_crash_counts_against_a_run_that_its_caller_gave_up fails without this change.

Change: such a run is kept with the ones whose connections broke. Runs older than the longest window are dropped, so that their bodies aren't held longer than needed.

--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -39,11 +39,13 @@
 
 # Concurrent calls assumed until the target's registration states its slots.
 DEFAULT_SLOTS = 32
-# A target that is unreachable within this time after connections broke is taken to have crashed.
+# A target that is unreachable within this time after runs ended without a response is taken to have
+# crashed.
 CRASH_WINDOW_MS = 1_500.0
-# A new incarnation of the target that registers within this time after connections broke shows the
-# crash of the former one, if the target was back before its node could find it unreachable.
+# A new incarnation of the target that registers within this time after such runs shows the crash of
+# the former one, if the target was back before its node could find it unreachable.
 RESTART_WINDOW_MS = 5_000.0
+UNANSWERED_RUN_LIMIT = 512
 # Responses below this HTTP status come from a run that ended well.
 FIRST_ERROR_STATUS = 400
 # A target counts as making nested calls above this number of them per run. Below it, they may be
@@ -108,7 +110,8 @@
         self.running_requests: RunningRequests = make_running_requests()
         self._calls: dict[Any, _Call] = {}
         self._call_numbers = itertools.count(1)
-        self._recent_losses: deque[tuple[float, CallFrame]] = deque(maxlen=512)
+        # Runs that ended without a response, with the time of their end.
+        self._unanswered_runs: deque[tuple[float, CallFrame]] = deque(maxlen=UNANSWERED_RUN_LIMIT)
         self._is_checking_target = False
         self._has_loss_since_check = False
         # Fingerprints counted for the latest crash, and the number of connections opened until
@@ -161,6 +164,8 @@
             call.is_cancelled = True
             if call.connection is not None:
                 call.connection.abort()
+                # The target may go on with the run and crash.
+                self._record_unanswered_run(call.frame)
                 self._release(call, is_sample=False)
 
     def load(self) -> Load:
@@ -186,7 +191,7 @@
         return max(self._queue.pressure(now_ms), downstream)
 
     def detect_restart(self) -> None:
-        """Count runs that ended without a response as ended by the crash before a restart."""
+        """Take recent runs that ended without a response for those that the crash ended."""
         self._detect_crash(RESTART_WINDOW_MS)
 
     def resize(self, slots: int) -> None:
@@ -302,11 +307,18 @@
 
     def _on_exchange_failed(self, frame: CallFrame, failure: ExchangeFailed) -> Outcome:
         if failure.is_connection_lost:
-            self._recent_losses.append((self._now_ms(), frame))
+            self._record_unanswered_run(frame)
             self._log.event("target_connection_lost", request_id=frame.request_id)
             self._check_target()
         return OutcomeUnknown(failure.reason)
 
+    def _record_unanswered_run(self, frame: CallFrame) -> None:
+        now_ms = self._now_ms()
+        runs = self._unanswered_runs
+        while runs and now_ms - runs[0][0] > RESTART_WINDOW_MS:
+            runs.popleft()
+        runs.append((now_ms, frame))
+
     def _check_target(self) -> None:
         """Find out whether a connection was lost because the target crashed.
 
@@ -323,7 +335,7 @@
 
     def _end_target_check(self, result: str) -> None:
         self._is_checking_target = False
-        self._log.event("target_checked", result=result, lost_connections=len(self._recent_losses))
+        self._log.event("target_checked", result=result, unanswered_runs=len(self._unanswered_runs))
         if result == "target_unreachable":
             self._detect_crash(CRASH_WINDOW_MS)
         elif self._has_loss_since_check:
@@ -333,12 +345,12 @@
     def _detect_crash(self, window_ms: float) -> None:
         """Report the requests that may have crashed the target.
 
-        These are the ones whose connections broke within ``window_ms`` before now. Copies of a
-        request count once for a crash, also if their losses are noticed one after another.
+        These are the ones that ended without a response within ``window_ms`` before now. Copies of
+        a request count once for a crash, also if their ends are noticed one after another.
         """
         now_ms = self._now_ms()
-        frames = [f for lost_ms, f in self._recent_losses if now_ms - lost_ms <= window_ms]
-        self._recent_losses.clear()
+        frames = [f for ended_ms, f in self._unanswered_runs if now_ms - ended_ms <= window_ms]
+        self._unanswered_runs.clear()
         if self._pool.opened_count != self._opened_before_crash:
             self._opened_before_crash = self._pool.opened_count
             self._counted_fingerprints.clear()
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -73,8 +73,13 @@
     async def run_at(self, vm: Vm, path: str = CRASH_PATH) -> Outcome:
         """Run a request at the target of ``vm`` and return its outcome."""
         done: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        frame = self._frame(vm, path)
+        vm.node.dispatcher.submit(frame, ("test", frame.stream), done.set_result)
+        return await asyncio.wait_for(done, 5.0)
+
+    def _frame(self, vm: Vm, path: str) -> CallFrame:
         stream = vm.node.state.next_stream()
-        frame = CallFrame(
+        return CallFrame(
             stream=stream,
             upstream_id=vm.target.upstream_id,
             caller_service="browse",
@@ -92,8 +97,6 @@
             is_retry=False,
             route="reads",
         )
-        vm.node.dispatcher.submit(frame, ("test", stream), done.set_result)
-        return await asyncio.wait_for(done, 5.0)
 
     async def crash(self, vm: Vm, path: str = CRASH_PATH) -> None:
         """Crash the target of ``vm``, let its node find it unreachable, and start it again."""
@@ -155,6 +158,23 @@
         quarantine = vm.node.state.crash_registry.quarantine
         await self.wait_until(lambda: len(quarantine) > 0)
 
+    async def test_crash_counts_against_a_run_that_its_caller_gave_up(self) -> None:
+        """A request whose caller leaves before it crashes the target must become suspect.
+
+        Another run whose connection breaks shows the crash.
+        """
+        vm = self.vms[0]
+        self.crash_gate.clear()
+        vm.target.answer_gate.clear()
+        vm.node.dispatcher.submit(self._frame(vm, CRASH_PATH), "given up", lambda outcome: None)
+        other = asyncio.ensure_future(self.run_at(vm, "/reads/other"))
+        await self.wait_until(lambda: len(vm.target.runs) == 2)
+        vm.node.dispatcher.cancel("given up")
+        self.crash_gate.set()
+        self.assertIsInstance(await other, OutcomeUnknown)
+        quarantine = vm.node.state.crash_registry.quarantine
+        await self.wait_until(lambda: len(quarantine) == 2)
+
     async def test_copies_at_one_target_count_once_for_a_crash(self) -> None:
         """Copies of a harmless request that run at a target when it crashes must stay allowed."""
         vm = self.vms[0]
