Keep the fingerprint of a path apart from that of a target without a query

Cause: since a call with a query has a second fingerprint for its path, that was the one of the target without a query. Answers to other queries cleared a crashing request that has none, and kept it from becoming suspect.

Evidence: test_answered_queries_do_not_hide_a_crash_without_a_query fails without this change.

--- a/src/cottonlink/path/_crash_guard.py
+++ b/src/cottonlink/path/_crash_guard.py
@@ -9,6 +9,9 @@
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import NotRun, Request
 
+# Follows the path in the form that is common to all queries; no target can contain it.
+_ANY_QUERY = b"?#"
+
 
 class CrashGuard:
     """Checks requests against the quarantine of ``crash_registry``."""
@@ -112,11 +115,10 @@
     return [(frame.caller_service, frame.method, form) for form in _target_forms(frame.target)]
 
 
-def _target_forms(target: bytes) -> tuple[bytes, ...]:
-    """Return ``target`` and, if it has a query, its path alone.
+def _target_forms(target: bytes) -> tuple[bytes, bytes]:
+    """Return ``target``, and the form that it has in common with all queries of its path.
 
     A crashing request may come again with another query. Where requests with the same path are
-    answered, that clears the path, and only the whole target stays suspect.
+    answered, that clears the common form, and only the whole target stays suspect.
     """
-    path = target.partition(b"?")[0]
-    return (target,) if path == target else (target, path)
+    return target, target.partition(b"?")[0] + _ANY_QUERY
