Notice a connection that is lost before it is first used

Cause: a peer may accept a connection and reset it at once. The task that opened it then gets a connection that is closed already, and writing to it raises RuntimeError in uvloop. In the store's client that ended the task that follows the store, so that the node never learned of a change again, without a line in its log.

The four tests of tests/test_lost_connections.py fail without the change.

Why it works: a connection is asked whether it is open before it is used; otherwise the user gets the failure that it handles anyway. A task that ends with an unexpected exception is logged as task_failed. Reports to other nodes aren't written to connections that are closing.

--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -88,9 +88,13 @@
     ) -> None:
         """Send a request; ``on_result`` is called once, unless ``abort`` or ``close`` comes first.
 
+        If the connection has been lost already, that is at once and nothing is sent.
         With ``expected_id``, the id of the request, a response that carries another id is skipped,
         and so is a response with a 2xx status that carries none.
         """
+        if not self.is_open:
+            on_result(ExchangeFailed("connection_lost", was_sent=False, is_connection_lost=True))
+            return
         self._exchange = _Exchange(on_result, is_head, expected_id)
         self.exchange_count += 1
         self._reset_parser()
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -155,8 +155,9 @@
 
     def send_encoded(self, data: bytes) -> None:
         """Send an encoded frame that doesn't belong to a call, if the peer is connected."""
-        if self._current is not None and self._current.is_open:
-            self._current.transport.write(data)
+        connection = self._current
+        if connection is not None and not connection.transport.is_closing():
+            connection.transport.write(data)
 
     def send_or_open(self, frame: Any) -> None:
         """Send a frame that doesn't belong to a call, opening a connection if there is none.
@@ -236,6 +237,9 @@
         try:
             connecting = self._loop.create_connection(lambda: _Connection(self), *self.address)
             _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+            if not connection.is_open:
+                # It was lost before this task resumed, and writing to it would fail.
+                raise ConnectionResetError
         except (OSError, TimeoutError) as error:
             self._open_task = None
             now_ms = self.now_ms()
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -84,8 +84,9 @@
         self.send_encoded(encode(frame))
 
     def send_encoded(self, data: bytes) -> None:
-        """Send an encoded frame that doesn't belong to a call."""
-        self._transport.write(data)
+        """Send an encoded frame that doesn't belong to a call, unless the connection is closing."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
 
     def close(self) -> None:
         """Close the connection after the data that was written has been sent."""
--- a/src/cottonlink/path/_target_pool.py
+++ b/src/cottonlink/path/_target_pool.py
@@ -120,6 +120,10 @@
         except OSError:
             on_failure("target_unreachable")
             return
+        if not connection.is_open:
+            # Lost before this task resumed, as a target does that has too many connections.
+            on_failure("target_connections")
+            return
         self._open.add(connection)
         self.opened_count += 1
         on_ready(connection)
--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -58,11 +58,24 @@
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     tasks = [loop.create_task(follower.run()), loop.create_task(follower.run_maintenance())]
     tasks.append(loop.create_task(_follow_settings(path, modified_ns, node, log, reload_requested)))
+    for task in tasks:
+        task.add_done_callback(lambda ended: _log_failed_task(log, ended))
     await stopped.wait()
     for task in tasks:
         task.cancel()
 
 
+def _log_failed_task(log: EventLog, task: asyncio.Task) -> None:
+    """Log the exception that ended a task; the node goes on without it."""
+    if not task.cancelled() and task.exception() is not None:
+        error = task.exception()
+        log.event(
+            "task_failed",
+            task=task.get_coro().__qualname__,
+            error=f"{type(error).__name__}: {error}",
+        )
+
+
 def make_store_follower(
     settings: NodeSettings,
     node: Node,
--- /dev/null
+++ b/tests/test_lost_connections.py
@@ -0,0 +1,99 @@
+"""Connections that are lost before the task that opened them resumes.
+
+A peer that accepts a connection and resets it at once causes that. Writing to such a connection
+raises an exception in uvloop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from cottonlink.errors import CottonlinkError
+from cottonlink.path._frames import CallFrame
+from cottonlink.path._http_client import ExchangeFailed, HttpConnection
+from cottonlink.path._model import NotRun
+from cottonlink.path._peer_links import PeerLink, PeerLinkListener
+from cottonlink.path._target_pool import TargetPool
+from cottonlink.platform._store_client import StoreClient
+
+ADDRESS = ("127.0.0.1", 1)
+
+
+class ClosedTransport(asyncio.Transport):
+    """A transport that behaves as one of uvloop after it was closed."""
+
+    def is_closing(self) -> bool:
+        return True
+
+    def write(self, data: bytes) -> None:
+        raise RuntimeError("the handler is closed")
+
+    def close(self) -> None:
+        """Do nothing, as it is closed already."""
+
+    def abort(self) -> None:
+        """Do nothing, as it is closed already."""
+
+
+class TestLostConnections(unittest.IsolatedAsyncioTestCase):
+    """Each user of connections must notice that a new one is lost already."""
+
+    async def asyncSetUp(self) -> None:
+        self.loop = asyncio.get_running_loop()
+
+        async def connect(make_protocol: Callable[[], asyncio.Protocol], *_address: object):
+            transport, protocol = ClosedTransport(), make_protocol()
+            protocol.connection_made(transport)
+            protocol.connection_lost(ConnectionResetError())
+            return transport, protocol
+
+        patches = (
+            mock.patch.object(self.loop, "create_connection", connect),
+            mock.patch("cottonlink.path._http_client.enable_dead_peer_detection"),
+            mock.patch("cottonlink.path._peer_links.enable_dead_peer_detection"),
+        )
+        for patch in patches:
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    async def test_exchange_on_a_lost_connection_fails(self) -> None:
+        """A caller of a connection must get a result although nothing could be sent."""
+        connection = HttpConnection(None)
+        connection.connection_made(ClosedTransport())
+        connection.connection_lost(None)
+        results: list[object] = []
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", results.append)
+        self.assertEqual(results, [ExchangeFailed("connection_lost", False, True)])
+
+    async def test_store_client_reports_the_store_unreachable(self) -> None:
+        """A node must go on following the store; other exceptions end its task for good."""
+        with self.assertRaises(CottonlinkError) as caught:
+            await StoreClient(ADDRESS, self.loop).read_all()
+        self.assertEqual(caught.exception.code, "store_unreachable")
+
+    async def test_target_pool_fails_the_call(self) -> None:
+        """A call must not keep its slot for ever, nor the connection its place in the pool."""
+        pool = TargetPool(ADDRESS, b"id", self.loop)
+        failure: asyncio.Future[str] = self.loop.create_future()
+        pool.acquire(
+            must_be_fresh=False,
+            on_ready=lambda connection: failure.set_exception(AssertionError("lost")),
+            on_failure=failure.set_result,
+        )
+        self.assertEqual(await failure, "target_connections")
+        self.assertEqual(pool._open, set())
+
+    async def test_peer_link_fails_its_queued_calls(self) -> None:
+        """Calls that wait for a link must be placed elsewhere, not time out."""
+        link = PeerLink(ADDRESS, PeerLinkListener(), self.loop)
+        outcome = self.loop.create_future()
+        frame = mock.Mock(spec=CallFrame, stream=1, is_repeatable=True)
+        self.assertTrue(link.call(frame, outcome.set_result))
+        self.assertEqual(await outcome, NotRun("peer_unreachable"))
+
+
+if __name__ == "__main__":
+    unittest.main()
