Soak: start a target once if two restarts fall together

A crash of the crashing request and the fault crash_target could both find the target stopped and listen at the same port; the second one would fail with OSError.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -95,6 +95,7 @@
         # When a run of CRASH_PATH crashed a target, in seconds of the event loop's clock.
         self.crash_times_s: list[float] = []
         self._restarts: set[asyncio.Task] = set()
+        self._restart_lock = asyncio.Lock()
         self._last_start_ms = FIRST_START_MS
 
     async def start(self) -> None:
@@ -135,9 +136,11 @@
     async def restart_target(self, vm: SoakVm, after_s: float) -> None:
         """Start a target again that has crashed, as a new incarnation under its former id."""
         await asyncio.sleep(after_s)
-        if vm.target.is_running:
-            return
-        await vm.target.start()
+        # A crash and a fault that stops the target may end at the same moment.
+        async with self._restart_lock:
+            if vm.target.is_running:
+                return
+            await vm.target.start()
         self._last_start_ms += 1
         await self.register(vm, born=self._last_start_ms)
 
