Let the emulated store return from a copy

The platform's store may come back from a copy some seconds old: it gives out revisions again, refuses a watch from one that it doesn't have with 410, and counts its returns in the header Store-Era. The emulated store could do none of it, so no test or soak could show how a node follows such a store.

Now it can take a copy and return from it, and answers with its era.

--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -8,12 +8,26 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
+from attrs import frozen
+
 from emulator.http_stand_in import HttpStandIn, ReceivedRequest, make_response, serve_http
 
 
+@frozen
+class StoreCopy:
+    """A copy of the store's items and history, from which it can return later."""
+
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+    history: tuple[dict, ...]
+
+
 class PlatformStore:
     """Items in memory.
 
+    Each answer carries the store's era in the header ``Store-Era``. It rises by one whenever the
+    store returns from a copy, after which it gives out revisions again.
+
     ``fault`` is one of ``FAULTS`` or None: ``silent`` never answers, ``busy`` answers 503,
     ``reset`` closes the connection without an answer. ``request_targets`` lists the HTTP request
     targets received.
@@ -22,6 +36,7 @@
     FAULTS = ("silent", "busy", "reset")
 
     def __init__(self) -> None:
+        self._era = 1
         self._revision = 1
         self._items: dict[str, tuple[bytes, int]] = {}
         self._history: list[dict] = []
@@ -59,8 +74,24 @@
         self._history.clear()
         self._oldest_known_revision = self._revision
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the present items."""
+        return StoreCopy(self._revision, dict(self._items), tuple(self._history))
+
+    def return_from_copy(self, copy: StoreCopy) -> None:
+        """Replace all items and the history by those of ``copy``, and begin the next era."""
+        self._era += 1
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self._oldest_known_revision = min(self._oldest_known_revision, copy.revision)
+        self._wake_watches()
+
     def _record(self, event: dict) -> None:
         self._history.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
@@ -78,7 +109,7 @@
         if self.fault == "reset":
             return None
         if self.fault == "busy":
-            return make_response(503, b"")
+            return self._json(503, {"error": "busy"})
         if url.path == "/-/kv-key":
             return self._get_key(query["key"])
         if url.path == "/-/kv-range":
@@ -98,7 +129,7 @@
 
     def _get_events_after(self, query: dict[str, str]) -> bytes:
         after = int(query["after"])
-        if after < self._oldest_known_revision:
+        if not self._oldest_known_revision <= after <= self._revision:
             return self._json(410, {"error": "history is gone"})
         events = self._events(query)
         return self._json(200, {"events": events, "as_of": self._revision})
@@ -106,10 +137,14 @@
     async def _wait_for_events(self, query: dict[str, str]) -> None:
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(query["wait_ms"]) / 1000
-        while not self._events(query) and loop.time() < end_s:
+        while self._must_wait(query) and loop.time() < end_s:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), end_s - loop.time())
 
+    def _must_wait(self, query: dict[str, str]) -> bool:
+        """Return whether a watch has nothing to return yet, and isn't refused."""
+        return int(query["after"]) <= self._revision and not self._events(query)
+
     def _events(self, query: dict[str, str]) -> list[dict]:
         after, prefix = int(query["after"]), query.get("prefix", "")
         return [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
@@ -119,8 +154,6 @@
         value = base64.b64encode(data).decode()
         return {"key": key, "value": value, "revision": revision, "created": 1, "lease": 0}
 
-    @staticmethod
-    def _json(status: int, data: dict) -> bytes:
-        return make_response(
-            status, json.dumps(data).encode(), ("Content-Type", "application/json")
-        )
+    def _json(self, status: int, data: dict) -> bytes:
+        headers = (("Content-Type", "application/json"), ("Store-Era", str(self._era)))
+        return make_response(status, json.dumps(data).encode(), *headers)
