Log the era and revision of what is read of the store

Each read, and each watch that returns changes, now logs the era (header Store-Era, unknown if it is missing), the revision asked for and given, and the number of items. Changes of peers are logged as applied, as missed, or as ignored where they carry items of an older revision; heartbeats are not logged. A malformed era is an error of the store's answer. What a node does with the store is otherwise unchanged.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -26,6 +26,7 @@
 from cottonlink.overload._route_classifier import RouteClassifier, make_route_classifier
 from cottonlink.overload._route_throttle import LimitChange, RouteThrottle, make_route_throttle
 from cottonlink.overload._running_requests import RunningRequests, make_running_requests
+from cottonlink.overload._store_position import UNKNOWN_ERA, StorePosition
 from cottonlink.overload._target_queue import (
     NESTED_CALL_TIER,
     NEW_REQUEST_TIER,
@@ -47,6 +48,7 @@
     "HEARTBEAT_PERIOD_MS",
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
+    "UNKNOWN_ERA",
     "CountedCrash",
     "CrashNotice",
     "CrashRegistry",
@@ -64,6 +66,7 @@
     "RouteClassifier",
     "RouteThrottle",
     "RunningRequests",
+    "StorePosition",
     "TargetQueue",
     "TrafficSplit",
     "UpstreamDirectory",
--- a/src/cottonlink/path/__init__.py
+++ b/src/cottonlink/path/__init__.py
@@ -1,5 +1,6 @@
 """The call path: one event loop that carries calls between callers, nodes and targets."""
 
+from cottonlink.overload import UNKNOWN_ERA, StorePosition
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers
@@ -24,6 +25,7 @@
 )
 
 __all__ = [
+    "UNKNOWN_ERA",
     "CallFrame",
     "CallerLimits",
     "Configuration",
@@ -42,6 +44,7 @@
     "Store",
     "StoreFollower",
     "StoreItem",
+    "StorePosition",
     "Upstream",
     "WeightedService",
     "load_node_settings",
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -14,7 +14,13 @@
 from attrs import frozen
 
 from cottonlink.errors import CottonlinkError
-from cottonlink.overload import HEARTBEAT_PERIOD_MS, make_upstream_directory, make_watcher_election
+from cottonlink.overload import (
+    HEARTBEAT_PERIOD_MS,
+    UNKNOWN_ERA,
+    StorePosition,
+    make_upstream_directory,
+    make_watcher_election,
+)
 from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
@@ -47,10 +53,10 @@
 
 @frozen
 class Listing:
-    """Items or changes that were read, and the revision to watch from."""
+    """Items or changes that were read, and the position to watch from."""
 
     items: tuple[StoreItem, ...]
-    revision: int
+    position: StorePosition
 
 
 class Store(Protocol):
@@ -113,6 +119,7 @@
         self._directory = make_upstream_directory()
         self._watcher_election = make_watcher_election(name)
         self._revision: int | None = None
+        self._era: int | None = None
         self._items: dict[str, StoreItem] = {}
         self._is_store_lost = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
@@ -153,11 +160,15 @@
         """Apply changes, or a heartbeat without any, that a watching node has sent."""
         self._watcher_election.record_heartbeat(self._now_ms())
         if self._revision is None or frame.revision <= self._revision:
+            if self._revision is not None and frame.items and frame.revision < self._revision:
+                self._log_peer_changes("store_changes_ignored", frame, reason="older_revision")
             return
         if frame.after > self._revision:
             # A change was missed, which only the store still has: read everything.
+            self._log_peer_changes("store_changes_missed", frame)
             self._revision = None
             return
+        self._log_peer_changes("store_changes_received", frame)
         self._apply_items(tuple(StoreItem(*item) for item in frame.items))
         self._revision = frame.revision
 
@@ -175,7 +186,7 @@
             return
         items = tuple(StoreItem(*item) for item in frame.items)
         self._log.event("store_known_by_peer", revision=frame.revision, items=len(items))
-        self._apply_listing(Listing(items, frame.revision))
+        self._apply_listing(Listing(items, StorePosition(UNKNOWN_ERA, frame.revision)))
 
     async def _step(self) -> None:
         if self._revision is None or (
@@ -193,6 +204,7 @@
         self.call_count += 1
         listing = await self._store.read_all()
         self._on_store_regained()
+        self._log_position("store_read", listing, previous=self._revision)
         self._apply_listing(listing)
 
     def _apply_listing(self, listing: Listing) -> None:
@@ -205,14 +217,16 @@
                 entries[item.key] = (self._decode_upstream(item), item.revision)
         if self._directory.replace_all(entries, self._now_ms()):
             self._publish()
-        self._revision = listing.revision
+        self._revision = listing.position.revision
 
     async def _watch(self, revision: int) -> None:
         self.call_count += 1
         changes = await self._store.watch(revision)
         self._on_store_regained()
+        if changes.items or changes.position.era != self._era:
+            self._log_position("store_changes_read", changes, after=revision)
         self._apply_items(changes.items)
-        self._revision = max(changes.revision, self._revision or 0)
+        self._revision = max(changes.position.revision, self._revision or 0)
         if self._watcher_election.is_watcher:
             self._broadcast(revision, changes.items)
         if changes.items:
@@ -281,5 +295,28 @@
             self._log.event("store_regained")
         self._directory.store_regained(self._now_ms())
 
+    def _log_position(self, event: str, listing: Listing, **fields: int | None) -> None:
+        position = listing.position
+        if self._era is not None and position.era != self._era:
+            self._log.event("store_era_changed", era=position.era, previous=self._era)
+        self._era = position.era
+        self._log.event(
+            event,
+            era=position.era,
+            revision=position.revision,
+            items=len(listing.items),
+            **fields,
+        )
+
+    def _log_peer_changes(self, event: str, frame: StoreChangesFrame, **fields: str) -> None:
+        self._log.event(
+            event,
+            after=frame.after,
+            revision=frame.revision,
+            items=len(frame.items),
+            known=self._revision,
+            **fields,
+        )
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -7,9 +7,11 @@
 from urllib.parse import urlencode
 
 import orjson
+from attrs import evolve
 
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import (
+    UNKNOWN_ERA,
     Configuration,
     ExchangeFailed,
     HistoryLostError,
@@ -17,6 +19,7 @@
     HttpResponse,
     Listing,
     StoreItem,
+    StorePosition,
     Upstream,
 )
 from cottonlink.platform._records import (
@@ -36,6 +39,10 @@
 WATCH_WAIT_MS = 2_500
 # A watch fails if it isn't answered within this time after its wait.
 WATCH_MARGIN_S = 1.0
+# Counts the times that the store returned from a copy.
+_ERA_HEADER = b"store-era"
+# More digits than any counter has; a longer number would not fit a frame between nodes.
+_ERA_DIGITS_LIMIT = 18
 _GONE = 410
 _NOT_FOUND = 404
 # One watch covers the configuration and the upstreams, whose keys share no prefix.
@@ -55,8 +62,8 @@
         configuration = await self._read_key(CONFIGURATION_KEY)
         upstreams = await self._read_range(UPSTREAM_PREFIX)
         # The watch continues from the earlier read, so that no change between the two is missed.
-        revision = min(configuration.revision, upstreams.revision)
-        return Listing(configuration.items + upstreams.items, revision)
+        position = min(configuration.position, upstreams.position)
+        return Listing(configuration.items + upstreams.items, position)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether ``key`` holds the operator's configuration."""
@@ -78,23 +85,24 @@
         """Return a listing with the item of ``key``, or without items if there is none."""
         answer = await self._get("/-/kv-key", {"key": key}, READ_TIMEOUT_S)
         if answer.status == _NOT_FOUND:
-            return Listing((), _read_revision(_parse(answer), default=0))
+            return Listing((), _read_position(answer, _parse(answer), default=0))
         data = _parse(_expect_ok(answer))
-        return Listing((decode_item(data),), _read_revision(data))
+        return Listing((decode_item(data),), _read_position(answer, data))
 
     async def _read_range(self, prefix: str) -> Listing:
         """Return all items whose keys begin with ``prefix``."""
         items: list[StoreItem] = []
-        revision: int | None = None
+        position: StorePosition | None = None
         query = {"prefix": prefix}
         while True:
-            data = _parse(_expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S)))
+            answer = _expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S))
+            data = _parse(answer)
             page = [decode_item(item) for item in data.get("items", ())]
             items += page
             # The watch continues from the first page, so that no change between pages is missed.
-            revision = _read_revision(data) if revision is None else revision
+            position = _read_position(answer, data) if position is None else position
             if not data.get("has_more") or not page:
-                return Listing(tuple(items), revision)
+                return Listing(tuple(items), position)
             query = {"prefix": prefix, "after": page[-1].key}
 
     async def watch(self, revision: int) -> Listing:
@@ -113,7 +121,8 @@
             )
         data = _parse(_expect_ok(answer))
         events = tuple(decode_item(event) for event in data.get("events", ()))
-        return Listing(events, max(revision, _read_revision(data)))
+        position = _read_position(answer, data)
+        return Listing(events, evolve(position, revision=max(revision, position.revision)))
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -182,10 +191,24 @@
     return data
 
 
-def _read_revision(data: dict[str, Any], default: int | None = None) -> int:
+def _read_position(
+    answer: HttpResponse, data: dict[str, Any], default: int | None = None
+) -> StorePosition:
     revision = data.get("as_of", default)
     if not isinstance(revision, int):
         raise CottonlinkError(
             "store_answer_invalid", "expected an integer in as_of", step=Step.POLICY_READ
         )
-    return revision
+    return StorePosition(_read_era(answer), revision)
+
+
+def _read_era(answer: HttpResponse) -> int:
+    """Return the era of the store that gave ``answer``. Raises CottonlinkError if it is invalid."""
+    value = answer.header(_ERA_HEADER)
+    if value is None:
+        return UNKNOWN_ERA
+    if not value.isdigit() or len(value) > _ERA_DIGITS_LIMIT:
+        raise CottonlinkError(
+            "store_answer_invalid", f"expected an era, got {value[:40]!r}", step=Step.POLICY_READ
+        )
+    return int(value)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import StoreFollower
+from cottonlink.path import StoreFollower, StorePosition
 from cottonlink.path._frames import StoreChangesFrame
 from cottonlink.path._store_follower import Listing
 
@@ -30,7 +30,7 @@
         self.calls.append(call)
         if not self.is_reachable:
             raise CottonlinkError("store_unreachable", "silent", step=Step.POLICY_READ)
-        return Listing((), 1)
+        return Listing((), StorePosition(1, 1))
 
 
 class TestReturnOfTheStore(unittest.IsolatedAsyncioTestCase):
