Order what is read of the store by era and revision

Cause: a store that returns from a copy gives out revisions again, and nodes compared revisions of two histories. A change of the new history looked like an old one, which counts as a heartbeat, so that the node didn't ask the store either; a watch from a revision of the former history was continued in the new one; and a listing could be made of pages of both.

Positions now consist of the era and the revision. The store's client reads the era from its answers and gives up a listing or a watch that another era answers; the follower then reads everything. An answer of an older era is an error. Frames between nodes carry the era as a reserved item, which the former build ignores. Changes of an older era are neither applied nor heartbeats; those of a newer one make a node read everything, once for each era; those without an era, of the former build, count in the first era only. Since the order is only ever taken within one history, no change can be taken for an older one.

An entry that a copy still holds unchanged keeps the position at which it was written, as it decides which upstream owns an address.

The known test in test_store_follower moved to a clock of its own and a class for the follower; its checks are the same.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -6,23 +6,36 @@
 
 After a restart of many VMs the entries of their former upstreams remain for a while. An address
 belongs to the upstream that started last, or, if start times are missing or equal, to the entry
-written last.
+written last. A store that returns from a copy numbers its entries anew, so an entry that it still
+holds unchanged keeps its place in that order.
 """
 
 from __future__ import annotations
 
 from typing import Any
 
+from attrs import frozen
+
+from cottonlink.overload._store_position import StorePosition
+
 # Live upstreams have registered again about 2 s after the store returns.
 STORE_RETURN_GRACE_MS = 2_300.0
 
 
+@frozen
+class _Record:
+    """An entry, the position at which the store holds it, and that at which it was written."""
+
+    entry: Any
+    position: StorePosition
+    written_at: StorePosition
+
+
 class UpstreamDirectory:
     """Entries by id. An entry is a ``path.Upstream``, or None if it could not be decoded."""
 
     def __init__(self) -> None:
-        self._entries: dict[str, Any] = {}
-        self._revisions: dict[str, int] = {}
+        self._records: dict[str, _Record] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._is_store_unavailable = False
         self._store_back_at_ms = float("-inf")
@@ -37,21 +50,25 @@
             self._is_store_unavailable = False
             self._store_back_at_ms = now_ms
 
-    def put(self, entry_id: str, entry: Any, revision: int) -> bool:
-        """Add or replace an entry, as of the store's ``revision``; return whether it changed."""
+    def put(self, entry_id: str, entry: Any, position: StorePosition) -> bool:
+        """Add or replace an entry, as of a position of the store; return whether it changed."""
         self._missing_since_ms.pop(entry_id, None)
-        self._revisions[entry_id] = revision
-        if self._entries.get(entry_id) == entry:
-            return False
-        self._entries[entry_id] = entry
-        return True
+        known = self._records.get(entry_id)
+        if known is None:
+            self._records[entry_id] = _Record(entry, position, position)
+            return True
+        has_changed = entry != known.entry
+        is_same_era = position.era == known.position.era
+        written_at = position if has_changed or is_same_era else known.written_at
+        self._records[entry_id] = _Record(entry, position, written_at)
+        return has_changed
 
     def remove(self, entry_id: str, now_ms: float) -> bool:
         """Remove an entry that is gone from the store; return whether it was removed at once.
 
         Around an outage of the store the removal is deferred until ``drop_missing``.
         """
-        if entry_id not in self._entries:
+        if entry_id not in self._records:
             return False
         if self._is_removal_deferred(now_ms):
             self._missing_since_ms.setdefault(entry_id, now_ms)
@@ -59,12 +76,12 @@
         self._delete(entry_id)
         return True
 
-    def replace_all(self, entries: dict[str, tuple[Any, int]], now_ms: float) -> bool:
-        """Apply a full listing of (entry, revision) by id; return whether anything changed."""
+    def replace_all(self, entries: dict[str, tuple[Any, StorePosition]], now_ms: float) -> bool:
+        """Apply a full listing of (entry, position) by id; return whether anything changed."""
         has_changed = False
-        for entry_id, (entry, revision) in entries.items():
-            has_changed |= self.put(entry_id, entry, revision)
-        for entry_id in [known for known in self._entries if known not in entries]:
+        for entry_id, (entry, position) in entries.items():
+            has_changed |= self.put(entry_id, entry, position)
+        for entry_id in [known for known in self._records if known not in entries]:
             has_changed |= self.remove(entry_id, now_ms)
         return has_changed
 
@@ -80,30 +97,29 @@
 
     def entries(self) -> list[Any]:
         """Return the decoded entries, one for each address."""
-        latest: dict[Any, str] = {}
-        for entry_id, entry in self._entries.items():
-            if entry is None:
+        latest: dict[Any, _Record] = {}
+        for record in self._records.values():
+            if record.entry is None:
                 continue
-            other_id = latest.get(entry.address)
-            if other_id is None or self._is_newer(entry_id, other_id):
-                latest[entry.address] = entry_id
-        return [self._entries[entry_id] for entry_id in latest.values()]
-
-    def _is_newer(self, entry_id: str, other_id: str) -> bool:
-        start_ms = self._entries[entry_id].started_at_ms
-        other_start_ms = self._entries[other_id].started_at_ms
-        if start_ms is not None and other_start_ms is not None and start_ms != other_start_ms:
-            return start_ms > other_start_ms
-        return self._revisions[entry_id] > self._revisions[other_id]
+            other = latest.get(record.entry.address)
+            if other is None or _is_newer(record, other):
+                latest[record.entry.address] = record
+        return [record.entry for record in latest.values()]
 
     def _delete(self, entry_id: str) -> None:
-        self._entries.pop(entry_id, None)
-        self._revisions.pop(entry_id, None)
+        self._records.pop(entry_id, None)
 
     def _is_removal_deferred(self, now_ms: float) -> bool:
         return self._is_store_unavailable or now_ms - self._store_back_at_ms < STORE_RETURN_GRACE_MS
 
 
+def _is_newer(record: _Record, other: _Record) -> bool:
+    start_ms, other_start_ms = record.entry.started_at_ms, other.entry.started_at_ms
+    if start_ms is not None and other_start_ms is not None and start_ms != other_start_ms:
+        return start_ms > other_start_ms
+    return record.written_at > other.written_at
+
+
 def make_upstream_directory() -> UpstreamDirectory:
     """Return an empty directory."""
     return UpstreamDirectory()
--- a/src/cottonlink/path/__init__.py
+++ b/src/cottonlink/path/__init__.py
@@ -16,19 +16,15 @@
 )
 from cottonlink.path._node import Node
 from cottonlink.path._settings import NodeSettings, load_node_settings
-from cottonlink.path._store_follower import (
-    HistoryLostError,
-    Listing,
-    Store,
-    StoreFollower,
-    StoreItem,
-)
+from cottonlink.path._store import EraChangedError, HistoryLostError, Listing, Store, StoreItem
+from cottonlink.path._store_follower import StoreFollower
 
 __all__ = [
     "UNKNOWN_ERA",
     "CallFrame",
     "CallerLimits",
     "Configuration",
+    "EraChangedError",
     "EventLog",
     "ExchangeFailed",
     "HeaderCodec",
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -97,12 +97,14 @@
 class StoreChangesFrame:
     """Changes of the store after one revision up to another, as (key, revision, value) each.
 
-    ``value`` is None for a removed key. Without items, the frame is a heartbeat of its sender.
+    ``value`` is None for a removed key. Without items, the frame is a heartbeat of its sender. The
+    revisions are of ``era``, None if the sender's build doesn't know eras.
     """
 
     after: int
     revision: int
     items: tuple[tuple[str, int, bytes | None], ...]
+    era: int | None = None
 
 
 @frozen
@@ -112,12 +114,21 @@
 
 @frozen
 class StoreSnapshotFrame:
-    """The sender's copy of the store at a revision, as (key, revision, value) each."""
+    """The sender's copy of the store at a revision, as (key, revision, value) each.
+
+    The revisions are of ``era``, None if the sender's build doesn't know eras.
+    """
 
     revision: int
     items: tuple[tuple[str, int, bytes], ...]
+    era: int | None = None
 
 
+# Key of an item that is not of the store and carries the era in place of a revision. Earlier builds
+# refuse frames with further fields, but ignore items with unknown keys; as a removed item it isn't
+# part of the snapshots that they send.
+_ERA_KEY = "\x00era"
+
 # Pressure is sent as an integer, multiplied by this factor.
 _PRESSURE_SCALE = 50
 
@@ -204,7 +215,8 @@
 
 @encode.register
 def _(frame: StoreChangesFrame) -> bytes:
-    return msgpack.packb((_STORE_CHANGES, frame.after, frame.revision, frame.items))
+    items = _add_era(frame.items, frame.era)
+    return msgpack.packb((_STORE_CHANGES, frame.after, frame.revision, items))
 
 
 @encode.register
@@ -214,7 +226,7 @@
 
 @encode.register
 def _(frame: StoreSnapshotFrame) -> bytes:
-    return msgpack.packb((_STORE_SNAPSHOT, frame.revision, frame.items))
+    return msgpack.packb((_STORE_SNAPSHOT, frame.revision, _add_era(frame.items, frame.era)))
 
 
 @singledispatch
@@ -321,6 +333,15 @@
     )
 
 
+def _add_era(items: tuple, era: int | None) -> tuple:
+    return items if era is None else ((_ERA_KEY, era, None), *items)
+
+
+def _split_era(items: tuple) -> tuple[tuple, int | None]:
+    eras = [revision for key, revision, _ in items if key == _ERA_KEY]
+    return tuple(item for item in items if item[0] != _ERA_KEY), eras[0] if eras else None
+
+
 _DECODERS = {
     _CALL: lambda fields: CallFrame(*fields[1:]),
     _ANSWERED: _decode_answered,
@@ -331,7 +352,7 @@
     _PONG: lambda fields: PongFrame(fields[1], _unpack_load(fields[2])),
     _LEAVING: lambda fields: LeavingFrame(fields[1]),
     _QUARANTINE: _decode_quarantine,
-    _STORE_CHANGES: lambda fields: StoreChangesFrame(*fields[1:]),
+    _STORE_CHANGES: lambda fields: StoreChangesFrame(*fields[1:3], *_split_era(fields[3])),
     _SNAPSHOT_REQUEST: lambda _fields: SnapshotRequestFrame(),
-    _STORE_SNAPSHOT: lambda fields: StoreSnapshotFrame(*fields[1:]),
+    _STORE_SNAPSHOT: lambda fields: StoreSnapshotFrame(fields[1], *_split_era(fields[2])),
 }
--- /dev/null
+++ b/src/cottonlink/path/_store.py
@@ -0,0 +1,65 @@
+"""The store as the call path sees it: what is read, how calls fail, and the client's interface."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import frozen
+
+from cottonlink.errors import CottonlinkError
+from cottonlink.overload import StorePosition
+from cottonlink.path._model import Configuration, Upstream
+
+
+class HistoryLostError(CottonlinkError):
+    """The store has discarded the changes that a watch asks for."""
+
+
+class EraChangedError(CottonlinkError):
+    """The store is of another era than the rest of what a call asks for, so all must be read."""
+
+
+@frozen
+class StoreItem:
+    """The value of a key at a position; ``value`` is None if the key was removed."""
+
+    key: str
+    position: StorePosition
+    value: bytes | None
+
+
+@frozen
+class Listing:
+    """Items or changes that were read, all of one era, and the position to watch from."""
+
+    items: tuple[StoreItem, ...]
+    position: StorePosition
+
+
+class Store(Protocol):
+    """Client of the store. ``read_all`` and ``watch`` raise CottonlinkError on failure."""
+
+    async def read_all(self) -> Listing:
+        """Return the configuration and all upstream entries.
+
+        Raises EraChangedError if the store returned from a copy in between.
+        """
+
+    async def watch(self, position: StorePosition) -> Listing:
+        """Wait for changes after ``position`` and return them; none if the wait times out.
+
+        Raises HistoryLostError if the store no longer has them, and EraChangedError if it is of
+        another era.
+        """
+
+    def is_configuration(self, key: str) -> bool:
+        """Return whether ``key`` holds the operator's configuration."""
+
+    def is_upstream(self, key: str) -> bool:
+        """Return whether ``key`` holds a target's entry."""
+
+    def decode_configuration(self, item: StoreItem) -> Configuration:
+        """Return the configuration in ``item``. Raises CottonlinkError if it is invalid."""
+
+    def decode_upstream(self, item: StoreItem) -> Upstream:
+        """Return the upstream in ``item``. Raises CottonlinkError if it is invalid."""
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -3,17 +3,18 @@
 In each data centre a few nodes watch the store and send the changes to the others. Those read or
 watch the store themselves when they miss a change or receive none for too long. A node that starts
 while the store is unreachable takes a snapshot from another node.
+
+The store may return from a copy of itself, and then gives out revisions again. A node compares only
+revisions of one era, and reads everything once it learns of a later era.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-from typing import Protocol
-
-from attrs import frozen
+from typing import Any, Protocol
 
-from cottonlink.errors import CottonlinkError
+from cottonlink.errors import CottonlinkError, Step
 from cottonlink.overload import (
     HEARTBEAT_PERIOD_MS,
     UNKNOWN_ERA,
@@ -24,6 +25,13 @@
 from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
+from cottonlink.path._store import (
+    EraChangedError,
+    HistoryLostError,
+    Listing,
+    Store,
+    StoreItem,
+)
 
 # Delays after failed calls. All nodes share the store's rate limit, so the delay grows during an
 # outage. A change published right after it must reach every node within about five seconds.
@@ -38,50 +46,9 @@
 LISTENER_CHECK_INTERVAL_S = 0.2
 
 
-class HistoryLostError(CottonlinkError):
-    """The store has discarded the changes that a watch asks for."""
-
-
-@frozen
-class StoreItem:
-    """The value of a key at a revision; ``value`` is None if the key was removed."""
-
-    key: str
-    revision: int
-    value: bytes | None
-
-
-@frozen
-class Listing:
-    """Items or changes that were read, and the position to watch from."""
-
-    items: tuple[StoreItem, ...]
-    position: StorePosition
-
-
-class Store(Protocol):
-    """Client of the store. ``read_all`` and ``watch`` raise CottonlinkError on failure."""
-
-    async def read_all(self) -> Listing:
-        """Return the configuration and all upstream entries."""
-
-    async def watch(self, revision: int) -> Listing:
-        """Wait for changes after ``revision`` and return them; none if the wait times out.
-
-        Raises HistoryLostError if the store no longer has them.
-        """
-
-    def is_configuration(self, key: str) -> bool:
-        """Return whether ``key`` holds the operator's configuration."""
-
-    def is_upstream(self, key: str) -> bool:
-        """Return whether ``key`` holds a target's entry."""
-
-    def decode_configuration(self, item: StoreItem) -> Configuration:
-        """Return the configuration in ``item``. Raises CottonlinkError if it is invalid."""
-
-    def decode_upstream(self, item: StoreItem) -> Upstream:
-        """Return the upstream in ``item``. Raises CottonlinkError if it is invalid."""
+# The store counts its eras from here. Builds that don't know eras compare revisions only, which is
+# right as long as the store has never returned from a copy.
+FIRST_ERA = 1
 
 
 class StoreListener(Protocol):
@@ -118,8 +85,11 @@
         self._loop = loop
         self._directory = make_upstream_directory()
         self._watcher_election = make_watcher_election(name)
-        self._revision: int | None = None
-        self._era: int | None = None
+        self._position: StorePosition | None = None
+        self._must_read = True
+        # The latest era that another node told of.
+        self._announced_era = UNKNOWN_ERA
+        self._ignored_changes: set[tuple[str, int | None]] = set()
         self._items: dict[str, StoreItem] = {}
         self._is_store_lost = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
@@ -133,7 +103,10 @@
                 await self._step()
             except HistoryLostError as error:
                 self._log.event("store_history_lost", detail=error.detail)
-                self._revision = None
+                self._must_read = True
+            except EraChangedError as error:
+                self._log.event("store_read_restarted", detail=error.detail)
+                self._must_read = True
             except CottonlinkError as error:
                 self._on_store_lost(error)
                 await asyncio.sleep(self._retry_delay_s * self._rng.uniform(0.5, 1.0))
@@ -148,54 +121,72 @@
             if dropped:
                 self._log.event("upstreams_dropped", ids=dropped)
                 self._publish()
-            is_current = self._revision is not None and not self._is_store_lost
+            is_current = not self._must_read and not self._is_store_lost
             if (
                 self._watcher_election.is_watcher
                 and is_current
                 and now_ms >= self._heartbeat_due_ms
             ):
-                self._broadcast(self._revision, ())
+                self._broadcast(self._position.revision, ())
 
     def apply_changes(self, frame: StoreChangesFrame) -> None:
         """Apply changes, or a heartbeat without any, that a watching node has sent."""
+        known = self._position
+        if known is None:
+            # Nothing tells yet whether the frame is of the store's present era.
+            return
+        if frame.era is None and known.era > FIRST_ERA:
+            self._ignore_changes(frame, "unknown_era")
+            return
+        era = known.era if frame.era is None else frame.era
+        if era < known.era:
+            self._ignore_changes(frame, "older_era")
+            return
+        if era > known.era:
+            self._learn_era(era)
+            return
         self._watcher_election.record_heartbeat(self._now_ms())
-        if self._revision is None or frame.revision <= self._revision:
-            if self._revision is not None and frame.items and frame.revision < self._revision:
-                self._log_peer_changes("store_changes_ignored", frame, reason="older_revision")
+        if frame.revision <= known.revision:
             return
-        if frame.after > self._revision:
-            # A change was missed, which only the store still has: read everything.
-            self._log_peer_changes("store_changes_missed", frame)
-            self._revision = None
+        if frame.after > known.revision:
+            # A change was missed, which only the store still has.
+            self._log_changes("store_changes_missed", frame)
+            self._must_read = True
             return
-        self._log_peer_changes("store_changes_received", frame)
-        self._apply_items(tuple(StoreItem(*item) for item in frame.items))
-        self._revision = frame.revision
+        self._log_changes("store_changes_received", frame)
+        self._apply_items(_unpack_items(frame.items, era))
+        self._position = StorePosition(era, frame.revision)
 
     def snapshot(self) -> StoreSnapshotFrame | None:
         """Return this node's copy of the store, or None if it has none."""
-        if self._revision is None:
+        if self._position is None:
             return None
-        items = [item for item in self._items.values() if item.value is not None]
-        packed_items = tuple((item.key, item.revision, item.value) for item in items)
-        return StoreSnapshotFrame(self._revision, packed_items)
+        items = tuple(item for item in self._items.values() if item.value is not None)
+        return StoreSnapshotFrame(
+            self._position.revision, _pack_items(items), era=self._position.era
+        )
 
     def apply_snapshot(self, frame: StoreSnapshotFrame) -> None:
         """Apply another node's copy of the store, unless this node has one."""
-        if self._revision is not None:
+        if self._position is not None:
             return
-        items = tuple(StoreItem(*item) for item in frame.items)
-        self._log.event("store_known_by_peer", revision=frame.revision, items=len(items))
-        self._apply_listing(Listing(items, StorePosition(UNKNOWN_ERA, frame.revision)))
+        era = UNKNOWN_ERA if frame.era is None else frame.era
+        self._log.event(
+            "store_known_by_peer", era=frame.era, revision=frame.revision, items=len(frame.items)
+        )
+        position = StorePosition(era, frame.revision)
+        self._apply_listing(Listing(_unpack_items(frame.items, era), position))
+        # Without the era, changes of other nodes can't be put in order with the snapshot.
+        self._must_read = frame.era is None
 
     async def _step(self) -> None:
-        if self._revision is None or (
+        if self._must_read or (
             self._is_store_lost and self._watcher_election.must_watch(self._now_ms())
         ):
             # A read shows at once whether the store answers again; a watch may wait for changes.
             await self._read_all()
         elif self._watcher_election.must_watch(self._now_ms()):
-            await self._watch(self._revision)
+            await self._watch(self._position)
         else:
             self._is_store_lost = False
             await asyncio.sleep(LISTENER_CHECK_INTERVAL_S)
@@ -203,46 +194,98 @@
     async def _read_all(self) -> None:
         self.call_count += 1
         listing = await self._store.read_all()
+        position, previous = listing.position, self._position
+        if previous is not None and position.era < previous.era:
+            raise CottonlinkError(
+                "store_era_older",
+                f"the store answered from era {position.era} after era {previous.era}",
+                step=Step.POLICY_READ,
+            )
         self._on_store_regained()
-        self._log_position("store_read", listing, previous=self._revision)
+        self._log.event(
+            "store_read",
+            era=position.era,
+            revision=position.revision,
+            items=len(listing.items),
+            previous=previous and previous.revision,
+        )
+        self._must_read = False
         self._apply_listing(listing)
+        if self._watcher_election.is_watcher and previous and position.era > previous.era:
+            # The other nodes rely on this one and can't tell by themselves that the era changed.
+            self._broadcast(position.revision, ())
 
     def _apply_listing(self, listing: Listing) -> None:
+        self._enter_era(listing.position)
         self._items = {item.key: item for item in listing.items}
-        entries: dict[str, tuple[Upstream | None, int]] = {}
+        entries: dict[str, tuple[Upstream | None, StorePosition]] = {}
         for item in listing.items:
             if self._store.is_configuration(item.key):
                 self._apply_configuration(item)
             elif self._store.is_upstream(item.key):
-                entries[item.key] = (self._decode_upstream(item), item.revision)
+                entries[item.key] = (self._decode_upstream(item), item.position)
         if self._directory.replace_all(entries, self._now_ms()):
             self._publish()
-        self._revision = listing.position.revision
+        self._position = listing.position
 
-    async def _watch(self, revision: int) -> None:
+    def _enter_era(self, position: StorePosition) -> None:
+        previous = self._position
+        if previous is None or position.era == previous.era:
+            return
+        self._ignored_changes.clear()
+        self._log.event(
+            "store_era_changed",
+            era=position.era,
+            revision=position.revision,
+            previous=previous.era,
+            previous_revision=previous.revision,
+        )
+
+    async def _watch(self, asked: StorePosition) -> None:
         self.call_count += 1
-        changes = await self._store.watch(revision)
+        changes = await self._store.watch(asked)
         self._on_store_regained()
-        if changes.items or changes.position.era != self._era:
-            self._log_position("store_changes_read", changes, after=revision)
+        if changes.items:
+            self._log.event(
+                "store_changes_read",
+                era=changes.position.era,
+                after=asked.revision,
+                revision=changes.position.revision,
+                items=len(changes.items),
+            )
         self._apply_items(changes.items)
-        self._revision = max(changes.position.revision, self._revision or 0)
+        self._position = max(changes.position, self._position)
         if self._watcher_election.is_watcher:
-            self._broadcast(revision, changes.items)
+            self._broadcast(asked.revision, changes.items)
         if changes.items:
             await asyncio.sleep(BATCH_DELAY_S)
 
     def _broadcast(self, after: int, items: tuple[StoreItem, ...]) -> None:
         self._heartbeat_due_ms = self._now_ms() + HEARTBEAT_PERIOD_MS
-        packed_items = tuple((item.key, item.revision, item.value) for item in items)
-        self._node.broadcast_changes(StoreChangesFrame(after, self._revision, packed_items))
+        position = self._position
+        self._node.broadcast_changes(
+            StoreChangesFrame(after, position.revision, _pack_items(items), era=position.era)
+        )
+
+    def _learn_era(self, era: int) -> None:
+        """Read everything, once, as another node knows a later era of the store."""
+        if era > self._announced_era:
+            self._announced_era = era
+            self._must_read = True
+            self._log.event("store_era_announced", era=era, known=self._position.era)
+
+    def _ignore_changes(self, frame: StoreChangesFrame, reason: str) -> None:
+        """Log the first of the changes that are ignored for this reason, not each of them."""
+        if (reason, frame.era) not in self._ignored_changes:
+            self._ignored_changes.add((reason, frame.era))
+            self._log_changes("store_changes_ignored", frame, reason=reason)
 
     def _apply_items(self, items: tuple[StoreItem, ...]) -> None:
         has_changed = False
         for item in items:
             known = self._items.get(item.key)
             # Changes from other nodes and from an own watch may overlap, in a different order.
-            if known is not None and item.revision <= known.revision:
+            if known is not None and item.position <= known.position:
                 continue
             self._items[item.key] = item
             if self._store.is_configuration(item.key):
@@ -255,7 +298,7 @@
     def _apply_entry(self, item: StoreItem) -> bool:
         if item.value is None:
             return self._directory.remove(item.key, self._now_ms())
-        return self._directory.put(item.key, self._decode_upstream(item), item.revision)
+        return self._directory.put(item.key, self._decode_upstream(item), item.position)
 
     def _apply_configuration(self, item: StoreItem) -> None:
         if item.value is None:
@@ -295,28 +338,29 @@
             self._log.event("store_regained")
         self._directory.store_regained(self._now_ms())
 
-    def _log_position(self, event: str, listing: Listing, **fields: int | None) -> None:
-        position = listing.position
-        if self._era is not None and position.era != self._era:
-            self._log.event("store_era_changed", era=position.era, previous=self._era)
-        self._era = position.era
-        self._log.event(
-            event,
-            era=position.era,
-            revision=position.revision,
-            items=len(listing.items),
-            **fields,
-        )
-
-    def _log_peer_changes(self, event: str, frame: StoreChangesFrame, **fields: str) -> None:
+    def _log_changes(self, event: str, frame: StoreChangesFrame, **fields: Any) -> None:
         self._log.event(
             event,
+            era=frame.era,
             after=frame.after,
             revision=frame.revision,
             items=len(frame.items),
-            known=self._revision,
+            known_era=self._position.era,
+            known=self._position.revision,
             **fields,
         )
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
+
+
+def _pack_items(items: tuple[StoreItem, ...]) -> tuple[tuple[str, int, bytes | None], ...]:
+    return tuple((item.key, item.position.revision, item.value) for item in items)
+
+
+def _unpack_items(
+    items: tuple[tuple[str, int, bytes | None], ...], era: int
+) -> tuple[StoreItem, ...]:
+    return tuple(
+        StoreItem(key, StorePosition(era, revision), value) for key, revision, value in items
+    )
--- a/src/cottonlink/platform/_records.py
+++ b/src/cottonlink/platform/_records.py
@@ -13,7 +13,15 @@
 import orjson
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import CallerLimits, Configuration, Route, StoreItem, Upstream, WeightedService
+from cottonlink.path import (
+    CallerLimits,
+    Configuration,
+    Route,
+    StoreItem,
+    StorePosition,
+    Upstream,
+    WeightedService,
+)
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
@@ -30,18 +38,20 @@
     return CottonlinkError("record_invalid", detail, step=Step.POLICY_READ)
 
 
-def decode_item(data: Any) -> StoreItem:
+def decode_item(data: Any, era: int) -> StoreItem:
     """Return an item of the store, or the changed item that an event of a watch reports.
 
-    The value of a removed item is None. Raises CottonlinkError.
+    ``era`` is that of the answer which holds it. The value of a removed item is None. Raises
+    CottonlinkError.
     """
     try:
         key, revision = data["key"], data["revision"]
         if not isinstance(key, str) or not isinstance(revision, int):
             raise TypeError("expected a string as key and an integer as revision")
+        position = StorePosition(era, revision)
         if data.get("removed"):
-            return StoreItem(key, revision, None)
-        return StoreItem(key, revision, base64.b64decode(data["value"], validate=True))
+            return StoreItem(key, position, None)
+        return StoreItem(key, position, base64.b64decode(data["value"], validate=True))
     except (KeyError, TypeError, AttributeError, ValueError, binascii.Error) as error:
         raise invalid_record(f"store item: {error!r}") from error
 
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -7,12 +7,12 @@
 from urllib.parse import urlencode
 
 import orjson
-from attrs import evolve
 
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import (
     UNKNOWN_ERA,
     Configuration,
+    EraChangedError,
     ExchangeFailed,
     HistoryLostError,
     HttpConnection,
@@ -58,9 +58,12 @@
         self._connection: HttpConnection | None = None
 
     async def read_all(self) -> Listing:
-        """Return the configuration and all entries of upstreams."""
+        """Return the configuration and all entries of upstreams.
+
+        Raises EraChangedError if the store returned from a copy in between.
+        """
         configuration = await self._read_key(CONFIGURATION_KEY)
-        upstreams = await self._read_range(UPSTREAM_PREFIX)
+        upstreams = await self._read_range(UPSTREAM_PREFIX, configuration.position.era)
         # The watch continues from the earlier read, so that no change between the two is missed.
         position = min(configuration.position, upstreams.position)
         return Listing(configuration.items + upstreams.items, position)
@@ -87,42 +90,48 @@
         if answer.status == _NOT_FOUND:
             return Listing((), _read_position(answer, _parse(answer), default=0))
         data = _parse(_expect_ok(answer))
-        return Listing((decode_item(data),), _read_position(answer, data))
+        position = _read_position(answer, data)
+        return Listing((decode_item(data, position.era),), position)
 
-    async def _read_range(self, prefix: str) -> Listing:
-        """Return all items whose keys begin with ``prefix``."""
+    async def _read_range(self, prefix: str, era: int) -> Listing:
+        """Return all items whose keys begin with ``prefix``, all of one ``era``."""
         items: list[StoreItem] = []
         position: StorePosition | None = None
         query = {"prefix": prefix}
         while True:
             answer = _expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S))
             data = _parse(answer)
-            page = [decode_item(item) for item in data.get("items", ())]
+            page_position = _read_position(answer, data)
+            _expect_era(page_position.era, era)
+            page = [decode_item(item, era) for item in data.get("items", ())]
             items += page
             # The watch continues from the first page, so that no change between pages is missed.
-            position = _read_position(answer, data) if position is None else position
+            position = position or page_position
             if not data.get("has_more") or not page:
                 return Listing(tuple(items), position)
             query = {"prefix": prefix, "after": page[-1].key}
 
-    async def watch(self, revision: int) -> Listing:
-        """Return the changes after ``revision``, or none if there are none within WATCH_WAIT_MS.
+    async def watch(self, position: StorePosition) -> Listing:
+        """Return the changes after ``position``, or none if there are none within WATCH_WAIT_MS.
 
-        Raises HistoryLostError if the store no longer holds all of them.
+        Raises HistoryLostError if the store no longer holds all of them, and EraChangedError if it
+        is of another era, in which the same revision stands for another change.
         """
-        query = {"prefix": _ALL_KEYS_PREFIX, "after": revision, "wait_ms": WATCH_WAIT_MS}
+        query = {"prefix": _ALL_KEYS_PREFIX, "after": position.revision, "wait_ms": WATCH_WAIT_MS}
         timeout_s = WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S
         answer = await self._get("/-/kv-watch", query, timeout_s)
         if answer.status == _GONE:
+            _expect_era(_read_era(answer), position.era)
             raise HistoryLostError(
                 "store_history_lost",
-                f"the store no longer holds the changes after revision {revision}",
+                f"the store no longer holds the changes after revision {position.revision}",
                 step=Step.POLICY_READ,
             )
         data = _parse(_expect_ok(answer))
-        events = tuple(decode_item(event) for event in data.get("events", ()))
-        position = _read_position(answer, data)
-        return Listing(events, evolve(position, revision=max(revision, position.revision)))
+        answered = _read_position(answer, data)
+        _expect_era(answered.era, position.era)
+        events = tuple(decode_item(event, answered.era) for event in data.get("events", ()))
+        return Listing(events, max(position, answered))
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -179,6 +188,15 @@
     return answer
 
 
+def _expect_era(era: int, expected: int) -> None:
+    if era != expected:
+        raise EraChangedError(
+            "store_era_changed",
+            f"expected an answer from era {expected}, got one from era {era}",
+            step=Step.POLICY_READ,
+        )
+
+
 def _parse(answer: HttpResponse) -> dict[str, Any]:
     try:
         data = orjson.loads(answer.body) if answer.body else {}
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,6 +13,7 @@
     NEW_REQUEST_TIER,
     Job,
     RouteThrottle,
+    StorePosition,
     allowed_wait_ms,
     make_load_balancer,
     make_retry_budget,
@@ -467,7 +468,7 @@
     def setUp(self) -> None:
         self.directory = make_upstream_directory()
         self.entry = make_upstream("one")
-        self.directory.put("one", self.entry, 1)
+        self.directory.put("one", self.entry, StorePosition(1, 1))
 
     def test_removal_without_an_outage_takes_effect_at_once(self) -> None:
         """Guards against calls to an upstream that has left."""
@@ -489,12 +490,12 @@
         self.directory.store_lost()
         self.directory.store_regained(1_000)
         self.directory.remove("one", 1_100)
-        self.directory.put("one", self.entry, 2)
+        self.directory.put("one", self.entry, StorePosition(1, 2))
         self.assertEqual(self.directory.drop_missing(9_000), [])
 
     def test_undecodable_entry_hides_the_former_one(self) -> None:
         """Guards against use of an upstream after its entry was replaced by an undecodable one."""
-        self.directory.put("one", None, 2)
+        self.directory.put("one", None, StorePosition(1, 2))
         self.assertEqual(self.directory.entries(), [])
 
     def test_without_start_times_the_last_written_entry_owns_the_address(self) -> None:
@@ -507,16 +508,32 @@
         for order in ((former, 5), (later, 7)), ((later, 7), (former, 5)):
             directory = make_upstream_directory()
             for entry, revision in order:
-                directory.put(entry.upstream_id, entry, revision)
+                directory.put(entry.upstream_id, entry, StorePosition(1, revision))
             self.assertEqual(directory.entries(), [later])
-            directory.put("one", former, 9)
+            directory.put("one", former, StorePosition(1, 9))
             self.assertEqual(directory.entries(), [former])
 
+    def test_return_from_a_copy_does_not_change_the_owner_of_an_address(self) -> None:
+        """Guards against an order made of revisions that two histories of the store gave out.
+
+        The entry of the former upstream is in the copy, where it gets a higher position than the
+        one that was written last has had.
+        """
+        former = evolve(self.entry, started_at_ms=None)
+        later = evolve(former, upstream_id="two")
+        directory = make_upstream_directory()
+        directory.put("one", former, StorePosition(1, 5))
+        directory.put("two", later, StorePosition(1, 7))
+        directory.put("one", former, StorePosition(2, 5))
+        self.assertEqual(directory.entries(), [later])
+        directory.put("one", former, StorePosition(2, 6))
+        self.assertEqual(directory.entries(), [former])
+
     def test_upstream_that_started_last_owns_the_address(self) -> None:
         """Guards against an entry of a former upstream that hides its successor."""
         later = evolve(self.entry, upstream_id="two", started_at_ms=2)
-        self.directory.put("two", later, 2)
-        self.directory.put("one", evolve(self.entry, slots=9), 3)
+        self.directory.put("two", later, StorePosition(1, 2))
+        self.directory.put("one", evolve(self.entry, slots=9), StorePosition(1, 3))
         self.assertEqual(self.directory.entries(), [later])
         self.directory.remove("two", 100)
         self.assertEqual([entry.slots for entry in self.directory.entries()], [9])
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+from cottonlink.path import StorePosition
 from cottonlink.path._frames import StoreChangesFrame
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
@@ -382,7 +383,7 @@
         listener = next(vm for vm in self.vms if vm not in self.watchers())
         await self.store.put("op/config", configuration(5, READS))
         await self.wait_until_version(5)
-        listener.follower._revision = 1
+        listener.follower._position = StorePosition(1, 1)
         await self.store.put("op/config", configuration(6, READS))
         await self.wait_until_version(6)
 
@@ -392,9 +393,9 @@
         await self.wait_until(lambda: all(_is_draining(vm, "i-1") for vm in self.vms))
         old = json.dumps(self.first.target.entry()).encode()
         follower = self.second.follower
-        revision = follower._revision
-        follower._revision = 2
-        follower.apply_changes(StoreChangesFrame(1, revision, (("servers/i-1", 2, old),)))
+        revision = follower._position.revision
+        follower._position = StorePosition(1, 2)
+        follower.apply_changes(StoreChangesFrame(1, revision, (("servers/i-1", 2, old),), era=1))
         self.assertTrue(_is_draining(self.second, "i-1"))
 
 
--- a/tests/test_platform_tools.py
+++ b/tests/test_platform_tools.py
@@ -16,7 +16,7 @@
 from cottonlink.cli import main
 from cottonlink.errors import CottonlinkError, SettingsError
 from cottonlink.observe import explain_in_logs
-from cottonlink.path import StoreItem, load_node_settings, make_event_log
+from cottonlink.path import StoreItem, StorePosition, load_node_settings, make_event_log
 from cottonlink.platform import load_configuration
 from cottonlink.platform._records import decode_upstream
 from emulator.platform_target import configuration, route_resource
@@ -104,11 +104,11 @@
         """Guards against a number in place of a name, or the reverse, that fails only in use."""
         entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
         entry |= {"state": "ready", "warmup_left_s": 0, "born": 5}
-        decode_upstream(StoreItem("servers/a", 1, json.dumps(entry).encode()))
+        decode_upstream(StoreItem("servers/a", StorePosition(1, 1), json.dumps(entry).encode()))
         for name, value in {"service": 1, "slots": 0, "born": 1.5, "zone": None}.items():
             data = json.dumps(entry | {name: value}).encode()
             with self.subTest(name=name), self.assertRaises(CottonlinkError):
-                decode_upstream(StoreItem("servers/a", 1, data))
+                decode_upstream(StoreItem("servers/a", StorePosition(1, 1), data))
 
 
 class TestLog(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import unittest
 from unittest import mock
 
+from attrs import define
+
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import StoreFollower, StorePosition
-from cottonlink.path._frames import StoreChangesFrame
-from cottonlink.path._store_follower import Listing
+from cottonlink.path import EraChangedError, Listing, StoreFollower, StoreItem, StorePosition
+from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
+
+
+@define
+class Clock:
+    """Stands in for the event loop, of which a follower uses only the time."""
+
+    now_s: float = 1_000.0
+
+    def time(self) -> float:
+        return self.now_s
 
 
 class RecordingStore:
@@ -19,21 +29,76 @@
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.is_reachable = True
+        self.position = StorePosition(1, 1)
+        self.items: tuple[StoreItem, ...] = ()
 
     async def read_all(self) -> Listing:
-        return self._answer("read")
+        return self._answer("read", self.items)
+
+    async def watch(self, position: StorePosition) -> Listing:
+        if self.is_reachable and position.era != self.position.era:
+            self.calls.append("watch")
+            raise EraChangedError("store_era_changed", "another era", step=Step.POLICY_READ)
+        return self._answer("watch", ())
 
-    async def watch(self, revision: int) -> Listing:
-        return self._answer("watch")
+    def is_configuration(self, key: str) -> bool:
+        return key == "configuration"
 
-    def _answer(self, call: str) -> Listing:
+    def is_upstream(self, key: str) -> bool:
+        return False
+
+    def decode_configuration(self, item: StoreItem) -> mock.Mock:
+        return mock.Mock(version=int(item.value))
+
+    def _answer(self, call: str, items: tuple[StoreItem, ...]) -> Listing:
         self.calls.append(call)
         if not self.is_reachable:
             raise CottonlinkError("store_unreachable", "silent", step=Step.POLICY_READ)
-        return Listing((), StorePosition(1, 1))
+        return Listing(items, self.position)
+
 
+class FollowerCase(unittest.IsolatedAsyncioTestCase):
+    """A node that is no watcher and has read the store once."""
 
-class TestReturnOfTheStore(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        self.store = RecordingStore()
+        self.node = mock.Mock()
+        self.log = mock.Mock()
+        self.follower = self.make_follower()
+        await self.follower._step()
+        self.store.calls.clear()
+
+    def make_follower(self) -> StoreFollower:
+        """Return a follower that isn't elected to watch."""
+        follower = StoreFollower(
+            self.store,
+            self.node,
+            "127.0.0.3",
+            "hall-a",
+            self.log,
+            random.Random(1),
+            self.clock,
+        )
+        follower._watcher_election.set_members(("127.0.0.1", "127.0.0.2", "127.0.0.3"))
+        self.assertFalse(follower._watcher_election.is_watcher)
+        return follower
+
+    def hears_watcher(self) -> bool:
+        """Return whether the node relies on a watcher's heartbeats."""
+        return not self.follower._watcher_election.must_watch(self.clock.now_s * 1000.0)
+
+    def applied_versions(self) -> list[int]:
+        """Return the versions of the configurations handed to the node."""
+        return [call.args[0].version for call in self.node.apply_configuration.call_args_list]
+
+    def logged_events(self, name: str) -> list[dict]:
+        """Return the fields of the logged lines of an event."""
+        calls = self.log.event.call_args_list
+        return [call.kwargs for call in calls if call.args[0] == name]
+
+
+class TestReturnOfTheStore(FollowerCase):
     """How soon a node learns what was published while it couldn't reach the store."""
 
     async def test_node_that_lost_the_store_reads_before_it_watches(self) -> None:
@@ -41,25 +106,132 @@
 
         A node that hears of a watcher meanwhile must not take the store for regained.
         """
-        store = RecordingStore()
-        loop = asyncio.get_running_loop()
-        follower = StoreFollower(
-            store, mock.Mock(), "127.0.0.3", "hall-a", mock.Mock(), random.Random(1), loop
-        )
-        await follower._step()
-        follower._watcher_election.set_members(("127.0.0.1", "127.0.0.2", "127.0.0.3"))
-        self.assertFalse(follower._watcher_election.is_watcher)
-        store.is_reachable = False
+        self.store.is_reachable = False
         with self.assertRaises(CottonlinkError) as caught:
-            await follower._step()
-        follower._on_store_lost(caught.exception)
-        follower.apply_changes(StoreChangesFrame(1, 1, ()))
-        await follower._step()
-        follower._watcher_election.record_heartbeat(float("-inf"))
-        store.is_reachable = True
-        store.calls.clear()
-        await follower._step()
-        self.assertEqual(store.calls, ["read"])
+            await self.follower._step()
+        self.follower._on_store_lost(caught.exception)
+        self.follower.apply_changes(StoreChangesFrame(1, 1, ()))
+        await self.follower._step()
+        self.clock.now_s += 10.0
+        self.store.is_reachable = True
+        self.store.calls.clear()
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+
+
+class TestChangesOfPeers(FollowerCase):
+    """Changes of other nodes, which may follow another era of the store or know of no eras."""
+
+    async def enter_era(self, position: StorePosition) -> None:
+        """Let the store return from a copy, and let the node read it."""
+        self.store.position = position
+        with self.assertRaises(EraChangedError):
+            await self.follower._step()
+        self.follower._must_read = True
+        await self.follower._step()
+        self.store.calls.clear()
+
+    async def test_heartbeat_with_a_known_revision_counts(self) -> None:
+        """Repeated changes are routine: a node must not ask the store because of them."""
+        self.follower.apply_changes(StoreChangesFrame(0, 1, (), era=1))
+        self.assertTrue(self.hears_watcher())
+
+    async def test_changes_of_an_older_era_are_ignored(self) -> None:
+        """A peer that hasn't noticed the return must not set a node back or keep it listening."""
+        await self.enter_era(StorePosition(2, 1))
+        self.follower.apply_changes(StoreChangesFrame(1, 50, (("configuration", 50, b"3"),), era=1))
+        self.assertEqual(self.applied_versions(), [])
+        self.assertFalse(self.hears_watcher())
+        self.assertEqual(self.follower.snapshot().revision, 1)
+
+    async def test_changes_of_a_newer_era_make_a_node_read_everything(self) -> None:
+        """Revisions of an era that the node hasn't read must not be compared with its own.
+
+        Its own revision may be the higher one, as the store gives out revisions again.
+        """
+        self.follower._position = StorePosition(1, 40)
+        self.store.position = StorePosition(2, 12)
+        self.follower.apply_changes(StoreChangesFrame(10, 12, (), era=2))
+        self.assertFalse(self.hears_watcher())
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+        self.assertEqual(self.follower.snapshot().era, 2)
+
+    async def test_unread_newer_era_is_read_once_and_never_trusted(self) -> None:
+        """A peer with a false era must not make all nodes read the store at each heartbeat."""
+        for _ in range(3):
+            self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=9))
+            await self.follower._step()
+        self.assertEqual(self.store.calls.count("read"), 1)
+        self.assertFalse(self.hears_watcher())
+
+    async def test_node_serves_with_what_it_has_until_it_can_read_the_newer_era(self) -> None:
+        """A node that only hears of a newer era must not forget what it knows."""
+        self.store.is_reachable = False
+        self.follower.apply_changes(StoreChangesFrame(10, 12, (), era=2))
+        with self.assertRaises(CottonlinkError):
+            await self.follower._step()
+        self.assertEqual(self.follower.snapshot().era, 1)
+
+    async def test_changes_without_an_era_are_trusted_in_the_first_era_only(self) -> None:
+        """The former build compares revisions of different eras, so its order may be wrong.
+
+        Before the store has ever returned, both builds must go on sharing changes.
+        """
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"5"),)))
+        self.assertEqual(self.applied_versions(), [5])
+        self.assertTrue(self.hears_watcher())
+        self.clock.now_s += 10.0
+        await self.enter_era(StorePosition(2, 1))
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"6"),)))
+        self.assertEqual(self.applied_versions(), [5])
+        self.assertFalse(self.hears_watcher())
+
+    async def test_ignored_changes_are_logged_once_in_an_era(self) -> None:
+        """Heartbeats of a node that lags behind must not fill the log."""
+        await self.enter_era(StorePosition(2, 1))
+        for revision in range(20):
+            self.follower.apply_changes(StoreChangesFrame(revision, revision, (), era=1))
+        ignored = self.logged_events("store_changes_ignored")
+        self.assertEqual([fields["reason"] for fields in ignored], ["older_era"])
+
+    async def test_answer_of_an_older_era_is_refused(self) -> None:
+        """A node must not go back to what the store held before its latest return."""
+        await self.enter_era(StorePosition(2, 1))
+        self.store.position = StorePosition(1, 90)
+        self.follower._must_read = True
+        with self.assertRaises(CottonlinkError) as caught:
+            await self.follower._step()
+        self.assertEqual(caught.exception.code, "store_era_older")
+        self.assertEqual(self.follower.snapshot().era, 2)
+
+
+class TestSnapshotOfAPeer(FollowerCase):
+    """What a node that can't reach the store takes from another one."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.follower = self.make_follower()
+        self.store.is_reachable = False
+
+    async def test_era_of_a_snapshot_is_kept(self) -> None:
+        """The node must tell later changes of that era from those of others."""
+        self.follower.apply_snapshot(StoreSnapshotFrame(7, (("configuration", 7, b"4"),), era=2))
+        self.follower.apply_changes(StoreChangesFrame(7, 9, (("configuration", 9, b"5"),), era=1))
+        self.follower.apply_changes(StoreChangesFrame(7, 8, (("configuration", 8, b"6"),), era=2))
+        self.assertEqual(self.applied_versions(), [4, 6])
+
+    async def test_snapshot_without_an_era_is_used_until_the_store_answers(self) -> None:
+        """A snapshot of the former build must serve, but not be taken for the store's order."""
+        self.follower.apply_snapshot(StoreSnapshotFrame(7, (("configuration", 7, b"4"),)))
+        self.assertEqual(self.applied_versions(), [4])
+        self.store.is_reachable = True
+        self.follower.apply_changes(StoreChangesFrame(7, 7, ()))
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+
+
+del FollowerCase
 
 
 if __name__ == "__main__":
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from cottonlink.errors import CottonlinkError
+from cottonlink.path import EraChangedError
 from cottonlink.path._http import parse_address
 from cottonlink.platform._store_client import StoreClient
 from emulator.platform_store import StoreCopy
@@ -173,16 +174,20 @@
 
 
 class TestReadAcrossReturn(ReturnCase):
-    """A listing that is read in several pages."""
+    """Calls of the store's client around a return, and answers whose era can't be read."""
+
+    def make_client(self) -> StoreClient:
+        """Return a client of the emulated store."""
+        client = StoreClient(parse_address(self.store.address), asyncio.get_running_loop())
+        self.addCleanup(client.close)
+        return client
 
     async def test_pages_of_two_eras_are_not_mixed(self) -> None:
         """A listing must not hold entries that the store lost while it was being read."""
         copy = self.store.take_copy()
         for number in range(4):
             await self.store.put(f"servers/a-{number}", self.first.target.entry())
-        address = parse_address(self.store.address)
-        client = StoreClient(address, asyncio.get_running_loop())
-        self.addCleanup(client.close)
+        client = self.make_client()
         read_page = self.store._get_range
 
         def return_before_second_page(prefix: str, after: str) -> bytes:
@@ -198,5 +203,23 @@
         keys = {item.key for item in listing.items}
         self.assertEqual(keys, {"op/config", "servers/i-1", "servers/i-2"})
 
+    async def test_watch_answered_from_another_era_returns_no_changes(self) -> None:
+        """Changes of another era don't continue what a node knows, whatever their revisions are."""
+        client = self.make_client()
+        position = (await client.read_all()).position
+        self.store.return_from_copy(self.store.take_copy())
+        await self.write_unrelated(3)
+        with self.assertRaises(EraChangedError):
+            await client.watch(position)
+
+    async def test_malformed_era_is_an_invalid_answer(self) -> None:
+        """A node must not order changes by an era that it can't read, or fail on one."""
+        client = self.make_client()
+        for era in ("", "x", "-1", "1.5", "9" * 30):
+            with self.subTest(era=era), mock.patch.object(self.store, "_era", era):
+                with self.assertRaises(CottonlinkError) as caught:
+                    await client.read_all()
+                self.assertEqual(caught.exception.code, "store_answer_invalid")
+
 
 del ReturnCase, FleetCase
