Keep the copy of the store apart from how a node follows it

The items, the directory of upstreams and the decoding of both move to StoreContents unchanged; the follower keeps the calls, the eras and the heartbeats.

--- /dev/null
+++ b/src/cottonlink/path/_store_contents.py
@@ -0,0 +1,116 @@
+"""A node's copy of what operator and targets publish in the store, and what it means for the node.
+
+The items are kept as they were read, so that they can be handed to a node that can't reach the
+store.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from cottonlink.errors import CottonlinkError
+from cottonlink.overload import StorePosition, make_upstream_directory
+from cottonlink.path._log import EventLog
+from cottonlink.path._model import Configuration, Upstream
+from cottonlink.path._store import Listing, Store, StoreItem
+
+
+class StoreContents:
+    """The items of the store and the upstreams that they register."""
+
+    def __init__(
+        self,
+        store: Store,
+        log: EventLog,
+        on_configuration: Callable[[Configuration], None],
+        on_upstreams: Callable[[list[Upstream]], None],
+    ) -> None:
+        self._store = store
+        self._log = log
+        self._on_configuration = on_configuration
+        self._on_upstreams = on_upstreams
+        self._directory = make_upstream_directory()
+        self._items: dict[str, StoreItem] = {}
+
+    def items(self) -> tuple[StoreItem, ...]:
+        """Return the items that weren't removed."""
+        return tuple(item for item in self._items.values() if item.value is not None)
+
+    def replace(self, listing: Listing, now_ms: float) -> None:
+        """Replace all items by those of a listing."""
+        self._items = {item.key: item for item in listing.items}
+        entries: dict[str, tuple[Upstream | None, StorePosition]] = {}
+        for item in listing.items:
+            if self._store.is_configuration(item.key):
+                self._apply_configuration(item)
+            elif self._store.is_upstream(item.key):
+                entries[item.key] = (self._decode_upstream(item), item.position)
+        if self._directory.replace_all(entries, now_ms):
+            self._publish()
+
+    def apply(self, items: Iterable[StoreItem], now_ms: float) -> None:
+        """Apply changed items."""
+        has_changed = False
+        for item in items:
+            known = self._items.get(item.key)
+            # Changes from other nodes and from an own watch may overlap, in a different order.
+            if known is not None and item.position <= known.position:
+                continue
+            self._items[item.key] = item
+            if self._store.is_configuration(item.key):
+                self._apply_configuration(item)
+            elif self._store.is_upstream(item.key):
+                has_changed |= self._apply_entry(item, now_ms)
+        if has_changed:
+            self._publish()
+
+    def store_lost(self) -> None:
+        """Record that the store stopped answering."""
+        self._directory.store_lost()
+
+    def store_regained(self, now_ms: float) -> None:
+        """Record that the store answers again."""
+        self._directory.store_regained(now_ms)
+
+    def drop_missing(self, now_ms: float) -> None:
+        """Drop the upstreams that stayed missing after an outage."""
+        dropped = self._directory.drop_missing(now_ms)
+        if dropped:
+            self._log.event("upstreams_dropped", ids=dropped)
+            self._publish()
+
+    def _apply_entry(self, item: StoreItem, now_ms: float) -> bool:
+        if item.value is None:
+            return self._directory.remove(item.key, now_ms)
+        return self._directory.put(item.key, self._decode_upstream(item), item.position)
+
+    def _apply_configuration(self, item: StoreItem) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = self._store.decode_configuration(item)
+        except CottonlinkError as error:
+            # The previous configuration stays in force.
+            self._log.event("configuration_invalid", detail=error.detail)
+            return
+        self._on_configuration(configuration)
+
+    def _decode_upstream(self, item: StoreItem) -> Upstream | None:
+        try:
+            return self._store.decode_upstream(item)
+        except CottonlinkError as error:
+            self._log.event("entry_invalid", key=item.key, detail=error.detail)
+            return None
+
+    def _publish(self) -> None:
+        self._on_upstreams(self._directory.entries())
+
+
+def make_store_contents(
+    store: Store,
+    log: EventLog,
+    on_configuration: Callable[[Configuration], None],
+    on_upstreams: Callable[[list[Upstream]], None],
+) -> StoreContents:
+    """Return the contents of a node that has read nothing yet."""
+    return StoreContents(store, log, on_configuration, on_upstreams)
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -19,7 +19,6 @@
     HEARTBEAT_PERIOD_MS,
     UNKNOWN_ERA,
     StorePosition,
-    make_upstream_directory,
     make_watcher_election,
 )
 from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
@@ -32,6 +31,7 @@
     Store,
     StoreItem,
 )
+from cottonlink.path._store_contents import make_store_contents
 
 # Delays after failed calls. All nodes share the store's rate limit, so the delay grows during an
 # outage. A change published right after it must reach every node within about five seconds.
@@ -83,14 +83,15 @@
         self._log = log
         self._rng = rng
         self._loop = loop
-        self._directory = make_upstream_directory()
+        self._contents = make_store_contents(
+            store, log, node.apply_configuration, self._apply_upstreams
+        )
         self._watcher_election = make_watcher_election(name)
         self._position: StorePosition | None = None
         self._must_read = True
         # The latest era that another node told of.
         self._announced_era = UNKNOWN_ERA
         self._ignored_changes: set[tuple[str, int | None]] = set()
-        self._items: dict[str, StoreItem] = {}
         self._is_store_lost = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._heartbeat_due_ms = 0.0
@@ -117,10 +118,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             now_ms = self._now_ms()
-            dropped = self._directory.drop_missing(now_ms)
-            if dropped:
-                self._log.event("upstreams_dropped", ids=dropped)
-                self._publish()
+            self._contents.drop_missing(now_ms)
             is_current = not self._must_read and not self._is_store_lost
             if (
                 self._watcher_election.is_watcher
@@ -154,17 +152,15 @@
             self._must_read = True
             return
         self._log_changes("store_changes_received", frame)
-        self._apply_items(_unpack_items(frame.items, era))
+        self._contents.apply(_unpack_items(frame.items, era), self._now_ms())
         self._position = StorePosition(era, frame.revision)
 
     def snapshot(self) -> StoreSnapshotFrame | None:
         """Return this node's copy of the store, or None if it has none."""
         if self._position is None:
             return None
-        items = tuple(item for item in self._items.values() if item.value is not None)
-        return StoreSnapshotFrame(
-            self._position.revision, _pack_items(items), era=self._position.era
-        )
+        items = _pack_items(self._contents.items())
+        return StoreSnapshotFrame(self._position.revision, items, era=self._position.era)
 
     def apply_snapshot(self, frame: StoreSnapshotFrame) -> None:
         """Apply another node's copy of the store, unless this node has one."""
@@ -217,15 +213,7 @@
 
     def _apply_listing(self, listing: Listing) -> None:
         self._enter_era(listing.position)
-        self._items = {item.key: item for item in listing.items}
-        entries: dict[str, tuple[Upstream | None, StorePosition]] = {}
-        for item in listing.items:
-            if self._store.is_configuration(item.key):
-                self._apply_configuration(item)
-            elif self._store.is_upstream(item.key):
-                entries[item.key] = (self._decode_upstream(item), item.position)
-        if self._directory.replace_all(entries, self._now_ms()):
-            self._publish()
+        self._contents.replace(listing, self._now_ms())
         self._position = listing.position
 
     def _enter_era(self, position: StorePosition) -> None:
@@ -253,7 +241,7 @@
                 revision=changes.position.revision,
                 items=len(changes.items),
             )
-        self._apply_items(changes.items)
+        self._contents.apply(changes.items, self._now_ms())
         self._position = max(changes.position, self._position)
         if self._watcher_election.is_watcher:
             self._broadcast(asked.revision, changes.items)
@@ -280,46 +268,7 @@
             self._ignored_changes.add((reason, frame.era))
             self._log_changes("store_changes_ignored", frame, reason=reason)
 
-    def _apply_items(self, items: tuple[StoreItem, ...]) -> None:
-        has_changed = False
-        for item in items:
-            known = self._items.get(item.key)
-            # Changes from other nodes and from an own watch may overlap, in a different order.
-            if known is not None and item.position <= known.position:
-                continue
-            self._items[item.key] = item
-            if self._store.is_configuration(item.key):
-                self._apply_configuration(item)
-            elif self._store.is_upstream(item.key):
-                has_changed |= self._apply_entry(item)
-        if has_changed:
-            self._publish()
-
-    def _apply_entry(self, item: StoreItem) -> bool:
-        if item.value is None:
-            return self._directory.remove(item.key, self._now_ms())
-        return self._directory.put(item.key, self._decode_upstream(item), item.position)
-
-    def _apply_configuration(self, item: StoreItem) -> None:
-        if item.value is None:
-            return
-        try:
-            configuration = self._store.decode_configuration(item)
-        except CottonlinkError as error:
-            # The previous configuration stays in force.
-            self._log.event("configuration_invalid", detail=error.detail)
-            return
-        self._node.apply_configuration(configuration)
-
-    def _decode_upstream(self, item: StoreItem) -> Upstream | None:
-        try:
-            return self._store.decode_upstream(item)
-        except CottonlinkError as error:
-            self._log.event("entry_invalid", key=item.key, detail=error.detail)
-            return None
-
-    def _publish(self) -> None:
-        upstreams = self._directory.entries()
+    def _apply_upstreams(self, upstreams: list[Upstream]) -> None:
         self._watcher_election.set_members(
             upstream.vm_ip for upstream in upstreams if upstream.data_centre == self._data_centre
         )
@@ -329,14 +278,14 @@
         if not self._is_store_lost:
             self._is_store_lost = True
             self._log.event("store_lost", code=error.code, detail=error.detail, peer=error.peer)
-        self._directory.store_lost()
+        self._contents.store_lost()
 
     def _on_store_regained(self) -> None:
         self._retry_delay_s = MIN_RETRY_DELAY_S
         if self._is_store_lost:
             self._is_store_lost = False
             self._log.event("store_regained")
-        self._directory.store_regained(self._now_ms())
+        self._contents.store_regained(self._now_ms())
 
     def _log_changes(self, event: str, frame: StoreChangesFrame, **fields: Any) -> None:
         self._log.event(
