Keep upstreams that a copy of the store lacks until they can register

Callers would have found no target for a service whose targets had all registered after the copy was made: each node dropped them at once.

Cause: the grace period for entries that went missing around an outage began only where a node had failed to reach the store. A return from a copy can pass between two calls.

A listing of a new era now begins the grace period, which covers the two seconds within which live upstreams write their entries again.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -2,7 +2,8 @@
 
 While the store is unavailable, entries expire although their upstreams are alive, and all nodes
 would drop most of the fleet when the store returns. An entry that goes missing around an outage is
-therefore kept until the store has been back long enough for live upstreams to register again.
+therefore kept until the store has been back long enough for live upstreams to register again. The
+same holds for entries that are missing from the copy of itself that the store returned from.
 
 After a restart of many VMs the entries of their former upstreams remain for a while. An address
 belongs to the upstream that started last, or, if start times are missing or equal, to the entry
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
         self._missing_since_ms: dict[str, float] = {}
+        self._era: int | None = None
         self._is_store_unavailable = False
         self._store_back_at_ms = float("-inf")
 
@@ -76,8 +78,14 @@
         self._delete(entry_id)
         return True
 
-    def replace_all(self, entries: dict[str, tuple[Any, StorePosition]], now_ms: float) -> bool:
+    def replace_all(
+        self, entries: dict[str, tuple[Any, StorePosition]], era: int, now_ms: float
+    ) -> bool:
         """Apply a full listing of (entry, position) by id; return whether anything changed."""
+        if self._era is not None and era > self._era:
+            # Nodes that noticed no outage also have to wait for what the copy lacks.
+            self._store_back_at_ms = now_ms
+        self._era = era
         has_changed = False
         for entry_id, (entry, position) in entries.items():
             has_changed |= self.put(entry_id, entry, position)
--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/_store_contents.py
@@ -45,7 +45,7 @@
                 self._apply_configuration(item)
             elif self._store.is_upstream(item.key):
                 entries[item.key] = (self._decode_upstream(item), item.position)
-        if self._directory.replace_all(entries, now_ms):
+        if self._directory.replace_all(entries, listing.position.era, now_ms):
             self._publish()
 
     def apply(self, items: Iterable[StoreItem], now_ms: float) -> None:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -478,13 +478,24 @@
     def test_expired_entry_is_kept_for_the_grace_period(self) -> None:
         """Guards against dropping live upstreams whose entries expired during an outage."""
         self.directory.store_lost()
-        self.assertFalse(self.directory.replace_all({}, 1_000))
+        self.assertFalse(self.directory.replace_all({}, 1, 1_000))
         self.directory.store_regained(1_000)
         self.assertFalse(self.directory.remove("one", 1_100))
         self.assertEqual(self.directory.drop_missing(2_900), [])
         self.assertEqual(self.directory.entries(), [self.entry])
         self.assertEqual(self.directory.drop_missing(3_400), ["one"])
 
+    def test_entry_that_a_copy_lacks_is_kept_for_the_grace_period(self) -> None:
+        """Guards against dropping live upstreams that registered after the copy was made.
+
+        The node hasn't noticed that the store was away.
+        """
+        self.directory.replace_all({"one": (self.entry, StorePosition(1, 1))}, 1, 0)
+        self.assertFalse(self.directory.replace_all({}, 2, 1_000))
+        self.assertEqual(self.directory.entries(), [self.entry])
+        self.assertEqual(self.directory.drop_missing(3_200), [])
+        self.assertEqual(self.directory.drop_missing(3_400), ["one"])
+
     def test_entry_that_returns_is_kept(self) -> None:
         """Guards against dropping an upstream that registered again within the grace period."""
         self.directory.store_lost()
