Keep a draining upstream from becoming ready through a copy

Cause: entries were ordered by the store only, whose copy is older than what a node has in force.

The platform's field sequence rises each time that an upstream writes its entry. It is decoded now, and where a later era holds an upstream as ready with a lower sequence than the one with which the same incarnation reported to drain, the node keeps it draining, and hands it on so to nodes that start. Within an era the order of the store holds, so an upstream whose sequence began anew isn't locked out, and entries without a sequence follow the store. A position that isn't later than the known one changes nothing, so a second listing of the copy doesn't either. The sequence of the emulated targets rises with each entry as well.

--- a/emulator/platform_target.py
+++ b/emulator/platform_target.py
@@ -35,6 +35,7 @@
     answer_gate: asyncio.Event = field(factory=asyncio.Event)
     _server: HttpStandIn | None = None
     _numbers: itertools.count = field(factory=itertools.count)
+    _sequences: itertools.count = field(factory=lambda: itertools.count(1))
 
     async def start(self) -> None:
         """Listen at ``host`` and ``port``."""
@@ -53,7 +54,7 @@
         return self._server is not None
 
     def entry(self, **changes: object) -> dict:
-        """Return the target's entry in the store, with ``changes`` to its fields."""
+        """Return the target's next entry in the store, with ``changes`` to its fields."""
         entry = {
             "service": self.service,
             "address": f"{self.host}:{self.port}",
@@ -62,7 +63,7 @@
             "slots": self.slots,
             "state": "ready",
             "warmup_left_s": 0,
-            "sequence": 1,
+            "sequence": next(self._sequences),
             "born": 1_700_000_000_000,
         }
         return {**entry, **changes}
--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -9,13 +9,16 @@
 belongs to the upstream that started last, or, if start times are missing or equal, to the entry
 written last. A store that returns from a copy numbers its entries anew, so an entry that it still
 holds unchanged keeps its place in that order.
+
+A copy may also hold an upstream as ready that is known to be leaving. What an upstream itself has
+written is ordered by its own sequence, whichever era the store is in.
 """
 
 from __future__ import annotations
 
 from typing import Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from cottonlink.overload._store_position import StorePosition
 
@@ -53,18 +56,44 @@
             self._store_back_at_ms = now_ms
 
     def put(self, entry_id: str, entry: Any, position: StorePosition) -> bool:
-        """Add or replace an entry, as of a position of the store; return whether it changed."""
+        """Add or replace an entry, as of a position of the store; return whether it changed.
+
+        A position that isn't later than the known one changes nothing. An upstream that is known to
+        be draining stays so against an entry that it wrote before.
+        """
         self._missing_since_ms.pop(entry_id, None)
         known = self._records.get(entry_id)
         if known is None:
             self._records[entry_id] = _Record(entry, position, position)
             return True
+        if position <= known.position:
+            return False
+        if self.is_outdated(entry_id, entry, position):
+            self._records[entry_id] = evolve(known, position=position)
+            return False
         has_changed = entry != known.entry
         is_same_era = position.era == known.position.era
         written_at = position if has_changed or is_same_era else known.written_at
         self._records[entry_id] = _Record(entry, position, written_at)
         return has_changed
 
+    def is_outdated(self, entry_id: str, entry: Any, position: StorePosition) -> bool:
+        """Return whether a later era holds an upstream as ready that has begun to drain since.
+
+        Within an era the order of the store holds.
+        """
+        known = self._records.get(entry_id)
+        return (
+            known is not None
+            and position.era > known.position.era
+            and _is_same_incarnation(known.entry, entry)
+            and known.entry.is_draining
+            and not entry.is_draining
+            and known.entry.sequence is not None
+            and entry.sequence is not None
+            and entry.sequence < known.entry.sequence
+        )
+
     def remove(self, entry_id: str, now_ms: float) -> bool:
         """Remove an entry that is gone from the store; return whether it was removed at once.
 
@@ -121,6 +150,16 @@
         return self._is_store_unavailable or now_ms - self._store_back_at_ms < STORE_RETURN_GRACE_MS
 
 
+def _is_same_incarnation(entry: Any, other: Any) -> bool:
+    """Return whether two entries with one id are of the same start of an upstream.
+
+    Where they don't tell their start, they are: each start has an id of its own.
+    """
+    if entry is None or other is None:
+        return False
+    return entry.started_at_ms == other.started_at_ms
+
+
 def _is_newer(record: _Record, other: _Record) -> bool:
     start_ms, other_start_ms = record.entry.started_at_ms, other.entry.started_at_ms
     if start_ms is not None and other_start_ms is not None and start_ms != other_start_ms:
--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -88,7 +88,8 @@
 
     ``upstream_id`` identifies the registration; ``started_at_ms`` (Unix time) tells apart restarts
     under the same id. ``address`` is that of the target itself; its node listens on the same VM.
-    ``slots`` is the number of calls that the target runs concurrently.
+    ``slots`` is the number of calls that the target runs concurrently. ``sequence`` rises with each
+    time that a target has written its registration, and is None if it isn't known.
     """
 
     upstream_id: str
@@ -99,6 +100,7 @@
     is_draining: bool
     warmup_left_ms: float
     started_at_ms: int | None
+    sequence: int | None = None
 
     @property
     def vm_ip(self) -> str:
--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/_store_contents.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable, Iterable
 
+from attrs import evolve
+
 from cottonlink.errors import CottonlinkError
 from cottonlink.overload import StorePosition, make_upstream_directory
 from cottonlink.path._log import EventLog
@@ -38,13 +40,17 @@
 
     def replace(self, listing: Listing, now_ms: float) -> None:
         """Replace all items by those of a listing."""
-        self._items = {item.key: item for item in listing.items}
+        items: dict[str, StoreItem] = {}
         entries: dict[str, tuple[Upstream | None, StorePosition]] = {}
         for item in listing.items:
             if self._store.is_configuration(item.key):
                 self._apply_configuration(item)
             elif self._store.is_upstream(item.key):
-                entries[item.key] = (self._decode_upstream(item), item.position)
+                upstream = self._decode_upstream(item)
+                entries[item.key] = (upstream, item.position)
+                item = self._keep_departure(item, upstream)
+            items[item.key] = item
+        self._items = items
         if self._directory.replace_all(entries, listing.position.era, now_ms):
             self._publish()
 
@@ -79,6 +85,18 @@
             self._log.event("upstreams_dropped", ids=dropped)
             self._publish()
 
+    def _keep_departure(self, item: StoreItem, upstream: Upstream | None) -> StoreItem:
+        """Return ``item`` with the known value if that says that the upstream is leaving."""
+        known = self._items.get(item.key)
+        if known is None or known.value is None:
+            return item
+        if item.position <= known.position:
+            return known
+        if not self._directory.is_outdated(item.key, upstream, item.position):
+            return item
+        self._log.event("entry_outdated", key=item.key, sequence=upstream.sequence)
+        return evolve(item, value=known.value)
+
     def _apply_entry(self, item: StoreItem, now_ms: float) -> bool:
         if item.value is None:
             return self._directory.remove(item.key, now_ms)
--- a/src/cottonlink/platform/_records.py
+++ b/src/cottonlink/platform/_records.py
@@ -80,6 +80,7 @@
             # Time until the target reaches its full speed, counted from the entry's last change.
             warmup_left_ms=_seconds_to_ms(data.get("warmup_left_s", 0)),
             started_at_ms=started_at_ms,
+            sequence=_read_sequence(data),
         )
     except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise invalid_record(f"{item.key}: {error!r}") from error
@@ -160,6 +161,12 @@
     return value * 1000.0
 
 
+def _read_sequence(data: dict[str, Any]) -> int | None:
+    # An entry is usable without it, so nothing in its place makes the entry invalid.
+    value = data.get("sequence")
+    return value if _is_integer(value) else None
+
+
 def _check_slots(value: Any) -> int:
     if not _is_integer(value) or value < 1:
         raise TypeError(f"expected an integer of at least 1 in slots, got {value!r}")
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -550,6 +550,59 @@
         self.assertEqual([entry.slots for entry in self.directory.entries()], [9])
 
 
+class TestReturnFromACopy(unittest.TestCase):
+    """Entries of a store that returned from a copy, which is older than what a node knows."""
+
+    def setUp(self) -> None:
+        self.directory = make_upstream_directory()
+        self.ready = evolve(make_upstream("one"), sequence=3)
+        self.draining = evolve(self.ready, is_draining=True, sequence=9)
+        self.list_entry(self.ready, StorePosition(1, 5), 0)
+
+    def list_entry(self, entry: Upstream | None, position: StorePosition, now_ms: float) -> None:
+        """Apply a listing of one entry, or of none."""
+        entries = {} if entry is None else {"one": (entry, position)}
+        self.directory.replace_all(entries, position.era, now_ms)
+
+    def test_draining_upstream_stays_draining(self) -> None:
+        """Guards against calls to an upstream that drains, by the entry that it wrote before.
+
+        A second listing of the copy must not be taken for a later entry.
+        """
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        for _ in range(2):
+            self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+            self.assertEqual(self.directory.entries(), [self.draining])
+
+    def test_later_entry_of_a_draining_upstream_is_used(self) -> None:
+        """Guards against an upstream that stays unused after it wrote that it is ready again."""
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        later = evolve(self.ready, sequence=10)
+        self.list_entry(later, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [later])
+
+    def test_order_of_the_store_holds_within_an_era(self) -> None:
+        """Guards against an upstream that stays unused because its sequence began anew."""
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+        self.directory.put("one", self.ready, StorePosition(2, 6))
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_sequences_of_two_incarnations_are_not_compared(self) -> None:
+        """Guards against a restarted upstream that stays unused, as its sequence begins anew."""
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        restarted = evolve(self.ready, started_at_ms=2)
+        self.list_entry(restarted, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [restarted])
+
+    def test_without_a_sequence_the_store_decides(self) -> None:
+        """Guards against an order that is made up where entries don't tell theirs."""
+        unnumbered = evolve(self.ready, sequence=None)
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        self.list_entry(unnumbered, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [unnumbered])
+
+
 @define
 class ReplayResult:
     """Number of requests that completed in time, out of those sent."""
--- a/tests/test_platform_tools.py
+++ b/tests/test_platform_tools.py
@@ -110,6 +110,15 @@
             with self.subTest(name=name), self.assertRaises(CottonlinkError):
                 decode_upstream(StoreItem("servers/a", StorePosition(1, 1), data))
 
+    def test_upstream_entry_without_a_usable_sequence_is_accepted(self) -> None:
+        """Guards against refusing an upstream for a field that it can do without."""
+        entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
+        entry |= {"state": "ready", "warmup_left_s": 0}
+        for fields, expected in (({"sequence": 7}, 7), ({}, None), ({"sequence": "x"}, None)):
+            data = json.dumps(entry | fields).encode()
+            upstream = decode_upstream(StoreItem("servers/a", StorePosition(1, 1), data))
+            self.assertEqual(upstream.sequence, expected)
+
 
 class TestLog(unittest.IsolatedAsyncioTestCase):
     """The log that a node writes to standard output."""
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -139,7 +139,7 @@
     async def test_draining_upstream_gets_no_requests(self) -> None:
         """An upstream that is leaving must not become ready again through the copy."""
         copy = self.store.take_copy()
-        leaving = self.first.target.entry(state="draining", sequence=2)
+        leaving = self.first.target.entry(state="draining")
         await self.store.put("servers/i-1", leaving)
         await self.wait_until_upstreams("i-2")
         await self.return_from_copy(copy)
@@ -157,7 +157,7 @@
         await self.return_from_copy(copy)
         for vm in self.vms:
             self.assertEqual(self.upstream_ids(vm), {"i-2"})
-        await self.store.put("servers/i-1", self.first.target.entry(sequence=2))
+        await self.store.put("servers/i-1", self.first.target.entry())
         await self.wait_until_upstreams("i-1", "i-2")
 
     async def test_upstream_that_the_copy_lacks_is_kept_until_it_can_register(self) -> None:
@@ -168,7 +168,7 @@
         await self.return_from_copy(copy)
         for vm in self.vms:
             self.assertEqual(self.upstream_ids(vm), {"i-1", "i-2", "i-3"})
-        await self.store.put("servers/i-3", third.target.entry(sequence=2))
+        await self.store.put("servers/i-3", third.target.entry())
         await self.store.remove("servers/i-2")
         await self.wait_until_upstreams("i-1", "i-3")
 
