Keep an upstream that has left from coming back through a copy

A target that had left got requests again (DRAIN), until its entry in the copy expired: up to three heartbeats, 4.5 s, and to a node that listens later still.

Cause: nodes forgot an upstream as soon as its entry was removed, so the entry in a copy looked like a registration.

The directory remembers departures for two minutes. An entry of the same incarnation that the first listing of a new era brings back stays unused until it is written again, which shows as a later position or a higher sequence, or until it has lasted for longer than one that nobody writes; the time starts anew with an outage, in which an expiry isn't noticed. Nodes that start get no such entry from a peer. Within an era a new entry is a registration and is used at once.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -11,7 +11,8 @@
 holds unchanged keeps its place in that order.
 
 A copy may also hold an upstream as ready that is known to be leaving. What an upstream itself has
-written is ordered by its own sequence, whichever era the store is in.
+written is ordered by its own sequence, whichever era the store is in. An upstream that has left is
+unused until it writes its entry again, or until the entry has outlived one that nobody writes.
 """
 
 from __future__ import annotations
@@ -24,6 +25,11 @@
 
 # Live upstreams have registered again about 2 s after the store returns.
 STORE_RETURN_GRACE_MS = 2_300.0
+# An upstream writes about every 1.5 s, and its entry expires without three of these. The rest is
+# for the expiry itself and its way to a node.
+UNWRITTEN_ENTRY_LIFE_MS = 6_500.0
+# How long an upstream that has left is remembered. The store returns from copies of seconds ago.
+DEPARTURE_MEMORY_MS = 120_000.0
 
 
 @frozen
@@ -35,11 +41,30 @@
     written_at: StorePosition
 
 
+@frozen
+class _Departure:
+    """The last entry of an upstream that has left."""
+
+    entry: Any
+    at_ms: float
+
+
+@frozen
+class _Hold:
+    """An entry that came back with a copy after its upstream had left, and isn't used."""
+
+    entry: Any
+    position: StorePosition
+    since_ms: float
+
+
 class UpstreamDirectory:
     """Entries by id. An entry is a ``path.Upstream``, or None if it could not be decoded."""
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._departures: dict[str, _Departure] = {}
+        self._holds: dict[str, _Hold] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._era: int | None = None
         self._is_store_unavailable = False
@@ -61,6 +86,11 @@
         A position that isn't later than the known one changes nothing. An upstream that is known to
         be draining stays so against an entry that it wrote before.
         """
+        hold = self._holds.get(entry_id)
+        if hold is not None and position <= hold.position:
+            return False
+        self._holds.pop(entry_id, None)
+        self._departures.pop(entry_id, None)
         self._missing_since_ms.pop(entry_id, None)
         known = self._records.get(entry_id)
         if known is None:
@@ -99,39 +129,71 @@
 
         Around an outage of the store the removal is deferred until ``drop_missing``.
         """
+        self._holds.pop(entry_id, None)
         if entry_id not in self._records:
             return False
         if self._is_removal_deferred(now_ms):
             self._missing_since_ms.setdefault(entry_id, now_ms)
             return False
-        self._delete(entry_id)
+        self._delete(entry_id, now_ms)
         return True
 
     def replace_all(
         self, entries: dict[str, tuple[Any, StorePosition]], era: int, now_ms: float
     ) -> bool:
         """Apply a full listing of (entry, position) by id; return whether anything changed."""
-        if self._era is not None and era > self._era:
+        is_new_era = self._era is not None and era > self._era
+        self._era = era
+        if is_new_era:
             # Nodes that noticed no outage also have to wait for what the copy lacks.
             self._store_back_at_ms = now_ms
-        self._era = era
         has_changed = False
         for entry_id, (entry, position) in entries.items():
-            has_changed |= self.put(entry_id, entry, position)
-        for entry_id in [known for known in self._records if known not in entries]:
-            has_changed |= self.remove(entry_id, now_ms)
+            if is_new_era and self._has_left(entry_id, entry):
+                self._holds[entry_id] = _Hold(entry, position, now_ms)
+            else:
+                has_changed |= self.put(entry_id, entry, position)
+        for entry_id in [*self._records, *self._holds]:
+            if entry_id not in entries:
+                has_changed |= self.remove(entry_id, now_ms)
         return has_changed
 
     def drop_missing(self, now_ms: float) -> list[str]:
         """Drop the entries that didn't return within the grace period; return their ids."""
+        self._forget_departures(now_ms)
         if not self._missing_since_ms or self._is_removal_deferred(now_ms):
             return []
         dropped = list(self._missing_since_ms)
         self._missing_since_ms.clear()
         for entry_id in dropped:
-            self._delete(entry_id)
+            self._delete(entry_id, now_ms)
         return dropped
 
+    def is_held(self, entry_id: str) -> bool:
+        """Return whether an entry isn't used as its upstream had left before it came back."""
+        return entry_id in self._holds
+
+    def held(self) -> list[str]:
+        """Return the ids of the entries that aren't used, as their upstreams had left."""
+        return list(self._holds)
+
+    def release_held(self, now_ms: float) -> list[str]:
+        """Use the held entries that didn't expire, as their upstreams are alive; return their ids.
+
+        While the store doesn't answer, an expiry would not be noticed.
+        """
+        if self._is_store_unavailable:
+            return []
+        released = [
+            (entry_id, hold)
+            for entry_id, hold in self._holds.items()
+            if now_ms - max(hold.since_ms, self._store_back_at_ms) >= UNWRITTEN_ENTRY_LIFE_MS
+        ]
+        for entry_id, hold in released:
+            del self._holds[entry_id]
+            self.put(entry_id, hold.entry, hold.position)
+        return [entry_id for entry_id, _ in released]
+
     def entries(self) -> list[Any]:
         """Return the decoded entries, one for each address."""
         latest: dict[Any, _Record] = {}
@@ -143,8 +205,23 @@
                 latest[record.entry.address] = record
         return [record.entry for record in latest.values()]
 
-    def _delete(self, entry_id: str) -> None:
-        self._records.pop(entry_id, None)
+    def _delete(self, entry_id: str, now_ms: float) -> None:
+        record = self._records.pop(entry_id)
+        if record.entry is not None:
+            self._departures[entry_id] = _Departure(record.entry, now_ms)
+
+    def _has_left(self, entry_id: str, entry: Any) -> bool:
+        """Return whether an entry in a copy is of an upstream that is known to have left."""
+        departure = self._departures.get(entry_id)
+        if departure is None or not _is_same_incarnation(departure.entry, entry):
+            return False
+        known, sequence = departure.entry.sequence, entry.sequence
+        return known is None or sequence is None or sequence <= known
+
+    def _forget_departures(self, now_ms: float) -> None:
+        for entry_id, departure in list(self._departures.items()):
+            if now_ms - departure.at_ms >= DEPARTURE_MEMORY_MS and entry_id not in self._holds:
+                del self._departures[entry_id]
 
     def _is_removal_deferred(self, now_ms: float) -> bool:
         return self._is_store_unavailable or now_ms - self._store_back_at_ms < STORE_RETURN_GRACE_MS
--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/_store_contents.py
@@ -35,8 +35,12 @@
         self._items: dict[str, StoreItem] = {}
 
     def items(self) -> tuple[StoreItem, ...]:
-        """Return the items that weren't removed."""
-        return tuple(item for item in self._items.values() if item.value is not None)
+        """Return the items that weren't removed, without the entries that aren't used."""
+        return tuple(
+            item
+            for item in self._items.values()
+            if item.value is not None and not self._directory.is_held(item.key)
+        )
 
     def replace(self, listing: Listing, now_ms: float) -> None:
         """Replace all items by those of a listing."""
@@ -51,8 +55,11 @@
                 item = self._keep_departure(item, upstream)
             items[item.key] = item
         self._items = items
+        held = self._directory.held()
         if self._directory.replace_all(entries, listing.position.era, now_ms):
             self._publish()
+        if newly_held := [key for key in self._directory.held() if key not in held]:
+            self._log.event("upstreams_held", ids=newly_held)
 
     def apply(self, items: Iterable[StoreItem], now_ms: float) -> None:
         """Apply changed items."""
@@ -78,11 +85,15 @@
         """Record that the store answers again."""
         self._directory.store_regained(now_ms)
 
-    def drop_missing(self, now_ms: float) -> None:
-        """Drop the upstreams that stayed missing after an outage."""
+    def maintain(self, now_ms: float) -> None:
+        """Drop upstreams that stayed missing, and use those that proved to be alive."""
         dropped = self._directory.drop_missing(now_ms)
         if dropped:
             self._log.event("upstreams_dropped", ids=dropped)
+        released = self._directory.release_held(now_ms)
+        if released:
+            self._log.event("upstreams_released", ids=released)
+        if dropped or released:
             self._publish()
 
     def _keep_departure(self, item: StoreItem, upstream: Upstream | None) -> StoreItem:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -114,11 +114,11 @@
                 self._retry_delay_s = min(self._retry_delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def run_maintenance(self) -> None:
-        """Drop entries that stayed missing and send heartbeats while watching, until cancelled."""
+        """Update the contents over time and send heartbeats while watching, until cancelled."""
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             now_ms = self._now_ms()
-            self._contents.drop_missing(now_ms)
+            self._contents.maintain(now_ms)
             is_current = not self._must_read and not self._is_store_lost
             if (
                 self._watcher_election.is_watcher
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -595,6 +595,88 @@
         self.list_entry(restarted, StorePosition(2, 5), 1_000)
         self.assertEqual(self.directory.entries(), [restarted])
 
+    def test_upstream_that_had_left_stays_unused(self) -> None:
+        """Guards against calls to an upstream that has left, by an entry that nobody writes.
+
+        A second listing of the copy must not be taken for a new entry.
+        """
+        self.directory.remove("one", 500)
+        for now_ms in (1_000, 2_000):
+            self.list_entry(self.ready, StorePosition(2, 5), now_ms)
+            self.assertEqual(self.directory.entries(), [])
+            self.assertTrue(self.directory.is_held("one"))
+        self.list_entry(None, StorePosition(2, 9), 5_000)
+        self.assertEqual(self.directory.release_held(60_000), [])
+        self.assertEqual(self.directory.entries(), [])
+
+    def test_upstream_dropped_after_an_outage_stays_unused(self) -> None:
+        """Guards against calls to an upstream that was given up and comes back with a copy."""
+        self.directory.store_lost()
+        self.list_entry(None, StorePosition(1, 6), 1_000)
+        self.directory.store_regained(1_000)
+        self.assertEqual(self.directory.drop_missing(4_000), ["one"])
+        self.list_entry(self.ready, StorePosition(2, 5), 5_000)
+        self.assertEqual(self.directory.entries(), [])
+
+    def test_held_upstream_is_used_once_it_writes_again(self) -> None:
+        """Guards against an upstream that stays unused although it has registered again.
+
+        The node learns of it by a change, or by a listing that it reads instead.
+        """
+        written = evolve(self.ready, sequence=4)
+        for is_listed in (False, True):
+            with self.subTest(is_listed=is_listed):
+                self.setUp()
+                self.directory.remove("one", 500)
+                self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+                if is_listed:
+                    self.list_entry(written, StorePosition(2, 8), 2_000)
+                else:
+                    self.directory.put("one", written, StorePosition(2, 8))
+                self.assertEqual(self.directory.entries(), [written])
+
+    def test_entry_written_before_the_first_listing_is_used(self) -> None:
+        """Guards against an unused upstream that was quicker to register than the node to read."""
+        self.directory.remove("one", 500)
+        written = evolve(self.ready, sequence=4)
+        self.list_entry(written, StorePosition(2, 8), 1_000)
+        self.assertEqual(self.directory.entries(), [written])
+
+    def test_new_incarnation_of_an_upstream_that_had_left_is_used(self) -> None:
+        """Guards against an unused upstream that started anew under the same id."""
+        self.directory.remove("one", 500)
+        restarted = evolve(self.ready, started_at_ms=2)
+        self.list_entry(restarted, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [restarted])
+
+    def test_held_entry_that_does_not_expire_is_used(self) -> None:
+        """Guards against a live upstream that is never used, as its entry needn't change.
+
+        An entry whose expiry the node could not have noticed has to wait for longer.
+        """
+        self.directory.remove("one", 500)
+        self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.release_held(7_000), [])
+        self.directory.store_lost()
+        self.assertEqual(self.directory.release_held(8_000), [])
+        self.directory.store_regained(9_000)
+        self.assertEqual(self.directory.release_held(15_000), [])
+        self.assertEqual(self.directory.release_held(16_000), ["one"])
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_removal_and_return_within_an_era_take_effect_at_once(self) -> None:
+        """Guards against holding an upstream that registers again after its entry expired."""
+        self.directory.remove("one", 500)
+        self.list_entry(self.ready, StorePosition(1, 9), 1_000)
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_departures_are_forgotten(self) -> None:
+        """Guards against a node that remembers every upstream that there ever was."""
+        self.directory.remove("one", 500)
+        self.directory.drop_missing(121_000)
+        self.list_entry(self.ready, StorePosition(2, 5), 122_000)
+        self.assertEqual(self.directory.entries(), [self.ready])
+
     def test_without_a_sequence_the_store_decides(self) -> None:
         """Guards against an order that is made up where entries don't tell theirs."""
         unnumbered = evolve(self.ready, sequence=None)
