Hand on the newest configuration that a node knows

A node that was started while the store was away answered by an old configuration (CONFIG), after the store had returned from a copy: its peer handed on the copy's version, though a newer one was in force.

Cause: a node applies only rising versions, but its copy of the store's items, which it hands on, took over whatever the store held, also an older version, an invalid one or none.

The contents now keep the value with the highest version that the node has decoded, under the position at which the store holds its own.

So reading an older version never undoes a newer one, and later versions are still told apart by the store's positions.

--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/_store_contents.py
@@ -11,7 +11,7 @@
 from attrs import evolve
 
 from cottonlink.errors import CottonlinkError
-from cottonlink.overload import StorePosition, make_upstream_directory
+from cottonlink.overload import UNKNOWN_ERA, StorePosition, make_upstream_directory
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
 from cottonlink.path._store import Listing, Store, StoreItem
@@ -33,6 +33,7 @@
         self._on_upstreams = on_upstreams
         self._directory = make_upstream_directory()
         self._items: dict[str, StoreItem] = {}
+        self._configuration_version: int | None = None
 
     def items(self) -> tuple[StoreItem, ...]:
         """Return the items that weren't removed, without the entries that aren't used."""
@@ -48,12 +49,15 @@
         entries: dict[str, tuple[Upstream | None, StorePosition]] = {}
         for item in listing.items:
             if self._store.is_configuration(item.key):
-                self._apply_configuration(item)
+                item = self._apply_configuration(item)
             elif self._store.is_upstream(item.key):
                 upstream = self._decode_upstream(item)
                 entries[item.key] = (upstream, item.position)
                 item = self._keep_departure(item, upstream)
             items[item.key] = item
+        for key, known in self._items.items():
+            if self._store.is_configuration(key) and key not in items:
+                items[key] = evolve(known, position=StorePosition(listing.position.era, 0))
         self._items = items
         held = self._directory.held()
         if self._directory.replace_all(entries, listing.position.era, now_ms):
@@ -69,14 +73,22 @@
             # Changes from other nodes and from an own watch may overlap, in a different order.
             if known is not None and item.position <= known.position:
                 continue
-            self._items[item.key] = item
             if self._store.is_configuration(item.key):
-                self._apply_configuration(item)
-            elif self._store.is_upstream(item.key):
+                item = self._apply_configuration(item)
+            self._items[item.key] = item
+            if self._store.is_upstream(item.key):
                 has_changed |= self._apply_entry(item, now_ms)
         if has_changed:
             self._publish()
 
+    def adopt_configuration(self, items: Iterable[StoreItem]) -> None:
+        """Apply the configuration that another node knows, if it is newer."""
+        for item in items:
+            if self._store.is_configuration(item.key):
+                known = self._items.get(item.key)
+                position = StorePosition(UNKNOWN_ERA, 0) if known is None else known.position
+                self._items[item.key] = evolve(self._apply_configuration(item), position=position)
+
     def store_lost(self) -> None:
         """Record that the store stopped answering."""
         self._directory.store_lost()
@@ -113,16 +125,30 @@
             return self._directory.remove(item.key, now_ms)
         return self._directory.put(item.key, self._decode_upstream(item), item.position)
 
-    def _apply_configuration(self, item: StoreItem) -> None:
+    def _apply_configuration(self, item: StoreItem) -> StoreItem:
+        """Apply a configuration; return ``item`` with the newest value that is known.
+
+        The store may hold an older version than is in force, or an invalid one.
+        """
+        known = self._items.get(item.key)
+        configuration = self._decode_configuration(item)
+        if configuration is not None:
+            self._on_configuration(configuration)
+            present = self._configuration_version
+            if present is None or configuration.version > present:
+                self._configuration_version = configuration.version
+                return item
+        return item if known is None else evolve(item, value=known.value)
+
+    def _decode_configuration(self, item: StoreItem) -> Configuration | None:
         if item.value is None:
-            return
+            return None
         try:
-            configuration = self._store.decode_configuration(item)
+            return self._store.decode_configuration(item)
         except CottonlinkError as error:
             # The previous configuration stays in force.
             self._log.event("configuration_invalid", detail=error.detail)
-            return
-        self._on_configuration(configuration)
+            return None
 
     def _decode_upstream(self, item: StoreItem) -> Upstream | None:
         try:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -163,15 +163,20 @@
         return StoreSnapshotFrame(self._position.revision, items, era=self._position.era)
 
     def apply_snapshot(self, frame: StoreSnapshotFrame) -> None:
-        """Apply another node's copy of the store, unless this node has one."""
+        """Apply another node's copy of the store, or only its configuration if this node has one.
+
+        The store may have returned from a copy with an older configuration than the peer knows.
+        """
+        era = UNKNOWN_ERA if frame.era is None else frame.era
+        items = _unpack_items(frame.items, era)
         if self._position is not None:
+            self._contents.adopt_configuration(items)
             return
-        era = UNKNOWN_ERA if frame.era is None else frame.era
         self._log.event(
-            "store_known_by_peer", era=frame.era, revision=frame.revision, items=len(frame.items)
+            "store_known_by_peer", era=frame.era, revision=frame.revision, items=len(items)
         )
         position = StorePosition(era, frame.revision)
-        self._apply_listing(Listing(_unpack_items(frame.items, era), position))
+        self._apply_listing(Listing(items, position))
         # Without the era, changes of other nodes can't be put in order with the snapshot.
         self._must_read = frame.era is None
 
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -48,6 +48,8 @@
         return False
 
     def decode_configuration(self, item: StoreItem) -> mock.Mock:
+        if not item.value.isdigit():
+            raise CottonlinkError("record_invalid", "no number", step=Step.POLICY_READ)
         return mock.Mock(version=int(item.value))
 
     def _answer(self, call: str, items: tuple[StoreItem, ...]) -> Listing:
@@ -231,6 +233,55 @@
         self.assertEqual(self.store.calls, ["read"])
 
 
+class TestConfigurationInTheCopy(FollowerCase):
+    """The configuration that a node hands on, where the store has an older one or none."""
+
+    async def read(self, *values: bytes, era: int = 1) -> None:
+        """Let the node read a store that holds these configurations, at most one."""
+        position = StorePosition(era, 5)
+        self.store.position = position
+        self.store.items = tuple(StoreItem("configuration", position, value) for value in values)
+        self.follower._must_read = True
+        await self.follower._step()
+
+    def handed_on(self) -> list[bytes | None]:
+        """Return the configurations in the node's snapshot."""
+        return [value for _, _, value in self.follower.snapshot().items]
+
+    async def test_newest_version_is_handed_on(self) -> None:
+        """A node that starts while the store is away must not get a version that is out of force.
+
+        The copy holds an older version, none, or one that can't be read.
+        """
+        await self.read(b"7")
+        for era, values in enumerate(([b"6"], [], [b"7"], [b"x"]), start=2):
+            with self.subTest(values=values):
+                await self.read(*values, era=era)
+                self.assertEqual(self.handed_on(), [b"7"])
+        await self.read(b"8", era=9)
+        self.assertEqual(self.handed_on(), [b"8"])
+
+    async def test_older_version_of_a_change_is_not_handed_on(self) -> None:
+        """An older version that is written again must not replace the newest one."""
+        await self.read(b"7")
+        self.follower.apply_changes(StoreChangesFrame(5, 6, (("configuration", 6, b"6"),), era=1))
+        self.follower.apply_changes(StoreChangesFrame(6, 7, (("configuration", 7, None),), era=1))
+        self.assertEqual(self.handed_on(), [b"7"])
+
+    async def test_newer_version_of_a_peer_is_taken_after_the_copy_was_read(self) -> None:
+        """A node that starts just then asks peers and the store at once.
+
+        It must not stay on the copy's version because the store answered first.
+        """
+        await self.read(b"4", era=2)
+        self.follower.apply_snapshot(StoreSnapshotFrame(9, (("configuration", 9, b"7"),), era=1))
+        self.assertEqual(self.applied_versions(), [4, 7])
+        await self.read(b"4", era=2)
+        self.assertEqual(self.handed_on(), [b"7"])
+        self.follower.apply_changes(StoreChangesFrame(5, 6, (("configuration", 6, b"8"),), era=2))
+        self.assertEqual(self.handed_on(), [b"8"])
+
+
 del FollowerCase
 
 
