Read the store after an outage before watching it

Cause: a node that heard a watcher's heartbeat forgot that it had lost the store. The directory, on the other hand, was never told that the store was back, and deferred all removals for as long as the node only listened.

A heartbeat in the node's own era tells the directory that the store is back, so that the grace period begins there too. store_regained says which of the two it was.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -74,11 +74,13 @@
         """Record that the store stopped answering."""
         self._is_store_unavailable = True
 
-    def store_regained(self, now_ms: float) -> None:
-        """Record that the store answers again."""
-        if self._is_store_unavailable:
-            self._is_store_unavailable = False
-            self._store_back_at_ms = now_ms
+    def store_regained(self, now_ms: float) -> bool:
+        """Record that the store answers again; return whether it had stopped."""
+        if not self._is_store_unavailable:
+            return False
+        self._is_store_unavailable = False
+        self._store_back_at_ms = now_ms
+        return True
 
     def put(self, entry_id: str, entry: Any, position: StorePosition) -> bool:
         """Add or replace an entry, as of a position of the store; return whether it changed.
--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/_store_contents.py
@@ -93,9 +93,9 @@
         """Record that the store stopped answering."""
         self._directory.store_lost()
 
-    def store_regained(self, now_ms: float) -> None:
-        """Record that the store answers again."""
-        self._directory.store_regained(now_ms)
+    def store_regained(self, now_ms: float) -> bool:
+        """Record that the store answers again; return whether it had stopped."""
+        return self._directory.store_regained(now_ms)
 
     def maintain(self, now_ms: float) -> None:
         """Drop upstreams that stayed missing, and use those that proved to be alive."""
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -144,6 +144,10 @@
             self._learn_era(era)
             return
         self._watcher_election.record_heartbeat(self._now_ms())
+        # A watcher reaches the store, so entries are removed again, though this node's own next
+        # call remains a read.
+        if self._contents.store_regained(self._now_ms()):
+            self._log.event("store_regained", by="watcher")
         if frame.revision <= known.revision:
             return
         if frame.after > known.revision:
@@ -181,15 +185,14 @@
         self._must_read = frame.era is None
 
     async def _step(self) -> None:
-        if self._must_read or (
-            self._is_store_lost and self._watcher_election.must_watch(self._now_ms())
-        ):
-            # A read shows at once whether the store answers again; a watch may wait for changes.
+        must_watch = self._watcher_election.must_watch(self._now_ms())
+        if self._must_read or (must_watch and self._is_store_lost):
+            # A read shows at once whether the store answers again. A watch may wait for changes, or
+            # be sent on a connection that broke in the outage.
             await self._read_all()
-        elif self._watcher_election.must_watch(self._now_ms()):
+        elif must_watch:
             await self._watch(self._position)
         else:
-            self._is_store_lost = False
             await asyncio.sleep(LISTENER_CHECK_INTERVAL_S)
 
     async def _read_all(self) -> None:
@@ -289,7 +292,7 @@
         self._retry_delay_s = MIN_RETRY_DELAY_S
         if self._is_store_lost:
             self._is_store_lost = False
-            self._log.event("store_regained")
+            self._log.event("store_regained", by="call")
         self._contents.store_regained(self._now_ms())
 
     def _log_changes(self, event: str, frame: StoreChangesFrame, **fields: Any) -> None:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -9,7 +9,14 @@
 from attrs import define
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import EraChangedError, Listing, StoreFollower, StoreItem, StorePosition
+from cottonlink.path import (
+    EraChangedError,
+    Listing,
+    StoreFollower,
+    StoreItem,
+    StorePosition,
+    Upstream,
+)
 from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
 
 
@@ -45,7 +52,10 @@
         return key == "configuration"
 
     def is_upstream(self, key: str) -> bool:
-        return False
+        return key == "upstream"
+
+    def decode_upstream(self, item: StoreItem) -> Upstream:
+        return Upstream("one", "reads", ("127.0.0.9", 80), "hall-a", 1, False, 0.0, None)
 
     def decode_configuration(self, item: StoreItem) -> mock.Mock:
         if not item.value.isdigit():
@@ -108,10 +118,7 @@
 
         A node that hears of a watcher meanwhile must not take the store for regained.
         """
-        self.store.is_reachable = False
-        with self.assertRaises(CottonlinkError) as caught:
-            await self.follower._step()
-        self.follower._on_store_lost(caught.exception)
+        await self.lose_store()
         self.follower.apply_changes(StoreChangesFrame(1, 1, ()))
         await self.follower._step()
         self.clock.now_s += 10.0
@@ -120,6 +127,38 @@
         await self.follower._step()
         self.assertEqual(self.store.calls, ["read"])
 
+    async def test_removal_takes_effect_after_the_grace_period_on_a_listening_node(self) -> None:
+        """A node that lost the store and then only listens kept upstreams that had left.
+
+        The grace period of the returned store begins with a watcher's heartbeat.
+        """
+        self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
+        self.follower._must_read = True
+        await self.follower._step()
+        await self.lose_store()
+        self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=1))
+        self.node.apply_upstreams.reset_mock()
+        self.clock.now_s += 3.0
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
+        self.node.apply_upstreams.assert_called_once_with([])
+
+    async def test_entry_that_expired_in_an_outage_is_kept_on_a_listening_node(self) -> None:
+        """A watcher's first changes after an outage must not drop upstreams that are alive."""
+        self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
+        self.follower._must_read = True
+        await self.follower._step()
+        await self.lose_store()
+        self.node.apply_upstreams.reset_mock()
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
+        self.node.apply_upstreams.assert_not_called()
+
+    async def lose_store(self) -> None:
+        """Let a call of the node fail."""
+        self.store.is_reachable = False
+        with self.assertRaises(CottonlinkError) as caught:
+            await self.follower._step()
+        self.follower._on_store_lost(caught.exception)
+
 
 class TestChangesOfPeers(FollowerCase):
     """Changes of other nodes, which may follow another era of the store or know of no eras."""
