Give up a watch of the store once a read is due

Cause: a newer era or missed changes only set a flag, which the follower looked at between two calls. Moreover an era that was announced during a read which had begun before was forgotten when that read ended.

A read that falls due now cancels the watch, and the client closes a connection on which a call was cancelled, so that the answer can't be taken for that to the next call. A read that ends in an older era than one announced meanwhile is followed by another.

--- a/src/cottonlink/path/_store.py
+++ b/src/cottonlink/path/_store.py
@@ -63,3 +63,17 @@
 
     def decode_upstream(self, item: StoreItem) -> Upstream:
         """Return the upstream in ``item``. Raises CottonlinkError if it is invalid."""
+
+
+def pack_items(items: tuple[StoreItem, ...]) -> tuple[tuple[str, int, bytes | None], ...]:
+    """Return ``items`` as frames between nodes carry them, without their era."""
+    return tuple((item.key, item.position.revision, item.value) for item in items)
+
+
+def unpack_items(
+    items: tuple[tuple[str, int, bytes | None], ...], era: int
+) -> tuple[StoreItem, ...]:
+    """Return the items of a frame whose revisions are of ``era``."""
+    return tuple(
+        StoreItem(key, StorePosition(era, revision), value) for key, revision, value in items
+    )
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -30,6 +30,8 @@
     Listing,
     Store,
     StoreItem,
+    pack_items,
+    unpack_items,
 )
 from cottonlink.path._store_contents import make_store_contents
 
@@ -89,6 +91,7 @@
         self._watcher_election = make_watcher_election(name)
         self._position: StorePosition | None = None
         self._must_read = True
+        self._watch_call: asyncio.Future[Listing] | None = None
         # The latest era that another node told of.
         self._announced_era = UNKNOWN_ERA
         self._ignored_changes: set[tuple[str, int | None]] = set()
@@ -153,17 +156,17 @@
         if frame.after > known.revision:
             # A change was missed, which only the store still has.
             self._log_changes("store_changes_missed", frame)
-            self._must_read = True
+            self._require_read()
             return
         self._log_changes("store_changes_received", frame)
-        self._contents.apply(_unpack_items(frame.items, era), self._now_ms())
+        self._contents.apply(unpack_items(frame.items, era), self._now_ms())
         self._position = StorePosition(era, frame.revision)
 
     def snapshot(self) -> StoreSnapshotFrame | None:
         """Return this node's copy of the store, or None if it has none."""
         if self._position is None:
             return None
-        items = _pack_items(self._contents.items())
+        items = pack_items(self._contents.items())
         return StoreSnapshotFrame(self._position.revision, items, era=self._position.era)
 
     def apply_snapshot(self, frame: StoreSnapshotFrame) -> None:
@@ -172,7 +175,7 @@
         The store may have returned from a copy with an older configuration than the peer knows.
         """
         era = UNKNOWN_ERA if frame.era is None else frame.era
-        items = _unpack_items(frame.items, era)
+        items = unpack_items(frame.items, era)
         if self._position is not None:
             self._contents.adopt_configuration(items)
             return
@@ -197,6 +200,7 @@
 
     async def _read_all(self) -> None:
         self.call_count += 1
+        announced_era = self._announced_era
         listing = await self._store.read_all()
         position, previous = listing.position, self._position
         if previous is not None and position.era < previous.era:
@@ -213,7 +217,8 @@
             items=len(listing.items),
             previous=previous and previous.revision,
         )
-        self._must_read = False
+        # An era that was announced meanwhile may have begun after the first answer.
+        self._must_read = position.era < self._announced_era != announced_era
         self._apply_listing(listing)
         if self._watcher_election.is_watcher and previous and position.era > previous.era:
             # The other nodes rely on this one and can't tell by themselves that the era changed.
@@ -239,7 +244,14 @@
 
     async def _watch(self, asked: StorePosition) -> None:
         self.call_count += 1
-        changes = await self._store.watch(asked)
+        self._watch_call = asyncio.ensure_future(self._store.watch(asked))
+        try:
+            await asyncio.wait((self._watch_call,))
+        finally:
+            self._watch_call.cancel()
+        if self._watch_call.cancelled():
+            return
+        changes = self._watch_call.result()
         self._on_store_regained()
         if changes.items:
             self._log.event(
@@ -260,14 +272,20 @@
         self._heartbeat_due_ms = self._now_ms() + HEARTBEAT_PERIOD_MS
         position = self._position
         self._node.broadcast_changes(
-            StoreChangesFrame(after, position.revision, _pack_items(items), era=position.era)
+            StoreChangesFrame(after, position.revision, pack_items(items), era=position.era)
         )
 
+    def _require_read(self) -> None:
+        """Read everything next, without waiting for a watch, which may hang since an outage."""
+        self._must_read = True
+        if self._watch_call is not None:
+            self._watch_call.cancel()
+
     def _learn_era(self, era: int) -> None:
         """Read everything, once, as another node knows a later era of the store."""
         if era > self._announced_era:
             self._announced_era = era
-            self._must_read = True
+            self._require_read()
             self._log.event("store_era_announced", era=era, known=self._position.era)
 
     def _ignore_changes(self, frame: StoreChangesFrame, reason: str) -> None:
@@ -309,15 +327,3 @@
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
-
-
-def _pack_items(items: tuple[StoreItem, ...]) -> tuple[tuple[str, int, bytes | None], ...]:
-    return tuple((item.key, item.position.revision, item.value) for item in items)
-
-
-def _unpack_items(
-    items: tuple[tuple[str, int, bytes | None], ...], era: int
-) -> tuple[StoreItem, ...]:
-    return tuple(
-        StoreItem(key, StorePosition(era, revision), value) for key, revision, value in items
-    )
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -148,6 +148,10 @@
         except (OSError, TimeoutError) as error:
             self.close()
             raise self._unreachable_error(type(error).__name__) from error
+        except asyncio.CancelledError:
+            # An answer that arrives later must not be taken for that to the next call.
+            self.close()
+            raise
         if isinstance(result, ExchangeFailed):
             self.close()
             raise self._unreachable_error(result.reason)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 from unittest import mock
@@ -31,11 +32,15 @@
 
 
 class RecordingStore:
-    """Answers with nothing new, or fails while ``is_reachable`` is not set."""
+    """Answers with nothing new, or fails while ``is_reachable`` is not set.
+
+    A watch that begins while ``is_hanging`` is set is never answered.
+    """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.is_reachable = True
+        self.is_hanging = False
         self.position = StorePosition(1, 1)
         self.items: tuple[StoreItem, ...] = ()
 
@@ -43,6 +48,9 @@
         return self._answer("read", self.items)
 
     async def watch(self, position: StorePosition) -> Listing:
+        if self.is_hanging:
+            self.calls.append("watch")
+            await asyncio.Event().wait()
         if self.is_reachable and position.era != self.position.era:
             self.calls.append("watch")
             raise EraChangedError("store_era_changed", "another era", step=Step.POLICY_READ)
@@ -206,6 +214,41 @@
         self.assertEqual(self.store.calls.count("read"), 1)
         self.assertFalse(self.hears_watcher())
 
+    async def test_newer_era_ends_a_watch_that_hangs(self) -> None:
+        """A watch on a connection from an outage must not delay what a peer has told.
+
+        The same holds for changes that were missed.
+        """
+        for frame in (StoreChangesFrame(10, 12, ()), StoreChangesFrame(1, 1, (), era=2)):
+            with self.subTest(frame=frame):
+                self.store.is_hanging = True
+                step = asyncio.create_task(self.follower._step())
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                self.assertEqual(self.store.calls, ["watch"])
+                self.follower.apply_changes(frame)
+                await asyncio.wait_for(step, timeout=5.0)
+                self.store.is_hanging = False
+                await self.follower._step()
+                self.assertEqual(self.store.calls, ["watch", "read"])
+                self.store.calls.clear()
+                self.clock.now_s += 10.0
+
+    async def test_era_announced_during_a_read_is_read(self) -> None:
+        """A read that began before the store returned must not hide the newer era."""
+
+        async def read_before_the_return() -> Listing:
+            self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=2))
+            return Listing((), StorePosition(1, 1))
+
+        self.follower._must_read = True
+        with mock.patch.object(self.store, "read_all", read_before_the_return):
+            await self.follower._step()
+        self.store.position = StorePosition(2, 1)
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+        self.assertEqual(self.follower.snapshot().era, 2)
+
     async def test_node_serves_with_what_it_has_until_it_can_read_the_newer_era(self) -> None:
         """A node that only hears of a newer era must not forget what it knows."""
         self.store.is_reachable = False
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -212,6 +212,17 @@
         with self.assertRaises(EraChangedError):
             await client.watch(position)
 
+    async def test_call_after_a_cancelled_watch_gets_its_own_answer(self) -> None:
+        """A late answer to a watch that was given up must not be taken for a listing."""
+        client = self.make_client()
+        position = (await client.read_all()).position
+        watch = asyncio.create_task(client.watch(position))
+        await self.wait_until(lambda: "kv-watch" in self.store.request_targets[-1])
+        watch.cancel()
+        await asyncio.wait((watch,))
+        await self.write_unrelated(1)
+        self.assertEqual(len((await client.read_all()).items), 4)
+
     async def test_malformed_era_is_an_invalid_answer(self) -> None:
         """A node must not order changes by an era that it can't read, or fail on one."""
         client = self.make_client()
