Keep the clock out of the tests of a return from a copy

Two tests checked within the grace period, 2.3 s, or the life of an unwritten entry, 6.5 s, that an upstream was kept or unused. On a machine that is slow for that long they would have failed without a fault.

Both periods are longer than any test while they check. The limits themselves are tested in tests.test_overload with given times.

--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -16,6 +16,10 @@
 READS = route_resource("reads", "shop.example", "/reads/", "browse")
 OFFERS = route_resource("offers", "shop.example", "/offers/", "browse")
 
+DIRECTORY = "cottonlink.overload._upstream_directory"
+# Longer than any test runs, for periods that must not end while it checks.
+LONG_MS = 600_000.0
+
 
 class ReturnCase(FleetCase):
     """Two targets of one service; both nodes watch the store."""
@@ -154,9 +158,10 @@
         copy = self.store.take_copy()
         await self.store.remove("servers/i-1")
         await self.wait_until_upstreams("i-2")
-        await self.return_from_copy(copy)
-        for vm in self.vms:
-            self.assertEqual(self.upstream_ids(vm), {"i-2"})
+        with mock.patch(f"{DIRECTORY}.UNWRITTEN_ENTRY_LIFE_MS", LONG_MS):
+            await self.return_from_copy(copy)
+            for vm in self.vms:
+                self.assertEqual(self.upstream_ids(vm), {"i-2"})
         await self.store.put("servers/i-1", self.first.target.entry())
         await self.wait_until_upstreams("i-1", "i-2")
 
@@ -165,9 +170,10 @@
         copy = self.store.take_copy()
         third = await self.add_vm("browse", "i-3")
         await self.wait_until_version(4)
-        await self.return_from_copy(copy)
-        for vm in self.vms:
-            self.assertEqual(self.upstream_ids(vm), {"i-1", "i-2", "i-3"})
+        with mock.patch(f"{DIRECTORY}.STORE_RETURN_GRACE_MS", LONG_MS):
+            await self.return_from_copy(copy)
+            for vm in self.vms:
+                self.assertEqual(self.upstream_ids(vm), {"i-1", "i-2", "i-3"})
         await self.store.put("servers/i-3", third.target.entry())
         await self.store.remove("servers/i-2")
         await self.wait_until_upstreams("i-1", "i-3")
