--- a/src/cottonlink/path/__init__.py
+++ b/src/cottonlink/path/__init__.py
@@ -1,5 +1,6 @@
 """The call path: one event loop that carries calls between callers, nodes and targets."""
 
+from cottonlink.overload import UNKNOWN_ERA, StorePosition
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers
@@ -15,18 +16,15 @@
 )
 from cottonlink.path._node import Node
 from cottonlink.path._settings import NodeSettings, load_node_settings
-from cottonlink.path._store_follower import (
-    HistoryLostError,
-    Listing,
-    Store,
-    StoreFollower,
-    StoreItem,
-)
+from cottonlink.path._store import EraChangedError, HistoryLostError, Listing, Store, StoreItem
+from cottonlink.path._store_follower import StoreFollower
 
 __all__ = [
+    "UNKNOWN_ERA",
     "CallFrame",
     "CallerLimits",
     "Configuration",
+    "EraChangedError",
     "EventLog",
     "ExchangeFailed",
     "HeaderCodec",
@@ -42,6 +40,7 @@
     "Store",
     "StoreFollower",
     "StoreItem",
+    "StorePosition",
     "Upstream",
     "WeightedService",
     "load_node_settings",
--- a/src/cottonlink/platform/_records.py
+++ b/src/cottonlink/platform/_records.py
@@ -13,7 +13,15 @@
 import orjson
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import CallerLimits, Configuration, Route, StoreItem, Upstream, WeightedService
+from cottonlink.path import (
+    CallerLimits,
+    Configuration,
+    Route,
+    StoreItem,
+    StorePosition,
+    Upstream,
+    WeightedService,
+)
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
@@ -30,18 +38,20 @@
     return CottonlinkError("record_invalid", detail, step=Step.POLICY_READ)
 
 
-def decode_item(data: Any) -> StoreItem:
+def decode_item(data: Any, era: int) -> StoreItem:
     """Return an item of the store, or the changed item that an event of a watch reports.
 
-    The value of a removed item is None. Raises CottonlinkError.
+    ``era`` is that of the answer which holds it. The value of a removed item is None. Raises
+    CottonlinkError.
     """
     try:
         key, revision = data["key"], data["revision"]
         if not isinstance(key, str) or not isinstance(revision, int):
             raise TypeError("expected a string as key and an integer as revision")
+        position = StorePosition(era, revision)
         if data.get("removed"):
-            return StoreItem(key, revision, None)
-        return StoreItem(key, revision, base64.b64decode(data["value"], validate=True))
+            return StoreItem(key, position, None)
+        return StoreItem(key, position, base64.b64decode(data["value"], validate=True))
     except (KeyError, TypeError, AttributeError, ValueError, binascii.Error) as error:
         raise invalid_record(f"store item: {error!r}") from error
 
@@ -70,6 +80,7 @@
             # Time until the target reaches its full speed, counted from the entry's last change.
             warmup_left_ms=_seconds_to_ms(data.get("warmup_left_s", 0)),
             started_at_ms=started_at_ms,
+            sequence=_read_sequence(data),
         )
     except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise invalid_record(f"{item.key}: {error!r}") from error
@@ -150,6 +161,12 @@
     return value * 1000.0
 
 
+def _read_sequence(data: dict[str, Any]) -> int | None:
+    # An entry is usable without it, so nothing in its place makes the entry invalid.
+    value = data.get("sequence")
+    return value if _is_integer(value) else None
+
+
 def _check_slots(value: Any) -> int:
     if not _is_integer(value) or value < 1:
         raise TypeError(f"expected an integer of at least 1 in slots, got {value!r}")
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -10,13 +10,16 @@
 
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import (
+    UNKNOWN_ERA,
     Configuration,
+    EraChangedError,
     ExchangeFailed,
     HistoryLostError,
     HttpConnection,
     HttpResponse,
     Listing,
     StoreItem,
+    StorePosition,
     Upstream,
 )
 from cottonlink.platform._records import (
@@ -36,6 +39,10 @@
 WATCH_WAIT_MS = 2_500
 # A watch fails if it isn't answered within this time after its wait.
 WATCH_MARGIN_S = 1.0
+# Counts the times that the store returned from a copy.
+_ERA_HEADER = b"store-era"
+# More digits than any counter has; a longer number would not fit a frame between nodes.
+_ERA_DIGITS_LIMIT = 18
 _GONE = 410
 _NOT_FOUND = 404
 # One watch covers the configuration and the upstreams, whose keys share no prefix.
@@ -51,12 +58,15 @@
         self._connection: HttpConnection | None = None
 
     async def read_all(self) -> Listing:
-        """Return the configuration and all entries of upstreams."""
+        """Return the configuration and all entries of upstreams.
+
+        Raises EraChangedError if the store returned from a copy in between.
+        """
         configuration = await self._read_key(CONFIGURATION_KEY)
-        upstreams = await self._read_range(UPSTREAM_PREFIX)
+        upstreams = await self._read_range(UPSTREAM_PREFIX, configuration.position.era)
         # The watch continues from the earlier read, so that no change between the two is missed.
-        revision = min(configuration.revision, upstreams.revision)
-        return Listing(configuration.items + upstreams.items, revision)
+        position = min(configuration.position, upstreams.position)
+        return Listing(configuration.items + upstreams.items, position)
 
     def is_configuration(self, key: str) -> bool:
         """Return whether ``key`` holds the operator's configuration."""
@@ -78,42 +88,50 @@
         """Return a listing with the item of ``key``, or without items if there is none."""
         answer = await self._get("/-/kv-key", {"key": key}, READ_TIMEOUT_S)
         if answer.status == _NOT_FOUND:
-            return Listing((), _read_revision(_parse(answer), default=0))
+            return Listing((), _read_position(answer, _parse(answer), default=0))
         data = _parse(_expect_ok(answer))
-        return Listing((decode_item(data),), _read_revision(data))
+        position = _read_position(answer, data)
+        return Listing((decode_item(data, position.era),), position)
 
-    async def _read_range(self, prefix: str) -> Listing:
-        """Return all items whose keys begin with ``prefix``."""
+    async def _read_range(self, prefix: str, era: int) -> Listing:
+        """Return all items whose keys begin with ``prefix``, all of one ``era``."""
         items: list[StoreItem] = []
-        revision: int | None = None
+        position: StorePosition | None = None
         query = {"prefix": prefix}
         while True:
-            data = _parse(_expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S)))
-            page = [decode_item(item) for item in data.get("items", ())]
+            answer = _expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S))
+            data = _parse(answer)
+            page_position = _read_position(answer, data)
+            _expect_era(page_position.era, era)
+            page = [decode_item(item, era) for item in data.get("items", ())]
             items += page
             # The watch continues from the first page, so that no change between pages is missed.
-            revision = _read_revision(data) if revision is None else revision
+            position = position or page_position
             if not data.get("has_more") or not page:
-                return Listing(tuple(items), revision)
+                return Listing(tuple(items), position)
             query = {"prefix": prefix, "after": page[-1].key}
 
-    async def watch(self, revision: int) -> Listing:
-        """Return the changes after ``revision``, or none if there are none within WATCH_WAIT_MS.
+    async def watch(self, position: StorePosition) -> Listing:
+        """Return the changes after ``position``, or none if there are none within WATCH_WAIT_MS.
 
-        Raises HistoryLostError if the store no longer holds all of them.
+        Raises HistoryLostError if the store no longer holds all of them, and EraChangedError if it
+        is of another era, in which the same revision stands for another change.
         """
-        query = {"prefix": _ALL_KEYS_PREFIX, "after": revision, "wait_ms": WATCH_WAIT_MS}
+        query = {"prefix": _ALL_KEYS_PREFIX, "after": position.revision, "wait_ms": WATCH_WAIT_MS}
         timeout_s = WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S
         answer = await self._get("/-/kv-watch", query, timeout_s)
         if answer.status == _GONE:
+            _expect_era(_read_era(answer), position.era)
             raise HistoryLostError(
                 "store_history_lost",
-                f"the store no longer holds the changes after revision {revision}",
+                f"the store no longer holds the changes after revision {position.revision}",
                 step=Step.POLICY_READ,
             )
         data = _parse(_expect_ok(answer))
-        events = tuple(decode_item(event) for event in data.get("events", ()))
-        return Listing(events, max(revision, _read_revision(data)))
+        answered = _read_position(answer, data)
+        _expect_era(answered.era, position.era)
+        events = tuple(decode_item(event, answered.era) for event in data.get("events", ()))
+        return Listing(events, max(position, answered))
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -130,6 +148,10 @@
         except (OSError, TimeoutError) as error:
             self.close()
             raise self._unreachable_error(type(error).__name__) from error
+        except asyncio.CancelledError:
+            # An answer that arrives later must not be taken for that to the next call.
+            self.close()
+            raise
         if isinstance(result, ExchangeFailed):
             self.close()
             raise self._unreachable_error(result.reason)
@@ -170,6 +192,15 @@
     return answer
 
 
+def _expect_era(era: int, expected: int) -> None:
+    if era != expected:
+        raise EraChangedError(
+            "store_era_changed",
+            f"expected an answer from era {expected}, got one from era {era}",
+            step=Step.POLICY_READ,
+        )
+
+
 def _parse(answer: HttpResponse) -> dict[str, Any]:
     try:
         data = orjson.loads(answer.body) if answer.body else {}
@@ -182,10 +213,24 @@
     return data
 
 
-def _read_revision(data: dict[str, Any], default: int | None = None) -> int:
+def _read_position(
+    answer: HttpResponse, data: dict[str, Any], default: int | None = None
+) -> StorePosition:
     revision = data.get("as_of", default)
     if not isinstance(revision, int):
         raise CottonlinkError(
             "store_answer_invalid", "expected an integer in as_of", step=Step.POLICY_READ
         )
-    return revision
+    return StorePosition(_read_era(answer), revision)
+
+
+def _read_era(answer: HttpResponse) -> int:
+    """Return the era of the store that gave ``answer``. Raises CottonlinkError if it is invalid."""
+    value = answer.header(_ERA_HEADER)
+    if value is None:
+        return UNKNOWN_ERA
+    if not value.isdigit() or len(value) > _ERA_DIGITS_LIMIT:
+        raise CottonlinkError(
+            "store_answer_invalid", f"expected an era, got {value[:40]!r}", step=Step.POLICY_READ
+        )
+    return int(value)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,6 +13,7 @@
     NEW_REQUEST_TIER,
     Job,
     RouteThrottle,
+    StorePosition,
     allowed_wait_ms,
     make_load_balancer,
     make_retry_budget,
@@ -467,7 +468,7 @@
     def setUp(self) -> None:
         self.directory = make_upstream_directory()
         self.entry = make_upstream("one")
-        self.directory.put("one", self.entry, 1)
+        self.directory.put("one", self.entry, StorePosition(1, 1))
 
     def test_removal_without_an_outage_takes_effect_at_once(self) -> None:
         """Guards against calls to an upstream that has left."""
@@ -477,24 +478,35 @@
     def test_expired_entry_is_kept_for_the_grace_period(self) -> None:
         """Guards against dropping live upstreams whose entries expired during an outage."""
         self.directory.store_lost()
-        self.assertFalse(self.directory.replace_all({}, 1_000))
+        self.assertFalse(self.directory.replace_all({}, 1, 1_000))
         self.directory.store_regained(1_000)
         self.assertFalse(self.directory.remove("one", 1_100))
         self.assertEqual(self.directory.drop_missing(2_900), [])
         self.assertEqual(self.directory.entries(), [self.entry])
         self.assertEqual(self.directory.drop_missing(3_400), ["one"])
 
+    def test_entry_that_a_copy_lacks_is_kept_for_the_grace_period(self) -> None:
+        """Guards against dropping live upstreams that registered after the copy was made.
+
+        The node hasn't noticed that the store was away.
+        """
+        self.directory.replace_all({"one": (self.entry, StorePosition(1, 1))}, 1, 0)
+        self.assertFalse(self.directory.replace_all({}, 2, 1_000))
+        self.assertEqual(self.directory.entries(), [self.entry])
+        self.assertEqual(self.directory.drop_missing(3_200), [])
+        self.assertEqual(self.directory.drop_missing(3_400), ["one"])
+
     def test_entry_that_returns_is_kept(self) -> None:
         """Guards against dropping an upstream that registered again within the grace period."""
         self.directory.store_lost()
         self.directory.store_regained(1_000)
         self.directory.remove("one", 1_100)
-        self.directory.put("one", self.entry, 2)
+        self.directory.put("one", self.entry, StorePosition(1, 2))
         self.assertEqual(self.directory.drop_missing(9_000), [])
 
     def test_undecodable_entry_hides_the_former_one(self) -> None:
         """Guards against use of an upstream after its entry was replaced by an undecodable one."""
-        self.directory.put("one", None, 2)
+        self.directory.put("one", None, StorePosition(1, 2))
         self.assertEqual(self.directory.entries(), [])
 
     def test_without_start_times_the_last_written_entry_owns_the_address(self) -> None:
@@ -507,21 +519,172 @@
         for order in ((former, 5), (later, 7)), ((later, 7), (former, 5)):
             directory = make_upstream_directory()
             for entry, revision in order:
-                directory.put(entry.upstream_id, entry, revision)
+                directory.put(entry.upstream_id, entry, StorePosition(1, revision))
             self.assertEqual(directory.entries(), [later])
-            directory.put("one", former, 9)
+            directory.put("one", former, StorePosition(1, 9))
             self.assertEqual(directory.entries(), [former])
 
+    def test_return_from_a_copy_does_not_change_the_owner_of_an_address(self) -> None:
+        """Guards against an order made of revisions that two histories of the store gave out.
+
+        The entry of the former upstream is in the copy, where it gets a higher position than the
+        one that was written last has had.
+        """
+        former = evolve(self.entry, started_at_ms=None)
+        later = evolve(former, upstream_id="two")
+        directory = make_upstream_directory()
+        directory.put("one", former, StorePosition(1, 5))
+        directory.put("two", later, StorePosition(1, 7))
+        directory.put("one", former, StorePosition(2, 5))
+        self.assertEqual(directory.entries(), [later])
+        directory.put("one", former, StorePosition(2, 6))
+        self.assertEqual(directory.entries(), [former])
+
     def test_upstream_that_started_last_owns_the_address(self) -> None:
         """Guards against an entry of a former upstream that hides its successor."""
         later = evolve(self.entry, upstream_id="two", started_at_ms=2)
-        self.directory.put("two", later, 2)
-        self.directory.put("one", evolve(self.entry, slots=9), 3)
+        self.directory.put("two", later, StorePosition(1, 2))
+        self.directory.put("one", evolve(self.entry, slots=9), StorePosition(1, 3))
         self.assertEqual(self.directory.entries(), [later])
         self.directory.remove("two", 100)
         self.assertEqual([entry.slots for entry in self.directory.entries()], [9])
 
 
+class TestReturnFromACopy(unittest.TestCase):
+    """Entries of a store that returned from a copy, which is older than what a node knows."""
+
+    def setUp(self) -> None:
+        self.directory = make_upstream_directory()
+        self.ready = evolve(make_upstream("one"), sequence=3)
+        self.draining = evolve(self.ready, is_draining=True, sequence=9)
+        self.list_entry(self.ready, StorePosition(1, 5), 0)
+
+    def list_entry(self, entry: Upstream | None, position: StorePosition, now_ms: float) -> None:
+        """Apply a listing of one entry, or of none."""
+        entries = {} if entry is None else {"one": (entry, position)}
+        self.directory.replace_all(entries, position.era, now_ms)
+
+    def test_draining_upstream_stays_draining(self) -> None:
+        """Guards against calls to an upstream that drains, by the entry that it wrote before.
+
+        A second listing of the copy must not be taken for a later entry.
+        """
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        for _ in range(2):
+            self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+            self.assertEqual(self.directory.entries(), [self.draining])
+
+    def test_later_entry_of_a_draining_upstream_is_used(self) -> None:
+        """Guards against an upstream that stays unused after it wrote that it is ready again."""
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        later = evolve(self.ready, sequence=10)
+        self.list_entry(later, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [later])
+
+    def test_order_of_the_store_holds_within_an_era(self) -> None:
+        """Guards against an upstream that stays unused because its sequence began anew."""
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+        self.directory.put("one", self.ready, StorePosition(2, 6))
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_sequences_of_two_incarnations_are_not_compared(self) -> None:
+        """Guards against a restarted upstream that stays unused, as its sequence begins anew."""
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        restarted = evolve(self.ready, started_at_ms=2)
+        self.list_entry(restarted, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [restarted])
+
+    def test_upstream_that_had_left_stays_unused(self) -> None:
+        """Guards against calls to an upstream that has left, by an entry that nobody writes.
+
+        A second listing of the copy must not be taken for a new entry.
+        """
+        self.directory.remove("one", 500)
+        for now_ms in (1_000, 2_000):
+            self.list_entry(self.ready, StorePosition(2, 5), now_ms)
+            self.assertEqual(self.directory.entries(), [])
+            self.assertTrue(self.directory.is_held("one"))
+        self.list_entry(None, StorePosition(2, 9), 5_000)
+        self.assertEqual(self.directory.release_held(60_000), [])
+        self.assertEqual(self.directory.entries(), [])
+
+    def test_upstream_dropped_after_an_outage_stays_unused(self) -> None:
+        """Guards against calls to an upstream that was given up and comes back with a copy."""
+        self.directory.store_lost()
+        self.list_entry(None, StorePosition(1, 6), 1_000)
+        self.directory.store_regained(1_000)
+        self.assertEqual(self.directory.drop_missing(4_000), ["one"])
+        self.list_entry(self.ready, StorePosition(2, 5), 5_000)
+        self.assertEqual(self.directory.entries(), [])
+
+    def test_held_upstream_is_used_once_it_writes_again(self) -> None:
+        """Guards against an upstream that stays unused although it has registered again.
+
+        The node learns of it by a change, or by a listing that it reads instead.
+        """
+        written = evolve(self.ready, sequence=4)
+        for is_listed in (False, True):
+            with self.subTest(is_listed=is_listed):
+                self.setUp()
+                self.directory.remove("one", 500)
+                self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+                if is_listed:
+                    self.list_entry(written, StorePosition(2, 8), 2_000)
+                else:
+                    self.directory.put("one", written, StorePosition(2, 8))
+                self.assertEqual(self.directory.entries(), [written])
+
+    def test_entry_written_before_the_first_listing_is_used(self) -> None:
+        """Guards against an unused upstream that was quicker to register than the node to read."""
+        self.directory.remove("one", 500)
+        written = evolve(self.ready, sequence=4)
+        self.list_entry(written, StorePosition(2, 8), 1_000)
+        self.assertEqual(self.directory.entries(), [written])
+
+    def test_new_incarnation_of_an_upstream_that_had_left_is_used(self) -> None:
+        """Guards against an unused upstream that started anew under the same id."""
+        self.directory.remove("one", 500)
+        restarted = evolve(self.ready, started_at_ms=2)
+        self.list_entry(restarted, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [restarted])
+
+    def test_held_entry_that_does_not_expire_is_used(self) -> None:
+        """Guards against a live upstream that is never used, as its entry needn't change.
+
+        An entry whose expiry the node could not have noticed has to wait for longer.
+        """
+        self.directory.remove("one", 500)
+        self.list_entry(self.ready, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.release_held(7_000), [])
+        self.directory.store_lost()
+        self.assertEqual(self.directory.release_held(8_000), [])
+        self.directory.store_regained(9_000)
+        self.assertEqual(self.directory.release_held(15_000), [])
+        self.assertEqual(self.directory.release_held(16_000), ["one"])
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_removal_and_return_within_an_era_take_effect_at_once(self) -> None:
+        """Guards against holding an upstream that registers again after its entry expired."""
+        self.directory.remove("one", 500)
+        self.list_entry(self.ready, StorePosition(1, 9), 1_000)
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_departures_are_forgotten(self) -> None:
+        """Guards against a node that remembers every upstream that there ever was."""
+        self.directory.remove("one", 500)
+        self.directory.drop_missing(121_000)
+        self.list_entry(self.ready, StorePosition(2, 5), 122_000)
+        self.assertEqual(self.directory.entries(), [self.ready])
+
+    def test_without_a_sequence_the_store_decides(self) -> None:
+        """Guards against an order that is made up where entries don't tell theirs."""
+        unnumbered = evolve(self.ready, sequence=None)
+        self.directory.put("one", self.draining, StorePosition(1, 8))
+        self.list_entry(unnumbered, StorePosition(2, 5), 1_000)
+        self.assertEqual(self.directory.entries(), [unnumbered])
+
+
 @define
 class ReplayResult:
     """Number of requests that completed in time, out of those sent."""
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -7,33 +7,118 @@
 import unittest
 from unittest import mock
 
+from attrs import define
+
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.path import StoreFollower
-from cottonlink.path._frames import StoreChangesFrame
-from cottonlink.path._store_follower import Listing
+from cottonlink.path import (
+    EraChangedError,
+    Listing,
+    StoreFollower,
+    StoreItem,
+    StorePosition,
+    Upstream,
+)
+from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
+
+
+@define
+class Clock:
+    """Stands in for the event loop, of which a follower uses only the time."""
+
+    now_s: float = 1_000.0
+
+    def time(self) -> float:
+        return self.now_s
 
 
 class RecordingStore:
-    """Answers with nothing new, or fails while ``is_reachable`` is not set."""
+    """Answers with nothing new, or fails while ``is_reachable`` is not set.
+
+    A watch that begins while ``is_hanging`` is set is never answered.
+    """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.is_reachable = True
+        self.is_hanging = False
+        self.position = StorePosition(1, 1)
+        self.items: tuple[StoreItem, ...] = ()
 
     async def read_all(self) -> Listing:
-        return self._answer("read")
+        return self._answer("read", self.items)
+
+    async def watch(self, position: StorePosition) -> Listing:
+        if self.is_hanging:
+            self.calls.append("watch")
+            await asyncio.Event().wait()
+        if self.is_reachable and position.era != self.position.era:
+            self.calls.append("watch")
+            raise EraChangedError("store_era_changed", "another era", step=Step.POLICY_READ)
+        return self._answer("watch", ())
+
+    def is_configuration(self, key: str) -> bool:
+        return key == "configuration"
+
+    def is_upstream(self, key: str) -> bool:
+        return key == "upstream"
 
-    async def watch(self, revision: int) -> Listing:
-        return self._answer("watch")
+    def decode_upstream(self, item: StoreItem) -> Upstream:
+        return Upstream("one", "reads", ("127.0.0.9", 80), "hall-a", 1, False, 0.0, None)
 
-    def _answer(self, call: str) -> Listing:
+    def decode_configuration(self, item: StoreItem) -> mock.Mock:
+        if not item.value.isdigit():
+            raise CottonlinkError("record_invalid", "no number", step=Step.POLICY_READ)
+        return mock.Mock(version=int(item.value))
+
+    def _answer(self, call: str, items: tuple[StoreItem, ...]) -> Listing:
         self.calls.append(call)
         if not self.is_reachable:
             raise CottonlinkError("store_unreachable", "silent", step=Step.POLICY_READ)
-        return Listing((), 1)
+        return Listing(items, self.position)
+
+
+class FollowerCase(unittest.IsolatedAsyncioTestCase):
+    """A node that is no watcher and has read the store once."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = Clock()
+        self.store = RecordingStore()
+        self.node = mock.Mock()
+        self.log = mock.Mock()
+        self.follower = self.make_follower()
+        await self.follower._step()
+        self.store.calls.clear()
+
+    def make_follower(self) -> StoreFollower:
+        """Return a follower that isn't elected to watch."""
+        follower = StoreFollower(
+            self.store,
+            self.node,
+            "127.0.0.3",
+            "hall-a",
+            self.log,
+            random.Random(1),
+            self.clock,
+        )
+        follower._watcher_election.set_members(("127.0.0.1", "127.0.0.2", "127.0.0.3"))
+        self.assertFalse(follower._watcher_election.is_watcher)
+        return follower
 
+    def hears_watcher(self) -> bool:
+        """Return whether the node relies on a watcher's heartbeats."""
+        return not self.follower._watcher_election.must_watch(self.clock.now_s * 1000.0)
 
-class TestReturnOfTheStore(unittest.IsolatedAsyncioTestCase):
+    def applied_versions(self) -> list[int]:
+        """Return the versions of the configurations handed to the node."""
+        return [call.args[0].version for call in self.node.apply_configuration.call_args_list]
+
+    def logged_events(self, name: str) -> list[dict]:
+        """Return the fields of the logged lines of an event."""
+        calls = self.log.event.call_args_list
+        return [call.kwargs for call in calls if call.args[0] == name]
+
+
+class TestReturnOfTheStore(FollowerCase):
     """How soon a node learns what was published while it couldn't reach the store."""
 
     async def test_node_that_lost_the_store_reads_before_it_watches(self) -> None:
@@ -41,25 +126,245 @@
 
         A node that hears of a watcher meanwhile must not take the store for regained.
         """
-        store = RecordingStore()
-        loop = asyncio.get_running_loop()
-        follower = StoreFollower(
-            store, mock.Mock(), "127.0.0.3", "hall-a", mock.Mock(), random.Random(1), loop
-        )
-        await follower._step()
-        follower._watcher_election.set_members(("127.0.0.1", "127.0.0.2", "127.0.0.3"))
-        self.assertFalse(follower._watcher_election.is_watcher)
-        store.is_reachable = False
+        await self.lose_store()
+        self.follower.apply_changes(StoreChangesFrame(1, 1, ()))
+        await self.follower._step()
+        self.clock.now_s += 10.0
+        self.store.is_reachable = True
+        self.store.calls.clear()
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+
+    async def test_removal_takes_effect_after_the_grace_period_on_a_listening_node(self) -> None:
+        """A node that lost the store and then only listens kept upstreams that had left.
+
+        The grace period of the returned store begins with a watcher's heartbeat.
+        """
+        self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
+        self.follower._must_read = True
+        await self.follower._step()
+        await self.lose_store()
+        self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=1))
+        self.node.apply_upstreams.reset_mock()
+        self.clock.now_s += 3.0
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
+        self.node.apply_upstreams.assert_called_once_with([])
+
+    async def test_entry_that_expired_in_an_outage_is_kept_on_a_listening_node(self) -> None:
+        """A watcher's first changes after an outage must not drop upstreams that are alive."""
+        self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
+        self.follower._must_read = True
+        await self.follower._step()
+        await self.lose_store()
+        self.node.apply_upstreams.reset_mock()
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
+        self.node.apply_upstreams.assert_not_called()
+
+    async def lose_store(self) -> None:
+        """Let a call of the node fail."""
+        self.store.is_reachable = False
+        with self.assertRaises(CottonlinkError) as caught:
+            await self.follower._step()
+        self.follower._on_store_lost(caught.exception)
+
+
+class TestChangesOfPeers(FollowerCase):
+    """Changes of other nodes, which may follow another era of the store or know of no eras."""
+
+    async def enter_era(self, position: StorePosition) -> None:
+        """Let the store return from a copy, and let the node read it."""
+        self.store.position = position
+        with self.assertRaises(EraChangedError):
+            await self.follower._step()
+        self.follower._must_read = True
+        await self.follower._step()
+        self.store.calls.clear()
+
+    async def test_heartbeat_with_a_known_revision_counts(self) -> None:
+        """Repeated changes are routine: a node must not ask the store because of them."""
+        self.follower.apply_changes(StoreChangesFrame(0, 1, (), era=1))
+        self.assertTrue(self.hears_watcher())
+
+    async def test_changes_of_an_older_era_are_ignored(self) -> None:
+        """A peer that hasn't noticed the return must not set a node back or keep it listening."""
+        await self.enter_era(StorePosition(2, 1))
+        self.follower.apply_changes(StoreChangesFrame(1, 50, (("configuration", 50, b"3"),), era=1))
+        self.assertEqual(self.applied_versions(), [])
+        self.assertFalse(self.hears_watcher())
+        self.assertEqual(self.follower.snapshot().revision, 1)
+
+    async def test_changes_of_a_newer_era_make_a_node_read_everything(self) -> None:
+        """Revisions of an era that the node hasn't read must not be compared with its own.
+
+        Its own revision may be the higher one, as the store gives out revisions again.
+        """
+        self.follower._position = StorePosition(1, 40)
+        self.store.position = StorePosition(2, 12)
+        self.follower.apply_changes(StoreChangesFrame(10, 12, (), era=2))
+        self.assertFalse(self.hears_watcher())
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+        self.assertEqual(self.follower.snapshot().era, 2)
+
+    async def test_unread_newer_era_is_read_once_and_never_trusted(self) -> None:
+        """A peer with a false era must not make all nodes read the store at each heartbeat."""
+        for _ in range(3):
+            self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=9))
+            await self.follower._step()
+        self.assertEqual(self.store.calls.count("read"), 1)
+        self.assertFalse(self.hears_watcher())
+
+    async def test_newer_era_ends_a_watch_that_hangs(self) -> None:
+        """A watch on a connection from an outage must not delay what a peer has told.
+
+        The same holds for changes that were missed.
+        """
+        for frame in (StoreChangesFrame(10, 12, ()), StoreChangesFrame(1, 1, (), era=2)):
+            with self.subTest(frame=frame):
+                self.store.is_hanging = True
+                step = asyncio.create_task(self.follower._step())
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                self.assertEqual(self.store.calls, ["watch"])
+                self.follower.apply_changes(frame)
+                await asyncio.wait_for(step, timeout=5.0)
+                self.store.is_hanging = False
+                await self.follower._step()
+                self.assertEqual(self.store.calls, ["watch", "read"])
+                self.store.calls.clear()
+                self.clock.now_s += 10.0
+
+    async def test_era_announced_during_a_read_is_read(self) -> None:
+        """A read that began before the store returned must not hide the newer era."""
+
+        async def read_before_the_return() -> Listing:
+            self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=2))
+            return Listing((), StorePosition(1, 1))
+
+        self.follower._must_read = True
+        with mock.patch.object(self.store, "read_all", read_before_the_return):
+            await self.follower._step()
+        self.store.position = StorePosition(2, 1)
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+        self.assertEqual(self.follower.snapshot().era, 2)
+
+    async def test_node_serves_with_what_it_has_until_it_can_read_the_newer_era(self) -> None:
+        """A node that only hears of a newer era must not forget what it knows."""
+        self.store.is_reachable = False
+        self.follower.apply_changes(StoreChangesFrame(10, 12, (), era=2))
+        with self.assertRaises(CottonlinkError):
+            await self.follower._step()
+        self.assertEqual(self.follower.snapshot().era, 1)
+
+    async def test_changes_without_an_era_are_trusted_in_the_first_era_only(self) -> None:
+        """The former build compares revisions of different eras, so its order may be wrong.
+
+        Before the store has ever returned, both builds must go on sharing changes.
+        """
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"5"),)))
+        self.assertEqual(self.applied_versions(), [5])
+        self.assertTrue(self.hears_watcher())
+        self.clock.now_s += 10.0
+        await self.enter_era(StorePosition(2, 1))
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"6"),)))
+        self.assertEqual(self.applied_versions(), [5])
+        self.assertFalse(self.hears_watcher())
+
+    async def test_ignored_changes_are_logged_once_in_an_era(self) -> None:
+        """Heartbeats of a node that lags behind must not fill the log."""
+        await self.enter_era(StorePosition(2, 1))
+        for revision in range(20):
+            self.follower.apply_changes(StoreChangesFrame(revision, revision, (), era=1))
+        ignored = self.logged_events("store_changes_ignored")
+        self.assertEqual([fields["reason"] for fields in ignored], ["older_era"])
+
+    async def test_answer_of_an_older_era_is_refused(self) -> None:
+        """A node must not go back to what the store held before its latest return."""
+        await self.enter_era(StorePosition(2, 1))
+        self.store.position = StorePosition(1, 90)
+        self.follower._must_read = True
         with self.assertRaises(CottonlinkError) as caught:
-            await follower._step()
-        follower._on_store_lost(caught.exception)
-        follower.apply_changes(StoreChangesFrame(1, 1, ()))
-        await follower._step()
-        follower._watcher_election.record_heartbeat(float("-inf"))
-        store.is_reachable = True
-        store.calls.clear()
-        await follower._step()
-        self.assertEqual(store.calls, ["read"])
+            await self.follower._step()
+        self.assertEqual(caught.exception.code, "store_era_older")
+        self.assertEqual(self.follower.snapshot().era, 2)
+
+
+class TestSnapshotOfAPeer(FollowerCase):
+    """What a node that can't reach the store takes from another one."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.follower = self.make_follower()
+        self.store.is_reachable = False
+
+    async def test_era_of_a_snapshot_is_kept(self) -> None:
+        """The node must tell later changes of that era from those of others."""
+        self.follower.apply_snapshot(StoreSnapshotFrame(7, (("configuration", 7, b"4"),), era=2))
+        self.follower.apply_changes(StoreChangesFrame(7, 9, (("configuration", 9, b"5"),), era=1))
+        self.follower.apply_changes(StoreChangesFrame(7, 8, (("configuration", 8, b"6"),), era=2))
+        self.assertEqual(self.applied_versions(), [4, 6])
+
+    async def test_snapshot_without_an_era_is_used_until_the_store_answers(self) -> None:
+        """A snapshot of the former build must serve, but not be taken for the store's order."""
+        self.follower.apply_snapshot(StoreSnapshotFrame(7, (("configuration", 7, b"4"),)))
+        self.assertEqual(self.applied_versions(), [4])
+        self.store.is_reachable = True
+        self.follower.apply_changes(StoreChangesFrame(7, 7, ()))
+        await self.follower._step()
+        self.assertEqual(self.store.calls, ["read"])
+
+
+class TestConfigurationInTheCopy(FollowerCase):
+    """The configuration that a node hands on, where the store has an older one or none."""
+
+    async def read(self, *values: bytes, era: int = 1) -> None:
+        """Let the node read a store that holds these configurations, at most one."""
+        position = StorePosition(era, 5)
+        self.store.position = position
+        self.store.items = tuple(StoreItem("configuration", position, value) for value in values)
+        self.follower._must_read = True
+        await self.follower._step()
+
+    def handed_on(self) -> list[bytes | None]:
+        """Return the configurations in the node's snapshot."""
+        return [value for _, _, value in self.follower.snapshot().items]
+
+    async def test_newest_version_is_handed_on(self) -> None:
+        """A node that starts while the store is away must not get a version that is out of force.
+
+        The copy holds an older version, none, or one that can't be read.
+        """
+        await self.read(b"7")
+        for era, values in enumerate(([b"6"], [], [b"7"], [b"x"]), start=2):
+            with self.subTest(values=values):
+                await self.read(*values, era=era)
+                self.assertEqual(self.handed_on(), [b"7"])
+        await self.read(b"8", era=9)
+        self.assertEqual(self.handed_on(), [b"8"])
+
+    async def test_older_version_of_a_change_is_not_handed_on(self) -> None:
+        """An older version that is written again must not replace the newest one."""
+        await self.read(b"7")
+        self.follower.apply_changes(StoreChangesFrame(5, 6, (("configuration", 6, b"6"),), era=1))
+        self.follower.apply_changes(StoreChangesFrame(6, 7, (("configuration", 7, None),), era=1))
+        self.assertEqual(self.handed_on(), [b"7"])
+
+    async def test_newer_version_of_a_peer_is_taken_after_the_copy_was_read(self) -> None:
+        """A node that starts just then asks peers and the store at once.
+
+        It must not stay on the copy's version because the store answered first.
+        """
+        await self.read(b"4", era=2)
+        self.follower.apply_snapshot(StoreSnapshotFrame(9, (("configuration", 9, b"7"),), era=1))
+        self.assertEqual(self.applied_versions(), [4, 7])
+        await self.read(b"4", era=2)
+        self.assertEqual(self.handed_on(), [b"7"])
+        self.follower.apply_changes(StoreChangesFrame(5, 6, (("configuration", 6, b"8"),), era=2))
+        self.assertEqual(self.handed_on(), [b"8"])
+
+
+del FollowerCase
 
 
 if __name__ == "__main__":
