Move the graceful shutdown into a module of its own

Its constants, its state and its steps are now in path/_shutdown.py.

No change of behaviour, but for one detail: a shutdown uses the grace_s of its beginning, and not one that is changed while it is in progress.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -7,8 +7,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from attrs import define
-
 from cottonlink.overload import (
     LimitChange,
     make_crash_registry,
@@ -36,6 +34,7 @@
 from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._quarantine_exchange import QuarantineExchange
 from cottonlink.path._settings import NodeSettings
+from cottonlink.path._shutdown import Shutdown
 from cottonlink.path._state import NodeState
 from cottonlink.path._status_server import StatusServer
 from cottonlink.path._target_dispatcher import TargetDispatcher
@@ -47,17 +46,6 @@
 SWEEPS_PER_CALLER_SWEEP = 5
 # What is in quarantine is told to other nodes in every nth sweep.
 SWEEPS_PER_QUARANTINE_SPREAD = 10
-# Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
-# runs once a second and needs two failures to stop.
-NEW_CALLERS_AFTER_SHUTDOWN_MS = 2_600.0
-# Time after SIGTERM for which a node still runs calls of other nodes that find no other target. The
-# rest of NEW_CALLERS_AFTER_SHUTDOWN_MS is for calls that are already in transit.
-PEER_CALLS_AFTER_SHUTDOWN_MS = 2_300.0
-# Share of the time until SIGKILL after which new requests are refused, so that those accepted
-# before can still end.
-ACCEPT_SHARE = 0.47
-# Share of the time until SIGKILL within which work in progress may be finished.
-DRAIN_SHARE = 0.95
 # Retry-After while shutting down: short, since another node can serve the caller at once.
 LEAVING_RETRY_AFTER_MS = 50.0
 LISTEN_BACKLOG = 1024
@@ -79,13 +67,6 @@
         """Return this node's whole copy, or None if it has none yet."""
 
 
-@define
-class _Shutdown:
-    started_ms: float
-    on_done: Callable[[], None]
-    takes_calls: bool = True
-
-
 class Node(PeerLinkListener):
     """Carries calls between callers, other nodes and the target next to it."""
 
@@ -133,7 +114,7 @@
         self._peer_connections: set[PeerConnection] = set()
         self._quarantine_exchange = QuarantineExchange(self.state, self._peer_connections)
         self._servers: list[asyncio.Server] = []
-        self._shutdown: _Shutdown | None = None
+        self._shutdown: Shutdown | None = None
         self._sweep_count = 0
         self._is_closed = False
         self.store_view: StoreView | None = None
@@ -163,12 +144,15 @@
         """Start a graceful shutdown; ``on_done`` is called once the work in progress has ended."""
         if self._shutdown is not None:
             return
-        self._shutdown = _Shutdown(self.now_ms(), on_done)
-        self.state.log.event(
-            "node_leaving", callers=len(self._caller_connections), peers=len(self._peer_connections)
+        self._shutdown = Shutdown(
+            self.state,
+            self._ingress,
+            self._caller_connections,
+            self._peer_connections,
+            self._settings.grace_s * 1000.0,
+            on_done,
         )
-        for peer in self._peer_connections:
-            peer.send_leaving(takes_calls=True)
+        self._shutdown.begin()
 
     def close(self) -> None:
         """Close all listeners and connections at once."""
@@ -251,7 +235,7 @@
         return self.state.header_codec.parse_request(method, target, headers, body)
 
     def serve(self, exchange: Exchange) -> None:
-        if self._refuses_requests():
+        if self._shutdown is not None and self._shutdown.refuses_requests():
             self.state.metrics.count("requests_refused", "node_leaving")
             self.state.log.event(
                 "request_refused",
@@ -373,12 +357,6 @@
         elif self._shutdown is None or self._shutdown.takes_calls:
             self.dispatcher.reopen()
 
-    def _refuses_requests(self) -> bool:
-        if self._shutdown is None:
-            return False
-        elapsed_ms = self.now_ms() - self._shutdown.started_ms
-        return elapsed_ms >= self._settings.grace_s * 1000.0 * ACCEPT_SHARE
-
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.state.configuration is not None and self._shutdown is None
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
@@ -407,26 +385,9 @@
             for connection in list(self._caller_connections):
                 connection.sweep(now_ms, limits)
         if self._shutdown is not None:
-            self._continue_shutdown(self._shutdown)
-
-    def _continue_shutdown(self, shutdown: _Shutdown) -> None:
-        elapsed_ms = self.now_ms() - shutdown.started_ms
-        if shutdown.takes_calls and elapsed_ms >= PEER_CALLS_AFTER_SHUTDOWN_MS:
-            shutdown.takes_calls = False
-            for peer in self._peer_connections:
-                peer.send_leaving(takes_calls=False)
-            self.dispatcher.close("node_leaving")
-        if elapsed_ms < NEW_CALLERS_AFTER_SHUTDOWN_MS:
-            return
-        # Idle keep-alive connections are closed only once no new callers are directed here.
-        for connection in list(self._caller_connections):
-            connection.close_if_idle()
-        is_idle = self._ingress.is_idle and self.dispatcher.is_idle and not self._caller_connections
-        if is_idle or elapsed_ms >= self._settings.grace_s * 1000.0 * DRAIN_SHARE:
-            self._shutdown = None
-            self.state.log.event("node_stopped", after_ms=round(elapsed_ms), was_idle=is_idle)
-            self.state.log.flush()
-            shutdown.on_done()
+            self._shutdown.advance()
+            if self._shutdown.is_done:
+                self._shutdown = None
 
 
 def _round_or_none(value: float | None) -> float | None:
--- /dev/null
+++ b/src/cottonlink/path/_shutdown.py
@@ -0,0 +1,80 @@
+"""Graceful shutdown of a node: which requests it still takes, and when its process may end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from cottonlink.path._caller_connection import CallerConnection
+from cottonlink.path._ingress import Ingress
+from cottonlink.path._peer_server import PeerConnection
+from cottonlink.path._state import NodeState
+
+# Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
+# runs once a second and needs two failures to stop.
+NEW_CALLERS_AFTER_SHUTDOWN_MS = 2_600.0
+# Time after SIGTERM for which a node still runs calls of other nodes that find no other target. The
+# rest of NEW_CALLERS_AFTER_SHUTDOWN_MS is for calls that are already in transit.
+PEER_CALLS_AFTER_SHUTDOWN_MS = 2_300.0
+# Share of the time until SIGKILL after which new requests are refused, so that those accepted
+# before can still end.
+ACCEPT_SHARE = 0.47
+# Share of the time until SIGKILL within which work in progress may be finished.
+DRAIN_SHARE = 0.95
+
+
+@define(eq=False)
+class Shutdown:
+    """A shutdown in progress, which the node's periodic sweep advances.
+
+    ``on_done`` is called once the work in progress has ended, or DRAIN_SHARE of ``grace_ms`` is
+    over. ``takes_calls`` tells whether the node still runs calls of other nodes.
+    """
+
+    _state: NodeState
+    _ingress: Ingress
+    _caller_connections: set[CallerConnection]
+    _peer_connections: set[PeerConnection]
+    _grace_ms: float
+    _on_done: Callable[[], None]
+    started_ms: float = field(init=False)
+    takes_calls: bool = field(default=True, init=False)
+    is_done: bool = field(default=False, init=False)
+
+    def begin(self) -> None:
+        """Tell the peers that this node is shutting down."""
+        self.started_ms = self._state.now_ms()
+        self._state.log.event(
+            "node_leaving", callers=len(self._caller_connections), peers=len(self._peer_connections)
+        )
+        for peer in self._peer_connections:
+            peer.send_leaving(takes_calls=True)
+
+    def refuses_requests(self) -> bool:
+        """Return whether it is too late to accept another request of a caller."""
+        return self._elapsed_ms() >= self._grace_ms * ACCEPT_SHARE
+
+    def advance(self) -> None:
+        """Take the steps that are due."""
+        elapsed_ms = self._elapsed_ms()
+        dispatcher = self._state.dispatcher
+        if self.takes_calls and elapsed_ms >= PEER_CALLS_AFTER_SHUTDOWN_MS:
+            self.takes_calls = False
+            for peer in self._peer_connections:
+                peer.send_leaving(takes_calls=False)
+            dispatcher.close("node_leaving")
+        if elapsed_ms < NEW_CALLERS_AFTER_SHUTDOWN_MS:
+            return
+        # Idle keep-alive connections are closed only once no new callers are directed here.
+        for connection in list(self._caller_connections):
+            connection.close_if_idle()
+        is_idle = self._ingress.is_idle and dispatcher.is_idle and not self._caller_connections
+        if is_idle or elapsed_ms >= self._grace_ms * DRAIN_SHARE:
+            self.is_done = True
+            self._state.log.event("node_stopped", after_ms=round(elapsed_ms), was_idle=is_idle)
+            self._state.log.flush()
+            self._on_done()
+
+    def _elapsed_ms(self) -> float:
+        return self._state.now_ms() - self.started_ms
