Log how callers' connections end on a node that stops

A connection that ends on a stopping node, or with an unfinished answer, now logs caller_connection_ended with what ended it, the bytes the caller's kernel hasn't acknowledged, unread input, and the requests without an answer. node_stopped tells what was still open, and the counter cottonlink_answers_cut_short_total counts by cause. The kernel is asked for the fill of a socket's buffers only then: a call costs nothing more.

--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -8,11 +8,15 @@
 from typing import Protocol
 
 import httptools
-from attrs import define, field
+from attrs import define, field, frozen
 
 from cottonlink.path._http import Headers, response_bytes
 from cottonlink.path._model import CallerLimits, Request
-from cottonlink.path._sockets import enable_dead_peer_detection
+from cottonlink.path._sockets import (
+    enable_dead_peer_detection,
+    unacknowledged_bytes,
+    unread_bytes,
+)
 
 # Unanswered requests of one connection; at this number reading pauses.
 MAX_PIPELINED_REQUESTS = 16
@@ -47,6 +51,34 @@
             self.connection.flush()
 
 
+@frozen
+class ConnectionEnd:
+    """How a caller's connection ended, and what was unfinished.
+
+    ``cause`` is a reason code: ``peer_closed``, ``answered``, ``rejected``, ``idle``, ``aborted``,
+    ``process_end``, or the name of the error that ended the connection. ``unread_bytes`` counts
+    received bytes that were not parsed. ``unanswered_ids`` are requests without a response;
+    ``started_count`` of them were being served.
+    """
+
+    cause: str
+    unsent_bytes: int
+    unread_bytes: int
+    unanswered_ids: tuple[bytes, ...]
+    started_count: int
+
+    @property
+    def is_answer_cut_short(self) -> bool:
+        """Whether a response, or a request being served, was given up by the node's own side."""
+        return self.unsent_bytes > 0 or (self.started_count > 0 and self.cause in _OWN_CAUSES)
+
+
+# Ends that cut off what is in progress, and are the node's own.
+_OWN_CAUSES = frozenset(("aborted", "process_end"))
+# Ends for which the kernel isn't asked what is left of written responses, unless the node stops.
+_ORDERLY_CAUSES = frozenset(("peer_closed", "answered", "rejected", "idle"))
+
+
 class CallerHandler(Protocol):
     """Interface through which a caller's connection uses the node that serves it."""
 
@@ -73,7 +105,7 @@
     def on_caller_connected(self, connection: CallerConnection) -> None:
         """Called when a caller has connected."""
 
-    def on_caller_disconnected(self, connection: CallerConnection) -> None:
+    def on_caller_disconnected(self, connection: CallerConnection, end: ConnectionEnd) -> None:
         """Called when a caller's connection is closed."""
 
 
@@ -104,6 +136,9 @@
         self._is_rejecting = False
         self._is_starting_exchanges = False
         self._linger_until_ms: float | None = None
+        self._end_cause = ""
+        self._unsent_bytes = 0
+        self._discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -112,13 +147,20 @@
         self._last_activity_ms = self._handler.now_ms()
         self._handler.on_caller_connected(self)
 
+    def eof_received(self) -> None:
+        self._note_end("peer_closed")
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+
     def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None and self._end_cause != "aborted":
+            self._end_cause = type(exc).__name__
+        end = self.describe_end()
         self._is_closing = True
         for exchange in self._exchanges:
             if exchange.cancel is not None:
                 exchange.cancel()
         self._exchanges.clear()
-        self._handler.on_caller_disconnected(self)
+        self._handler.on_caller_disconnected(self, end)
 
     def pause_writing(self) -> None:
         self._is_writable = False
@@ -131,6 +173,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._is_closing or self._is_rejecting:
+            self._discarded_bytes += len(data)
             return
         self._last_activity_ms = self._handler.now_ms()
         if self._message is None or not self._message.is_head_complete:
@@ -229,7 +272,8 @@
             )
             self._last_activity_ms = self._handler.now_ms()
             if close:
-                self._close(linger=self._is_rejecting)
+                cause = "rejected" if self._is_rejecting else "answered"
+                self._close(cause, linger=self._is_rejecting)
                 return
         self._start_exchanges()
         self._pause_or_resume_reading()
@@ -249,19 +293,37 @@
             if is_late:
                 self._reject(408)
         elif not self._exchanges and now_ms - self._last_activity_ms > limits.idle_timeout_ms:
-            self._close()
+            self._close("idle")
 
     def close_if_idle(self) -> bool:
         """Close the connection if it carries no request; return whether it is closed."""
         if not self._is_closing and not self._exchanges and self._message is None:
-            self._close()
+            self._close("idle")
         return self._is_closing
 
     def close(self) -> None:
         """Abort the connection, including requests in progress."""
         if self._transport is not None:
+            self._note_end("aborted")
+            self._unsent_bytes = self._transport.get_write_buffer_size()
             self._transport.abort()
 
+    def describe_end(self, cause: str = "") -> ConnectionEnd:
+        """Return how the connection ended, or would end now for ``cause``."""
+        cause = cause or self._end_cause or "peer_closed"
+        unsent_bytes = self._unsent_bytes or self._transport.get_write_buffer_size()
+        unread = 0
+        if cause not in _ORDERLY_CAUSES or self._handler.is_shutting_down():
+            unsent_bytes += unacknowledged_bytes(self._transport) or 0
+            unread = unread_bytes(self._transport) or 0
+        return ConnectionEnd(
+            cause,
+            unsent_bytes,
+            self._discarded_bytes + unread,
+            tuple(e.request.request_id for e in self._exchanges),
+            sum(e.is_started and e.response is None for e in self._exchanges),
+        )
+
     def _start_exchanges(self) -> None:
         # Serving may respond at once, which calls this method again.
         if self._is_starting_exchanges:
@@ -295,8 +357,13 @@
         self._exchanges.append(exchange)
         exchange.respond(status, (), b"")
 
-    def _close(self, *, linger: bool = False) -> None:
+    def _note_end(self, cause: str) -> None:
+        """Keep the first cause of the connection's end."""
+        self._end_cause = self._end_cause or cause
+
+    def _close(self, cause: str, *, linger: bool = False) -> None:
         self._is_closing = True
+        self._note_end(cause)
         if linger:
             # Closing with unread bytes would reset the connection and lose the response.
             self._linger_until_ms = self._handler.now_ms() + LINGER_MS
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -16,7 +16,7 @@
     make_route_throttle,
     make_traffic_split,
 )
-from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._caller_connection import CallerConnection, ConnectionEnd, Exchange
 from cottonlink.path._crash_guard import CrashGuard
 from cottonlink.path._frames import (
     QuarantineFrame,
@@ -34,7 +34,7 @@
 from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._quarantine_exchange import QuarantineExchange
 from cottonlink.path._settings import NodeSettings
-from cottonlink.path._shutdown import Shutdown
+from cottonlink.path._shutdown import Shutdown, report_connection_end
 from cottonlink.path._state import NodeState
 from cottonlink.path._status_server import StatusServer
 from cottonlink.path._target_dispatcher import TargetDispatcher
@@ -254,8 +254,10 @@
     def on_caller_connected(self, connection: CallerConnection) -> None:
         self._caller_connections.add(connection)
 
-    def on_caller_disconnected(self, connection: CallerConnection) -> None:
+    def on_caller_disconnected(self, connection: CallerConnection, end: ConnectionEnd) -> None:
         self._caller_connections.discard(connection)
+        if self._shutdown is not None or end.is_answer_cut_short:
+            report_connection_end(self.state, end)
 
     # Implements PeerConnectionHandler.
     def on_peer_connected(self, connection: PeerConnection) -> None:
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -202,7 +202,11 @@
 
     def is_idle(self) -> bool:
         """Return whether no call is in progress."""
-        return not self._queued_calls and not any(c.pending for c in self._connections)
+        return not self.pending_count()
+
+    def pending_count(self) -> int:
+        """Return the number of calls in progress."""
+        return len(self._queued_calls) + sum(len(c.pending) for c in self._connections)
 
     def report_state(self, state: str, detail: str) -> None:
         """Report a change of the link's state to the listener."""
@@ -302,6 +306,10 @@
             if self._links[address].is_idle():
                 self._links.pop(address).close()
 
+    def pending_count(self) -> int:
+        """Return the number of calls in progress to all nodes."""
+        return sum(link.pending_count() for link in self._links.values())
+
     def sweep(self) -> None:
         """Check all links. To be called several times a second."""
         for link in self._links.values():
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -17,7 +17,7 @@
     encode,
 )
 from cottonlink.path._model import Load, Outcome
-from cottonlink.path._sockets import enable_dead_peer_detection
+from cottonlink.path._sockets import enable_dead_peer_detection, unacknowledged_bytes
 
 
 class CallDispatcher(Protocol):
@@ -92,6 +92,12 @@
         """Close the connection after the data that was written has been sent."""
         self._transport.close()
 
+    def unsent_bytes(self) -> int:
+        """Return the number of written bytes that the peer's kernel hasn't received."""
+        return self._transport.get_write_buffer_size() + (
+            unacknowledged_bytes(self._transport) or 0
+        )
+
     def _handle(self, frame: Any) -> None:
         if isinstance(frame, CallFrame):
             self._call(frame)
--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from cottonlink.path._caller_connection import CallerConnection
+from cottonlink.path._caller_connection import CallerConnection, ConnectionEnd
 from cottonlink.path._ingress import Ingress
 from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
@@ -22,6 +22,23 @@
 ACCEPT_SHARE = 0.47
 # Share of the time until SIGKILL within which work in progress may be finished.
 DRAIN_SHARE = 0.95
+# Request ids in one line of the log.
+LOGGED_IDS_LIMIT = 8
+
+
+def report_connection_end(state: NodeState, end: ConnectionEnd) -> None:
+    """Log how a caller's connection ended, and count a response that was cut short."""
+    if end.is_answer_cut_short:
+        state.metrics.count("answers_cut_short", end.cause)
+    state.log.event(
+        "caller_connection_ended",
+        cause=end.cause,
+        unsent_bytes=end.unsent_bytes,
+        unread_bytes=end.unread_bytes,
+        requests=len(end.unanswered_ids),
+        started=end.started_count,
+        request_ids=end.unanswered_ids[:LOGGED_IDS_LIMIT],
+    )
 
 
 @define(eq=False)
@@ -72,9 +89,25 @@
         is_idle = self._ingress.is_idle and dispatcher.is_idle and not self._caller_connections
         if is_idle or elapsed_ms >= self._grace_ms * DRAIN_SHARE:
             self.is_done = True
-            self._state.log.event("node_stopped", after_ms=round(elapsed_ms), was_idle=is_idle)
-            self._state.log.flush()
+            self._report_stop(elapsed_ms, is_idle)
             self._on_done()
 
+    def _report_stop(self, elapsed_ms: float, is_idle: bool) -> None:
+        ends = [connection.describe_end("process_end") for connection in self._caller_connections]
+        for end in ends:
+            report_connection_end(self._state, end)
+        self._state.log.event(
+            "node_stopped",
+            after_ms=round(elapsed_ms),
+            was_idle=is_idle,
+            callers=len(ends),
+            requests=sum(len(end.unanswered_ids) for end in ends),
+            unsent_bytes=sum(end.unsent_bytes for end in ends),
+            peers=len(self._peer_connections),
+            peer_unsent_bytes=sum(peer.unsent_bytes() for peer in self._peer_connections),
+            calls=self._state.peer_links.pending_count(),
+        )
+        self._state.log.flush()
+
     def _elapsed_ms(self) -> float:
         return self._state.now_ms() - self.started_ms
--- a/src/cottonlink/path/_status_server.py
+++ b/src/cottonlink/path/_status_server.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._caller_connection import CallerConnection, ConnectionEnd, Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import CallerLimits, Request
 
@@ -44,5 +44,5 @@
     def on_caller_connected(self, connection: CallerConnection) -> None:
         """Do nothing: connections to this listener need no tracking."""
 
-    def on_caller_disconnected(self, connection: CallerConnection) -> None:
+    def on_caller_disconnected(self, connection: CallerConnection, end: ConnectionEnd) -> None:
         """Do nothing: connections to this listener need no tracking."""
