--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -3,12 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
 import socket
+import sys
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
+from emulator.addresses import PortReserver
 from emulator.http_stand_in import ReceivedRequest
+from emulator.platform_store import PlatformStore
 from emulator.platform_target import PlatformTarget, configuration, route_resource
-from tests.platform_fixtures import Caller, FleetCase, Vm, request_bytes
+from tests.platform_fixtures import WAIT_TIMEOUT_S, Caller, FleetCase, Vm, request_bytes
+
+ROOT = Path(__file__).resolve().parent.parent
+# Keeps a failing test from hanging; no check depends on its value.
+PROCESS_TIMEOUT_S = 30.0
 
 READS = route_resource("reads", "shop.example", "/reads/", "browse", timeout_s=30)
 BOOKINGS = route_resource(
@@ -51,15 +65,8 @@
 
     def answer_large_bodies(self) -> None:
         """Let both targets answer with LARGE_BODY, once their gate is open."""
-
-        async def answer(
-            target: PlatformTarget, request: ReceivedRequest, _writer: object
-        ) -> bytes:
-            await target.answer_gate.wait()
-            return target.success_response(request, LARGE_BODY)
-
         for vm in self.vms:
-            vm.target.behaviour = answer
+            vm.target.behaviour = _answer_large_body
 
     async def wait_until_unsent(self, vm: Vm) -> None:
         """Wait until a part of a response is in the write buffer of a node."""
@@ -114,4 +121,368 @@
         self.assertEqual(self.fields_of("caller_connection_ended"), [])
 
 
-del StopCase, FleetCase
+class TestLastResponses(StopCase):
+    """Responses after which the node closes the connection."""
+
+    async def test_next_request_leaves_a_closing_response_whole(self) -> None:
+        """A request sent behind a response that closes the connection must not cut it off.
+
+        Closing a connection that has unread input resets it, and what the caller hasn't read yet
+        is lost.
+        """
+        self.answer_large_bodies()
+        self.first.target.answer_gate.clear()
+        caller = await self.connect_slowly(self.first)
+        caller.writer.write(request_bytes("/reads/1", attempt="whole"))
+        await self.wait_until(lambda: len(self.first.target.runs) == 1)
+        self.first.node.begin_shutdown(lambda: None)
+        self.first.target.answer_gate.set()
+        await self.wait_until_unsent(self.first)
+        caller.writer.write(request_bytes("/reads/2", attempt="behind"))
+        await asyncio.sleep(0.2)
+        response = await caller.response()
+        self.assertEqual(response.headers["connection"], "close")
+        self.assertEqual(len(response.body), len(LARGE_BODY))
+        self.assertEqual(len(self.first.target.runs), 1)
+
+    async def test_input_behind_a_callers_last_request_leaves_its_response_whole(self) -> None:
+        """Bytes behind a request with ``Connection: close`` must not cut off its response."""
+        self.answer_large_bodies()
+        caller = await self.connect_slowly(self.first)
+        caller.writer.write(request_bytes("/reads/1", "Connection: close"))
+        await self.wait_until_unsent(self.first)
+        caller.writer.write(request_bytes("/reads/2", attempt="behind"))
+        await asyncio.sleep(0.2)
+        response = await caller.response()
+        self.assertEqual(len(response.body), len(LARGE_BODY))
+        self.assertEqual(len(self.first.target.runs), 1)
+
+    async def test_requests_behind_a_closing_response_are_not_served(self) -> None:
+        """A caller resends what follows a closing response, so it must not run here as well."""
+        caller = await self.connect(self.first)
+        self.first.node.begin_shutdown(lambda: None)
+        caller.writer.write(
+            request_bytes("/none/1", attempt="last")
+            + request_bytes("/bookings/1", method="POST", body=b"x", attempt="behind")
+        )
+        response = await caller.response()
+        self.assertEqual((response.status, response.headers["connection"]), (404, "close"))
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.booking.target.runs, [])
+
+    async def test_caller_that_sends_too_much_gets_the_rejection(self) -> None:
+        """A rejection must reach a caller that is still sending its body."""
+        caller = await self.connect(self.first)
+        caller.writer.write(request_bytes("/reads/1", "Content-Length: 90000000", method="POST"))
+        for _ in range(30):
+            caller.writer.write(bytes(50_000))
+            await asyncio.sleep(0.01)
+        response = await caller.response()
+        self.assertEqual(response.status, 413)
+
+
+class TestEndOfShutdown(StopCase):
+    """The last moments of a node's process."""
+
+    async def test_idle_connection_with_an_unread_response_stays_open(self) -> None:
+        """A response that its caller still reads must not be cut by its next request.
+
+        The response doesn't close the connection, so the caller may send another request.
+        """
+        self.answer_large_bodies()
+        caller = await self.connect_slowly(self.first)
+        caller.writer.write(request_bytes("/reads/1", attempt="whole"))
+        await self.wait_until_unsent(self.first)
+        self.first.node.begin_shutdown(lambda: None)
+        self.advance_shutdown(self.first, 3_000)
+        await asyncio.sleep(0.3)
+        caller.writer.write(request_bytes("/reads/2", attempt="late"))
+        await asyncio.sleep(0.2)
+        response = await caller.response()
+        self.assertEqual(len(response.body), len(LARGE_BODY))
+        response = await caller.response()
+        self.assertEqual((response.status, response.headers["connection"]), (503, "close"))
+
+    async def test_no_request_is_served_after_the_end(self) -> None:
+        """A request that arrives between the end of a shutdown and that of the process.
+
+        It can't be answered any more, so it must not reach a target.
+        """
+        client = socket.socket()
+        self.addCleanup(client.close)
+
+        def send_late_request() -> None:
+            try:
+                client.connect(self.first.caller_address)
+                client.sendall(request_bytes("/bookings/1", method="POST", body=b"x"))
+            except ConnectionError:
+                # Refused, as it should be.
+                pass
+
+        done = asyncio.Event()
+
+        def finish() -> None:
+            send_late_request()
+            done.set()
+
+        self.first.node.begin_shutdown(finish)
+        self.advance_shutdown(self.first, 60_000)
+        await asyncio.wait_for(done.wait(), WAIT_TIMEOUT_S)
+        await asyncio.sleep(0.3)
+        self.assertEqual(self.booking.target.runs, [])
+
+    async def test_listeners_are_closed_before_the_end(self) -> None:
+        """A caller that connects while the process ends must be refused, not left waiting."""
+        refused: list[bool] = []
+
+        def connect() -> None:
+            with socket.socket() as client:
+                client.settimeout(WAIT_TIMEOUT_S)
+                refused.append(client.connect_ex(self.first.caller_address) != 0)
+
+        self.first.node.begin_shutdown(connect)
+        self.advance_shutdown(self.first, 3_000)
+        await self.wait_until(lambda: refused != [])
+        self.assertEqual(refused, [True])
+
+    async def test_caller_that_has_just_connected_gets_a_response(self) -> None:
+        """A connection that has not carried a request yet isn't idle in the usual sense.
+
+        Its first request may be on its way, so it isn't closed at once.
+        """
+        self.first.node.begin_shutdown(lambda: None)
+        self.advance_shutdown(self.first, 2_900)
+        caller = await self.connect(self.first)
+        await asyncio.sleep(0.25)
+        caller.writer.write(request_bytes("/reads/1"))
+        response = await caller.response()
+        self.assertEqual(response.status, 503)
+
+    async def test_request_that_has_arrived_is_answered_before_a_close(self) -> None:
+        """A connection that is closed as idle must not have a request waiting in the kernel."""
+        caller = await self.connect(self.first)
+        caller.writer.write(request_bytes("/reads/1"))
+        await caller.response()
+        (connection,) = self.first.node._caller_connections
+        # Sent without returning to the event loop, so that the node can't have read it.
+        os.write(caller.writer.get_extra_info("socket").fileno(), request_bytes("/reads/2"))
+        connection.close_if_idle()
+        self.assertEqual((await caller.response()).status, 200)
+
+
+class ProcessCase(unittest.IsolatedAsyncioTestCase):
+    """Nodes as real processes, with targets of their own and an emulated store."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = PlatformStore()
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        self._reserver = PortReserver()
+        self.addCleanup(self._reserver.close)
+        names = ("caller", "peer", "ready", "metrics", "target")
+        self._ports = {name: self._reserver.reserve_on_all_addresses() for name in names}
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self._folder = Path(folder.name)
+        self.targets: list[PlatformTarget] = []
+
+    async def start_node(self, service: str) -> asyncio.subprocess.Process:
+        """Start a target and the process of the node next to it."""
+        number = len(self.targets) + 1
+        host = f"127.77.0.{number}"
+        target = PlatformTarget(service, host, self._ports["target"], f"i-{number}")
+        await target.start()
+        self.addAsyncCleanup(target.stop)
+        self.targets.append(target)
+        await self.store.put(f"servers/i-{number}", target.entry())
+        settings = {
+            "node": f"node-{number}",
+            "data_centre": "hall-a",
+            "service": service,
+            "caller_address": f"{host}:{self._ports['caller']}",
+            "peer_address": f"{host}:{self._ports['peer']}",
+            "ready_address": f"{host}:{self._ports['ready']}",
+            "metrics_address": f"{host}:{self._ports['metrics']}",
+            "target_address": f"{host}:{self._ports['target']}",
+            "store_address": self.store.address,
+            "grace_s": 6,
+        }
+        path = self._folder / f"node-{number}.yaml"
+        path.write_text(json.dumps(settings))
+        environment = {"PATH": os.environ["PATH"], "COTTONLINK_NODE_FILE": str(path)}
+        with self.log_path(number).open("wb") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "src" / "run_node.py"),
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.addAsyncCleanup(_kill, process)
+        return process
+
+    def log_path(self, number: int) -> Path:
+        """Return the path of a node's log."""
+        return self._folder / f"node-{number}.log"
+
+    def log_lines(self, number: int, event: str) -> list[dict]:
+        """Return the lines of a node's log with an event."""
+        lines = self.log_path(number).read_text().splitlines()
+        return [line for line in map(json.loads, lines) if line["event"] == event]
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait until ``condition`` holds; fail the test after ``PROCESS_TIMEOUT_S``."""
+        for _ in range(int(PROCESS_TIMEOUT_S / 0.02)):
+            if condition():
+                return
+            await asyncio.sleep(0.02)
+        self.fail("expected the condition to hold within PROCESS_TIMEOUT_S, it did not")
+
+    async def connect(self, number: int, *, buffer_bytes: int = 0) -> Caller:
+        """Connect to a node as a caller; ``buffer_bytes`` sets the size of its window."""
+        sock = socket.socket()
+        if buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        sock.setblocking(False)
+        address = (f"127.77.0.{number}", self._ports["caller"])
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=SMALL_BUFFER_BYTES)
+        self.addCleanup(writer.close)
+        return Caller(reader, writer)
+
+    async def call(self, number: int, path: str) -> int:
+        """Send one request on a new connection; return the status, 0 if there is no response."""
+        try:
+            caller = await self.connect(number)
+        except ConnectionError:
+            return 0
+        caller.writer.write(request_bytes(path, remaining_ms=30_000))
+        response = await caller.response()
+        caller.close()
+        return response.status
+
+    async def wait_until_served(self, number: int, path: str) -> None:
+        """Wait until a node answers a request with success."""
+        for _ in range(int(PROCESS_TIMEOUT_S / 0.1)):
+            if await self.call(number, path) == 200:
+                return
+            await asyncio.sleep(0.1)
+        self.fail(f"node {number} did not serve {path} within PROCESS_TIMEOUT_S")
+
+
+class TestProcesses(ProcessCase):
+    """Ends of real processes after SIGTERM."""
+
+    async def test_caller_reads_a_large_response_across_the_exit(self) -> None:
+        """A caller must get the whole last response of a node that ends.
+
+        It reads slowly and has already sent its next request.
+        """
+        process = await self.start_node("browse")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_served(1, "/reads/0")
+        target = self.targets[0]
+        target.answer_gate.clear()
+        target.behaviour = _answer_large_body
+        caller = await self.connect(1, buffer_bytes=SMALL_BUFFER_BYTES)
+        runs = len(target.runs)
+        caller.writer.write(request_bytes("/reads/1", attempt="whole", remaining_ms=30_000))
+        await self.wait_until(lambda: len(target.runs) == runs + 1)
+        process.send_signal(signal.SIGTERM)
+        await self.wait_until(lambda: self.log_lines(1, "node_leaving"))
+        target.answer_gate.set()
+        await asyncio.sleep(0.3)
+        caller.writer.write(request_bytes("/reads/2", attempt="behind", remaining_ms=30_000))
+        await asyncio.sleep(0.3)
+        response = await caller.response()
+        self.assertEqual((response.status, len(response.body)), (200, len(LARGE_BODY)))
+        self.assertEqual(response.headers["connection"], "close")
+        self.assertEqual(len(target.runs), runs + 1)
+        caller.close()
+        self.assertEqual(await process.wait(), 0)
+
+    async def test_outcome_reaches_a_slow_peer_before_the_exit(self) -> None:
+        """The outcome of a run must not be lost with the process of the target's node.
+
+        The node that received the request is suspended while the other one stops.
+        """
+        ingress = await self.start_node("booking")
+        leaving = await self.start_node("browse")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_served(1, "/reads/0")
+        target = self.targets[1]
+        target.answer_gate.clear()
+        target.behaviour = _answer_large_body
+        caller = await self.connect(1)
+        runs = len(target.runs)
+        caller.writer.write(request_bytes("/reads/1", attempt="whole", remaining_ms=30_000))
+        await self.wait_until(lambda: len(target.runs) == runs + 1)
+        leaving.send_signal(signal.SIGTERM)
+        await self.wait_until(lambda: self.log_lines(2, "node_leaving"))
+        await asyncio.sleep(1.8)
+        ingress.send_signal(signal.SIGSTOP)
+        try:
+            target.answer_gate.set()
+            # Longer than the shutdown lasts if nothing is in progress.
+            await asyncio.sleep(1.6)
+        finally:
+            ingress.send_signal(signal.SIGCONT)
+        response = await caller.response()
+        self.assertEqual((response.status, len(response.body)), (200, len(LARGE_BODY)))
+        self.assertEqual(await leaving.wait(), 0)
+
+    async def test_callers_that_connect_all_the_time_are_answered_or_refused(self) -> None:
+        """No caller may wait for a process that has ended its work.
+
+        Callers connect all the time, as they do while too few nodes are ready.
+        """
+        process = await self.start_node("browse")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_served(1, "/reads/0")
+        unanswered: list[str] = []
+        stop = asyncio.Event()
+
+        async def press(number: int) -> None:
+            count = 0
+            while not stop.is_set():
+                count += 1
+                attempt = f"p{number}-{count}"
+                try:
+                    caller = await self.connect(1)
+                except ConnectionError:
+                    await asyncio.sleep(0.02)
+                    continue
+                caller.writer.write(request_bytes("/reads/1", attempt=attempt))
+                response = await caller.response()
+                caller.close()
+                if not response.is_complete:
+                    unanswered.append(attempt)
+
+        presses = [asyncio.create_task(press(number)) for number in range(40)]
+        await asyncio.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(await process.wait(), 0)
+        stop.set()
+        await asyncio.gather(*presses)
+        run = {request.header("x-attempt-id") for request in self.targets[0].runs}
+        self.assertEqual([attempt for attempt in unanswered if attempt in run], [])
+        self.assertEqual(unanswered, [])
+        (stopped,) = self.log_lines(1, "node_stopped")
+        self.assertTrue(stopped["was_idle"])
+
+
+async def _answer_large_body(
+    target: PlatformTarget, request: ReceivedRequest, _writer: object
+) -> bytes:
+    await target.answer_gate.wait()
+    return target.success_response(request, LARGE_BODY)
+
+
+async def _kill(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        await process.wait()
+
+
+del StopCase, ProcessCase, FleetCase
