Serve no request behind a closing response

A caller whose connection closes after a response sends what followed again. A request behind such a response in the same bytes was started nonetheless: the parser went on to the end of the bytes, and nothing looked at whether the connection was closing. A booking could run twice, and the first run's answer was lost. It takes a first request that is answered at once, such as a 404 or a refusal, on a node that is shutting down.

Requests parsed on a closing connection are now dropped, none is started, and no interim response is written to it.

Measured: test_requests_behind_a_closing_response_are_not_served failed before (one booking had run) and passes.

--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -218,7 +218,7 @@
                 self._send_continue()
 
     def _send_continue(self) -> None:
-        if not self._exchanges and not self._is_rejecting:
+        if not self._exchanges and not self._is_rejecting and not self._is_closing:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -232,7 +232,8 @@
 
     def on_message_complete(self) -> None:
         message, self._message = self._message, None
-        if message is None or self._is_rejecting:
+        # Behind a response that closes the connection in the same bytes, a request isn't read.
+        if message is None or self._is_rejecting or self._is_closing:
             return
         request = self._handler.parse_request(
             self._parser.get_method(),
@@ -337,6 +338,8 @@
             self._is_starting_exchanges = False
 
     def _next_startable(self) -> Exchange | None:
+        if self._is_closing:
+            return None
         for index, exchange in enumerate(self._exchanges):
             if not exchange.is_started:
                 # A request that may run only once waits until it is the first: a response before
