Let a caller pause for longer than 3 s while it reads a response

A caller that took nothing of a response for 3 s lost the rest of it: the node sets TCP_USER_TIMEOUT to 3 s, and the kernel applies that time also to a peer that is alive and whose window is full. The new log line showed it: caller_connection_ended with cause TimeoutError and 3,080,192 bytes unsent.

Callers' connections now get 15 s, the default of their idle time-out. Callers are on the node's own VM, so no cut link has to be noticed within 3 s there; connections to peers, targets and the store keep the 3 s.

Measured: test_caller_that_pauses_gets_the_rest failed before (65,451 of 24,000,000 bytes arrived) and passes.

--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -13,7 +13,11 @@
 from cottonlink.path._connection_end import ConnectionEnd, Linger, unsent_bytes
 from cottonlink.path._http import Headers, response_bytes
 from cottonlink.path._model import CallerLimits, Request
-from cottonlink.path._sockets import enable_dead_peer_detection, unread_bytes
+from cottonlink.path._sockets import (
+    CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
+    enable_dead_peer_detection,
+    unread_bytes,
+)
 
 # Unanswered requests of one connection; at this number reading pauses.
 MAX_PIPELINED_REQUESTS = 16
@@ -114,7 +118,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
         transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT_BYTES)
-        enable_dead_peer_detection(transport)
+        enable_dead_peer_detection(transport, CALLER_UNACKNOWLEDGED_TIMEOUT_MS)
         self._last_activity_ms = self._handler.now_ms()
         self._handler.on_caller_connected(self)
 
--- a/src/cottonlink/path/_sockets.py
+++ b/src/cottonlink/path/_sockets.py
@@ -13,11 +13,17 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Longest time for which sent bytes may stay unacknowledged.
+# Longest time for which sent bytes may stay unacknowledged, or a full window of the peer may stay
+# full.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
+# The same for callers, which are on the node's own VM: no link between them can be cut, but they
+# may pause while they read.
+CALLER_UNACKNOWLEDGED_TIMEOUT_MS = 15_000
 
 
-def enable_dead_peer_detection(transport: asyncio.BaseTransport) -> None:
+def enable_dead_peer_detection(
+    transport: asyncio.BaseTransport, unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS
+) -> None:
     """Let the kernel close the connection of ``transport`` when its peer stops responding."""
     sock = transport.get_extra_info("socket")
     if sock is None:
@@ -26,7 +32,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_timeout_ms)
 
 
 def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -167,6 +167,15 @@
         await asyncio.sleep(0.3)
         self.assertEqual(self.booking.target.runs, [])
 
+    async def test_caller_that_pauses_gets_the_rest(self) -> None:
+        """A caller that reads nothing for some seconds must still get the rest of a response."""
+        self.answer_large_bodies()
+        caller = await self.connect_slowly(self.first)
+        caller.writer.write(request_bytes("/reads/1"))
+        await self.wait_until_unsent(self.first)
+        await asyncio.sleep(4.5)
+        self.assertEqual(await _read_large_response(caller), (200, len(LARGE_BODY)))
+
     async def test_caller_that_sends_too_much_gets_the_rejection(self) -> None:
         """A rejection must reach a caller that is still sending its body."""
         caller = await self.connect(self.first)
