Refuse requests between the end of a shutdown and that of the process

A request that arrived after node_stopped was admitted like any other: the node forgot its shutdown at that point, while its listeners were open and the event loop still ran to cancel tasks. Such a request was sent to a target and ran there; the process then ended, and with it the caller's connection. That is what the users describe for both cases of LOST: a target had run the request, its caller got no answer, around SIGTERM of the node that took it. It doesn't prove that it is what they saw.

The shutdown now stays in force, and refuses requests once it is done.

Measured: test_no_request_is_served_after_the_end failed before (a booking ran) and passes.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -389,10 +389,8 @@
             for connection in list(self._caller_connections):
                 connection.sweep(now_ms, limits)
             self._status_server.sweep()
-        if self._shutdown is not None:
+        if self._shutdown is not None and not self._shutdown.is_done:
             self._shutdown.advance()
-            if self._shutdown.is_done:
-                self._shutdown = None
 
 
 def _round_or_none(value: float | None) -> float | None:
--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -71,7 +71,8 @@
 
     def refuses_requests(self) -> bool:
         """Return whether it is too late to accept another request of a caller."""
-        return self._elapsed_ms() >= self._grace_ms * ACCEPT_SHARE
+        # The event loop still runs callbacks between the end of the shutdown and the process's.
+        return self.is_done or self._elapsed_ms() >= self._grace_ms * ACCEPT_SHARE
 
     def advance(self) -> None:
         """Take the steps that are due."""
