Close the listeners of a stopping node before its process ends

Callers connected to a process that was ending, sent a request and waited until the kernel reset them: the listeners stayed open until the process was gone, and what was in their backlog was never read.

They close at a moment when no connection waits to be accepted; the check takes one poll of the listening sockets and is repeated for at most 100 rounds of the event loop. Callers that come later are refused at once and may come back.

--- /dev/null
+++ b/src/cottonlink/path/_listeners.py
@@ -0,0 +1,61 @@
+"""Listening sockets of a node, and their close without dropping connections that wait."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+
+from cottonlink.path._http import parse_address
+
+LISTEN_BACKLOG = 1024
+# Rounds of the event loop in which waiting connections are accepted before the listeners close. New
+# ones may come in each round, so the number is limited.
+ACCEPT_ROUNDS = 100
+
+
+class Listeners:
+    """Opens the listeners of a node and closes them together."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._servers: list[asyncio.Server] = []
+        self._is_closing = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether connections are still accepted."""
+        return bool(self._servers)
+
+    async def open(self, address: str, make_protocol: Callable[[], asyncio.Protocol]) -> None:
+        """Listen at ``address``."""
+        host, port = parse_address(address)
+        server = await self._loop.create_server(
+            make_protocol, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+        )
+        self._servers.append(server)
+
+    def close(self) -> None:
+        """Close all listeners; connections that wait to be accepted are reset."""
+        servers, self._servers = self._servers, []
+        for server in servers:
+            server.close()
+
+    def close_when_accepted(self) -> None:
+        """Close all listeners at a moment at which no connection waits to be accepted."""
+        if not self._is_closing:
+            self._is_closing = True
+            self._accept_and_close(ACCEPT_ROUNDS)
+
+    def _accept_and_close(self, rounds_left: int) -> None:
+        if rounds_left > 0 and self._has_waiting_connections():
+            self._loop.call_soon(self._accept_and_close, rounds_left - 1)
+        else:
+            self.close()
+
+    def _has_waiting_connections(self) -> bool:
+        poll = select.poll()
+        for server in self._servers:
+            for sock in server.sockets:
+                poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -28,6 +28,7 @@
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers, parse_address
 from cottonlink.path._ingress import Ingress
+from cottonlink.path._listeners import Listeners
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import CallerLimits, Configuration, Load, Request, Upstream
@@ -49,7 +50,6 @@
 SWEEPS_PER_QUARANTINE_SPREAD = 10
 # Retry-After while shutting down: short, since another node can serve the caller at once.
 LEAVING_RETRY_AFTER_MS = 50.0
-LISTEN_BACKLOG = 1024
 # A node without a configuration requests a snapshot from one peer at a time; a reply takes a few
 # round trips.
 SNAPSHOT_REQUEST_INTERVAL_MS = 300.0
@@ -114,7 +114,7 @@
         self._caller_connections: set[CallerConnection] = set()
         self._peer_connections: set[PeerConnection] = set()
         self._quarantine_exchange = QuarantineExchange(self.state, self._peer_connections)
-        self._servers: list[asyncio.Server] = []
+        self._listeners = Listeners(loop)
         self._status_server: StatusServer | None = None
         self._shutdown: Shutdown | None = None
         self._sweep_count = 0
@@ -126,8 +126,8 @@
     async def start(self) -> None:
         """Open the listeners."""
         settings = self._settings
-        await self._listen(settings.caller_address, lambda: CallerConnection(self))
-        await self._listen(settings.peer_address, lambda: PeerConnection(self))
+        await self._listeners.open(settings.caller_address, lambda: CallerConnection(self))
+        await self._listeners.open(settings.peer_address, lambda: PeerConnection(self))
         self._status_server = StatusServer(
             self._loop,
             {
@@ -136,7 +136,7 @@
             },
         )
         for address in dict.fromkeys((settings.ready_address, settings.metrics_address)):
-            await self._listen(address, lambda: CallerConnection(self._status_server))
+            await self._listeners.open(address, lambda: CallerConnection(self._status_server))
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.state.log.event(
             "node_started", service=settings.service, data_centre=settings.data_centre
@@ -149,6 +149,7 @@
         self._shutdown = Shutdown(
             self.state,
             self._ingress,
+            self._listeners,
             self._caller_connections,
             self._peer_connections,
             self._settings.grace_s * 1000.0,
@@ -158,8 +159,7 @@
 
     def close(self) -> None:
         """Close all listeners and connections at once."""
-        for server in self._servers:
-            server.close()
+        self._listeners.close()
         for link in self.state.peer_links.all():
             link.close()
         for connection in [*self._caller_connections, *self._peer_connections]:
@@ -365,13 +365,6 @@
         is_ready = self.state.configuration is not None and self._shutdown is None
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
-    async def _listen(self, address: str, make_protocol: Callable[[], asyncio.Protocol]) -> None:
-        host, port = parse_address(address)
-        server = await self._loop.create_server(
-            make_protocol, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
-        )
-        self._servers.append(server)
-
     def _sweep(self) -> None:
         if self._is_closed:
             return
--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -9,6 +9,7 @@
 from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._connection_end import ConnectionEnd
 from cottonlink.path._ingress import Ingress
+from cottonlink.path._listeners import Listeners
 from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
 
@@ -21,6 +22,9 @@
 # Share of the time until SIGKILL after which new requests are refused, so that those accepted
 # before can still end.
 ACCEPT_SHARE = 0.47
+# Share of the time until SIGKILL after which no more connections are accepted, so that those
+# accepted before get a response.
+LISTEN_SHARE = 0.8
 # Share of the time until SIGKILL within which work in progress may be finished.
 DRAIN_SHARE = 0.95
 # Request ids in one line of the log.
@@ -52,6 +56,7 @@
 
     _state: NodeState
     _ingress: Ingress
+    _listeners: Listeners
     _caller_connections: set[CallerConnection]
     _peer_connections: set[PeerConnection]
     _grace_ms: float
@@ -85,12 +90,17 @@
             dispatcher.close("node_leaving")
         if elapsed_ms < NEW_CALLERS_AFTER_SHUTDOWN_MS:
             return
+        is_work_done = self._ingress.is_idle and dispatcher.is_idle
+        if is_work_done or elapsed_ms >= self._grace_ms * LISTEN_SHARE:
+            # Callers that connect to a process that ends would wait for a response in vain.
+            self._listeners.close_when_accepted()
         # Idle keep-alive connections are closed only once no new callers are directed here.
         for connection in list(self._caller_connections):
             connection.close_if_idle()
-        is_idle = self._ingress.is_idle and dispatcher.is_idle and not self._caller_connections
+        is_idle = is_work_done and not self._listeners.is_open and not self._caller_connections
         if is_idle or elapsed_ms >= self._grace_ms * DRAIN_SHARE:
             self.is_done = True
+            self._listeners.close()
             self._report_stop(elapsed_ms, is_idle)
             self._on_done()
 
