Close as idle only connections with nothing under way in either direction

Three ends of connections that a stopping node took for idle cut off work:

- A kept connection whose caller still read its last response was closed; the caller's next request then reset it, and the rest was lost (20,496,296 of 24,000,000 bytes arrived).
- A connection that had just been accepted was closed before its first request was read.
- A connection was closed with a request waiting in the kernel, which reset it, though the next round of the event loop would have read the request.

A connection now counts as idle if nothing of its responses is unsent or unacknowledged, nothing waits to be read, and it has carried a request or is older than a second. The kernel is asked only about connections that are about to be closed. The idle time-out follows the same rule: it starts again while a caller takes something of its last response, and aborts a connection that takes nothing. An idle connection is still closed outright and not lingered on: a request that crosses the close stays unread, which lets the caller send it again whatever its kind.

--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -4,14 +4,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from typing import Protocol
 
 import httptools
 from attrs import define, field
 
 from cottonlink.path._connection_end import ConnectionEnd, Linger, unsent_bytes
-from cottonlink.path._http import Headers, response_bytes
+from cottonlink.path._exchange import CallerHandler, Exchange
+from cottonlink.path._http import response_bytes
 from cottonlink.path._model import CallerLimits, Request
 from cottonlink.path._sockets import (
     CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
@@ -23,67 +22,12 @@
 MAX_PIPELINED_REQUESTS = 16
 # Bytes of responses that a slow caller may leave unread before reading of its requests pauses.
 WRITE_BUFFER_LIMIT_BYTES = 1 << 20
-
-
-@define(eq=False)
-class Exchange:
-    """A request on a caller's connection, until its response has been written.
-
-    ``cancel`` is set by the code that serves the request, and called when the caller disconnects.
-    ``is_last`` tells that the connection closes after the response.
-    """
-
-    request: Request
-    connection: CallerConnection
-    received_ms: float
-    is_last: bool
-    is_started: bool = False
-    is_repeatable: bool = False
-    cancel: Callable[[], None] | None = None
-    response: tuple[int, Headers, bytes] | None = None
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Set the response; later calls have no effect."""
-        if self.response is None:
-            self.response = (status, headers, body)
-            self.cancel = None
-            self.connection.flush()
-
-
+# Time for which a new connection isn't idle: its first request may be on its way.
+NEW_CONNECTION_MS = 1_000.0
 # Ends for which the kernel isn't asked what is left of written responses, unless the node stops.
 _ORDERLY_CAUSES = frozenset(("peer_closed", "answered", "rejected", "idle"))
 
 
-class CallerHandler(Protocol):
-    """Interface through which a caller's connection uses the node that serves it."""
-
-    def now_ms(self) -> float:
-        """Return the monotonic time of the event loop."""
-
-    def caller_limits(self) -> CallerLimits:
-        """Return the limits in force."""
-
-    def is_repeatable(self, request: Request) -> bool:
-        """Return whether ``request`` may run more than once."""
-
-    def parse_request(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
-    ) -> Request | None:
-        """Return the request, or None if its head is invalid."""
-
-    def serve(self, exchange: Exchange) -> None:
-        """Start serving a request; ``exchange.respond`` is called with its response."""
-
-    def is_shutting_down(self) -> bool:
-        """Return whether the node is shutting down."""
-
-    def on_caller_connected(self, connection: CallerConnection) -> None:
-        """Called when a caller has connected."""
-
-    def on_caller_disconnected(self, connection: CallerConnection, end: ConnectionEnd) -> None:
-        """Called when a caller's connection is closed."""
-
-
 @define
 class _IncomingMessage:
     target: bytes = b""
@@ -105,6 +49,7 @@
         self._last_activity_ms = 0.0
         self._head_bytes = 0
         self._exchanges: deque[Exchange] = deque()
+        self._is_new = True
         self._is_closing = False
         self._is_reading_paused = False
         self._is_writable = True
@@ -113,6 +58,7 @@
         self._linger: Linger | None = None
         self._end_cause = ""
         self._unsent_bytes = 0
+        self._unsent_when_idle_bytes = 0
         self._discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -127,8 +73,12 @@
         self._unsent_bytes = self._transport.get_write_buffer_size()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if exc is not None and self._end_cause not in ("aborted", "stalled"):
-            self._end_cause = type(exc).__name__
+        if self._end_cause not in ("aborted", "stalled"):
+            if exc is None:
+                # The transport has handed everything to the kernel.
+                self._unsent_bytes = 0
+            else:
+                self._end_cause = type(exc).__name__
         end = self.describe_end()
         self._is_closing = True
         for exchange in self._exchanges:
@@ -168,6 +118,7 @@
 
     # Callbacks of httptools.HttpRequestParser.
     def on_message_begin(self) -> None:
+        self._is_new = False
         self._message = _IncomingMessage()
         self._message_started_ms = self._handler.now_ms()
 
@@ -268,7 +219,20 @@
             if is_late:
                 self._reject(408)
         elif not self._exchanges and now_ms - self._last_activity_ms > limits.idle_timeout_ms:
-            self._close("idle")
+            self._close_idle(now_ms)
+
+    def _close_idle(self, now_ms: float) -> None:
+        """Close a connection that carried nothing for its idle time-out."""
+        unsent = unsent_bytes(self._transport)
+        if unsent == 0:
+            if not unread_bytes(self._transport):
+                self._close("idle")
+        elif unsent != self._unsent_when_idle_bytes:
+            # The caller still reads the last response.
+            self._unsent_when_idle_bytes = unsent
+            self._last_activity_ms = now_ms
+        else:
+            self._abort("stalled")
 
     def _sweep_linger(self, now_ms: float) -> None:
         """Close a connection whose peer has had enough time to read the last response."""
@@ -278,24 +242,27 @@
         if not self._linger.is_over(now_ms, unsent):
             return
         if unsent:
-            self._end_cause = "stalled"
-            self._unsent_bytes = unsent
-            self._transport.abort()
+            self._abort("stalled")
         else:
             self._transport.close()
 
-    def close_if_idle(self) -> bool:
-        """Close the connection if it carries no request; return whether it is closed."""
-        if not self._is_closing and not self._exchanges and self._message is None:
+    def close_if_idle(self) -> None:
+        """Close the connection if nothing is in progress on it in either direction.
+
+        A close resets the connection if a request has arrived by then, and discards what the caller
+        hasn't read of its last response.
+        """
+        if self._is_closing or self._exchanges or self._message is not None:
+            return
+        if self._is_new and self._handler.now_ms() - self._last_activity_ms < NEW_CONNECTION_MS:
+            return
+        if unsent_bytes(self._transport) == 0 and not unread_bytes(self._transport):
             self._close("idle")
-        return self._is_closing
 
     def close(self) -> None:
         """Abort the connection, including requests in progress."""
         if self._transport is not None:
-            self._note_end("aborted")
-            self._unsent_bytes = self._transport.get_write_buffer_size()
-            self._transport.abort()
+            self._abort("aborted")
 
     def describe_end(self, cause: str = "") -> ConnectionEnd:
         """Return how the connection ended, or would end now for ``cause``."""
@@ -352,6 +319,11 @@
         """Keep the first cause of the connection's end."""
         self._end_cause = self._end_cause or cause
 
+    def _abort(self, cause: str) -> None:
+        self._end_cause = cause
+        self._unsent_bytes = unsent_bytes(self._transport)
+        self._transport.abort()
+
     def _close(self, cause: str) -> None:
         """Close a connection on which nothing is in progress."""
         self._is_closing = True
--- /dev/null
+++ b/src/cottonlink/path/_exchange.py
@@ -0,0 +1,70 @@
+"""A caller's request until its response is written, and what a connection needs of its node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from attrs import define
+
+from cottonlink.path._connection_end import ConnectionEnd
+from cottonlink.path._http import Headers
+from cottonlink.path._model import CallerLimits, Request
+
+if TYPE_CHECKING:
+    from cottonlink.path._caller_connection import CallerConnection
+
+
+@define(eq=False)
+class Exchange:
+    """A request on a caller's connection, until its response has been written.
+
+    ``cancel`` is set by the code that serves the request, and called when the caller disconnects.
+    ``is_last`` tells that the connection closes after the response.
+    """
+
+    request: Request
+    connection: CallerConnection
+    received_ms: float
+    is_last: bool
+    is_started: bool = False
+    is_repeatable: bool = False
+    cancel: Callable[[], None] | None = None
+    response: tuple[int, Headers, bytes] | None = None
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Set the response; later calls have no effect."""
+        if self.response is None:
+            self.response = (status, headers, body)
+            self.cancel = None
+            self.connection.flush()
+
+
+class CallerHandler(Protocol):
+    """Interface through which a caller's connection uses the node that serves it."""
+
+    def now_ms(self) -> float:
+        """Return the monotonic time of the event loop."""
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits in force."""
+
+    def is_repeatable(self, request: Request) -> bool:
+        """Return whether ``request`` may run more than once."""
+
+    def parse_request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> Request | None:
+        """Return the request, or None if its head is invalid."""
+
+    def serve(self, exchange: Exchange) -> None:
+        """Start serving a request; ``exchange.respond`` is called with its response."""
+
+    def is_shutting_down(self) -> bool:
+        """Return whether the node is shutting down."""
+
+    def on_caller_connected(self, connection: CallerConnection) -> None:
+        """Called when a caller has connected."""
+
+    def on_caller_disconnected(self, connection: CallerConnection, end: ConnectionEnd) -> None:
+        """Called when a caller's connection is closed."""
--- a/src/cottonlink/path/_final_response.py
+++ b/src/cottonlink/path/_final_response.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from cottonlink.path._caller_connection import Exchange
+from cottonlink.path._exchange import Exchange
 from cottonlink.path._ingress_call import IngressCall
 from cottonlink.path._model import Answered, NotRun, Outcome, Request
 from cottonlink.path._state import NodeState
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from cottonlink.overload import NESTED_CALL_TIER, NEW_REQUEST_TIER
-from cottonlink.path._caller_connection import Exchange
+from cottonlink.path._exchange import Exchange
 from cottonlink.path._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._http import end_to_end_headers
--- a/src/cottonlink/path/_ingress_call.py
+++ b/src/cottonlink/path/_ingress_call.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from cottonlink.overload import NESTED_CALL_TIER
-from cottonlink.path._caller_connection import Exchange
+from cottonlink.path._exchange import Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import Answered, Request, Route, Upstream
 from cottonlink.path._target_dispatcher import ParentRequest
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -16,9 +16,10 @@
     make_route_throttle,
     make_traffic_split,
 )
-from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._connection_end import ConnectionEnd
 from cottonlink.path._crash_guard import CrashGuard
+from cottonlink.path._exchange import Exchange
 from cottonlink.path._frames import (
     QuarantineFrame,
     SnapshotRequestFrame,
--- a/src/cottonlink/path/_status_server.py
+++ b/src/cottonlink/path/_status_server.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from cottonlink.path._caller_connection import CallerConnection, Exchange
+from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._connection_end import ConnectionEnd
+from cottonlink.path._exchange import Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import CallerLimits, Request
 
