Close the listeners only after connections accepted before are attached

asyncio attaches an accepted connection to its server in the round of the event loop after it was accepted, and fails with an AssertionError if the server closed in between; the connection is then lost. Seen once in two runs of tests.test_graceful_stop (Error on transport creation for incoming connection). Two rounds without a waiting connection now come before the listeners close.

--- a/src/cottonlink/path/_listeners.py
+++ b/src/cottonlink/path/_listeners.py
@@ -12,6 +12,8 @@
 # Rounds of the event loop in which waiting connections are accepted before the listeners close. New
 # ones may come in each round, so the number is limited.
 ACCEPT_ROUNDS = 100
+# A connection that was accepted in one round is attached to its listener in the next.
+QUIET_ROUNDS = 2
 
 
 class Listeners:
@@ -45,13 +47,14 @@
         """Close all listeners at a moment at which no connection waits to be accepted."""
         if not self._is_closing:
             self._is_closing = True
-            self._accept_and_close(ACCEPT_ROUNDS)
+            self._accept_and_close(ACCEPT_ROUNDS, 0)
 
-    def _accept_and_close(self, rounds_left: int) -> None:
-        if rounds_left > 0 and self._has_waiting_connections():
-            self._loop.call_soon(self._accept_and_close, rounds_left - 1)
-        else:
+    def _accept_and_close(self, rounds_left: int, quiet_rounds: int) -> None:
+        quiet_rounds = 0 if self._has_waiting_connections() else quiet_rounds + 1
+        if rounds_left == 0 or quiet_rounds > QUIET_ROUNDS:
             self.close()
+        else:
+            self._loop.call_soon(self._accept_and_close, rounds_left - 1, quiet_rounds)
 
     def _has_waiting_connections(self) -> bool:
         poll = select.poll()
