End the connections between nodes in order before the process ends

A request that had run got 502: its outcome was in the write buffer of the target's node when the process ended. The shutdown waited for callers' connections, and for calls until their outcome was written, not until it was sent. It shows when the other node reads slowly or is suspended.

Once the work is done and the listeners are closed, the node now ends its side of each connection to and from peers, and its process stays until they have everything and have closed, or 500 ms after they have everything. From then on it refuses requests.

Writes to peers' connections check that these aren't closing: uvloop raises RuntimeError on a write to a closed transport, and an outcome or a call that came at that moment would have ended in an exception.

--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -9,6 +9,7 @@
 from attrs import define
 
 from cottonlink.errors import CottonlinkError
+from cottonlink.path._connection_end import unsent_bytes
 from cottonlink.path._frames import (
     CallFrame,
     CancelFrame,
@@ -79,6 +80,7 @@
         self.pinged_at_ms: float | None = None
         self.is_suspect = False
         self.is_open = False
+        self.is_ending = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -96,6 +98,22 @@
             self._link.report_state("lost", error.detail)
             self.transport.abort()
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether frames can be sent: writing to a closed transport may raise RuntimeError."""
+        return self.is_open and not self.is_ending and not self.transport.is_closing()
+
+    def send(self, frame: Any) -> None:
+        """Send a frame, unless the connection is closing."""
+        if self.is_usable:
+            self.transport.write(encode(frame))
+
+    def end(self) -> None:
+        """End this side; the connection closes once the peer has read everything and closes it."""
+        if self.is_usable:
+            self.is_ending = True
+            self.transport.write_eof()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_open = False
         self._link.handle_connection_lost(
@@ -131,11 +149,11 @@
         now_ms = self.now_ms()
         pending = _PendingCall(on_outcome, frame.is_repeatable)
         connection = self._current
-        if connection is not None and connection.is_open:
+        if connection is not None and connection.is_usable:
             connection.pending[frame.stream] = pending
-            connection.transport.write(encode(frame))
+            connection.send(frame)
             return True
-        if now_ms < self._retry_at_ms:
+        if self._is_closed or now_ms < self._retry_at_ms:
             return False
         self._queued_calls.append((frame, pending))
         if self._open_task is None:
@@ -146,8 +164,8 @@
         """Cancel a call; its outcome callback is not called."""
         self._queued_calls = [entry for entry in self._queued_calls if entry[0].stream != stream]
         for connection in self._connections:
-            if connection.pending.pop(stream, None) is not None and connection.is_open:
-                connection.transport.write(encode(CancelFrame(stream)))
+            if connection.pending.pop(stream, None) is not None:
+                connection.send(CancelFrame(stream))
 
     def send(self, frame: Any) -> None:
         """Send a frame that doesn't belong to a call, if the peer is connected."""
@@ -156,7 +174,7 @@
     def send_encoded(self, data: bytes) -> None:
         """Send an encoded frame that doesn't belong to a call, if the peer is connected."""
         connection = self._current
-        if connection is not None and not connection.transport.is_closing():
+        if connection is not None and connection.is_usable:
             connection.transport.write(data)
 
     def send_or_open(self, frame: Any) -> None:
@@ -164,9 +182,9 @@
 
         The frame is dropped while a connection is being opened, or until the next attempt is due.
         """
-        if self._current is not None and self._current.is_open:
+        if self._current is not None and self._current.is_usable:
             self.send(frame)
-        elif self._open_task is None and self.now_ms() >= self._retry_at_ms:
+        elif self._may_open() and self.now_ms() >= self._retry_at_ms:
             self._queued_frame = frame
             self._open_task = self._loop.create_task(self._open())
 
@@ -175,7 +193,7 @@
         now_ms = self.now_ms()
         if self._reopen_at_ms is not None and now_ms >= self._reopen_at_ms:
             self._reopen_at_ms = None
-            if self._current is None and self._open_task is None:
+            if self._current is None and self._may_open():
                 self._open_task = self._loop.create_task(self._open())
         for connection in list(self._connections):
             if not connection.is_open or not connection.pending:
@@ -183,7 +201,7 @@
             if connection.pinged_at_ms is None:
                 if now_ms - connection.last_received_ms >= PING_AFTER_MS:
                     connection.pinged_at_ms = now_ms
-                    connection.transport.write(encode(PingFrame(0)))
+                    connection.send(PingFrame(0))
                 continue
             silent_ms = now_ms - connection.pinged_at_ms
             if silent_ms >= DEAD_AFTER_MS:
@@ -193,12 +211,33 @@
 
     def close(self) -> None:
         """Close all connections; calls in progress get an unknown outcome."""
+        self._stop_opening()
+        for connection in list(self._connections):
+            connection.transport.close()
+
+    def end(self) -> None:
+        """End this side of all connections, on which no call may be in progress."""
+        self._stop_opening()
+        for connection in self._connections:
+            connection.end()
+
+    @property
+    def connection_count(self) -> int:
+        """Number of connections that are not closed yet."""
+        return len(self._connections)
+
+    def unsent_bytes(self) -> int:
+        """Return the number of written bytes that the peer hasn't acknowledged."""
+        return sum(unsent_bytes(connection.transport) for connection in self._connections)
+
+    def _may_open(self) -> bool:
+        return self._open_task is None and not self._is_closed
+
+    def _stop_opening(self) -> None:
         self._is_closed = True
         self._reopen_at_ms = None
         if self._open_task is not None:
             self._open_task.cancel()
-        for connection in list(self._connections):
-            connection.transport.close()
 
     def is_idle(self) -> bool:
         """Return whether no call is in progress."""
@@ -262,12 +301,12 @@
         self.report_state("open", "")
         self._listener.on_link_opened(self.address)
         if self._queued_frame is not None:
-            connection.transport.write(encode(self._queued_frame))
+            connection.send(self._queued_frame)
             self._queued_frame = None
         queued, self._queued_calls = self._queued_calls, []
         for frame, pending in queued:
             connection.pending[frame.stream] = pending
-            connection.transport.write(encode(frame))
+            connection.send(frame)
 
     def _suspect(self, connection: _Connection) -> None:
         """Stop using a silent connection, and end its repeatable calls so that they are retried."""
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -57,6 +57,7 @@
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._streams: set[int] = set()
+        self._is_ending = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -78,26 +79,38 @@
 
     def send_leaving(self, *, takes_calls: bool) -> None:
         """Tell the peer that this node is shutting down, and whether it still runs calls."""
-        self._transport.write(encode(LeavingFrame(takes_calls)))
+        self.send(LeavingFrame(takes_calls))
 
     def send(self, frame: Any) -> None:
-        """Send a frame that doesn't belong to a call."""
+        """Send a frame, unless the connection is closing."""
         self.send_encoded(encode(frame))
 
     def send_encoded(self, data: bytes) -> None:
-        """Send an encoded frame that doesn't belong to a call, unless the connection is closing."""
-        if not self._transport.is_closing():
+        """Send an encoded frame, unless the connection is closing."""
+        if not self._is_ending and not self._transport.is_closing():
             self._transport.write(data)
 
     def close(self) -> None:
         """Close the connection after the data that was written has been sent."""
         self._transport.close()
 
+    def end(self) -> None:
+        """End this side; the connection closes once the peer has read everything and closes it.
+
+        Frames that arrive until then are read, since closing a connection with unread bytes would
+        reset it, but calls among them get no outcome.
+        """
+        if not self._is_ending and not self._transport.is_closing():
+            self._is_ending = True
+            self._transport.write_eof()
+
     def unsent_bytes(self) -> int:
         """Return the number of written bytes that the peer hasn't acknowledged."""
         return unsent_bytes(self._transport)
 
     def _handle(self, frame: Any) -> None:
+        if self._is_ending:
+            return
         if isinstance(frame, CallFrame):
             self._call(frame)
         elif isinstance(frame, CancelFrame):
@@ -105,7 +118,7 @@
                 self._streams.discard(frame.stream)
                 self._handler.dispatcher.cancel((self, frame.stream))
         elif isinstance(frame, PingFrame):
-            self._transport.write(encode(PongFrame(frame.number, self._handler.dispatcher.load())))
+            self.send(PongFrame(frame.number, self._handler.dispatcher.load()))
         else:
             self._handler.on_peer_frame(frame)
 
@@ -116,6 +129,6 @@
         def answer(outcome: Outcome) -> None:
             if stream in self._streams:
                 self._streams.discard(stream)
-                self._transport.write(encode(OutcomeFrame(stream, outcome)))
+                self.send(OutcomeFrame(stream, outcome))
 
         self._handler.dispatcher.submit(frame, (self, stream), answer)
--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -27,6 +27,8 @@
 LISTEN_SHARE = 0.8
 # Share of the time until SIGKILL within which work in progress may be finished.
 DRAIN_SHARE = 0.95
+# Longest time for which the connections of peers that have everything may take to close.
+PEER_LINGER_MS = 500.0
 # Request ids in one line of the log.
 LOGGED_IDS_LIMIT = 8
 
@@ -64,6 +66,7 @@
     started_ms: float = field(init=False)
     takes_calls: bool = field(default=True, init=False)
     is_done: bool = field(default=False, init=False)
+    _peers_ended_ms: float | None = field(default=None, init=False)
 
     def begin(self) -> None:
         """Tell the peers that this node is shutting down."""
@@ -77,7 +80,9 @@
     def refuses_requests(self) -> bool:
         """Return whether it is too late to accept another request of a caller."""
         # The event loop still runs callbacks between the end of the shutdown and the process's.
-        return self.is_done or self._elapsed_ms() >= self._grace_ms * ACCEPT_SHARE
+        if self.is_done or self._peers_ended_ms is not None:
+            return True
+        return self._elapsed_ms() >= self._grace_ms * ACCEPT_SHARE
 
     def advance(self) -> None:
         """Take the steps that are due."""
@@ -91,19 +96,39 @@
         if elapsed_ms < NEW_CALLERS_AFTER_SHUTDOWN_MS:
             return
         is_work_done = self._ingress.is_idle and dispatcher.is_idle
+        # What was accepted just before the listeners closed gets a sweep's time to appear.
+        is_listening = self._listeners.is_open
         if is_work_done or elapsed_ms >= self._grace_ms * LISTEN_SHARE:
             # Callers that connect to a process that ends would wait for a response in vain.
             self._listeners.close_when_accepted()
         # Idle keep-alive connections are closed only once no new callers are directed here.
         for connection in list(self._caller_connections):
             connection.close_if_idle()
-        is_idle = is_work_done and not self._listeners.is_open and not self._caller_connections
+        is_idle = is_work_done and not is_listening and self._end_peers()
+        is_idle = is_idle and not self._caller_connections
         if is_idle or elapsed_ms >= self._grace_ms * DRAIN_SHARE:
             self.is_done = True
             self._listeners.close()
             self._report_stop(elapsed_ms, is_idle)
             self._on_done()
 
+    def _end_peers(self) -> bool:
+        """End the connections to and from peers; return whether all of them have everything."""
+        links = self._state.peer_links.all()
+        now_ms = self._state.now_ms()
+        if self._peers_ended_ms is None:
+            self._peers_ended_ms = now_ms
+            for connection in [*self._peer_connections, *links]:
+                connection.end()
+        if not self._peer_connections and not any(link.connection_count for link in links):
+            return True
+        # A peer that doesn't close its side has everything nonetheless.
+        return now_ms - self._peers_ended_ms >= PEER_LINGER_MS and self._peer_unsent_bytes() == 0
+
+    def _peer_unsent_bytes(self) -> int:
+        connections = [*self._peer_connections, *self._state.peer_links.all()]
+        return sum(connection.unsent_bytes() for connection in connections)
+
     def _report_stop(self, elapsed_ms: float, is_idle: bool) -> None:
         ends = [connection.describe_end("process_end") for connection in self._caller_connections]
         for end in ends:
@@ -116,7 +141,7 @@
             requests=sum(len(end.unanswered_ids) for end in ends),
             unsent_bytes=sum(end.unsent_bytes for end in ends),
             peers=len(self._peer_connections),
-            peer_unsent_bytes=sum(peer.unsent_bytes() for peer in self._peer_connections),
+            peer_unsent_bytes=self._peer_unsent_bytes(),
             calls=self._state.peer_links.pending_count(),
         )
         self._state.log.flush()
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -15,7 +15,8 @@
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection
 from cottonlink.path._model import NotRun
-from cottonlink.path._peer_links import PeerLink, PeerLinkListener
+from cottonlink.path._peer_links import PeerLink, PeerLinkListener, _Connection
+from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._target_pool import TargetPool
 from cottonlink.platform._store_client import StoreClient
 
@@ -94,6 +95,35 @@
         self.assertTrue(link.call(frame, outcome.set_result))
         self.assertEqual(await outcome, NotRun("peer_unreachable"))
 
+    async def test_peer_link_does_not_write_to_a_closing_connection(self) -> None:
+        """A call must not raise, nor wait for an outcome, on a connection that is closing.
+
+        The connection's end is reported to the link only in a later round of the event loop.
+        """
+        link = PeerLink(ADDRESS, PeerLinkListener(), self.loop)
+        connection = _Connection(link)
+        connection.connection_made(ClosedTransport())
+        link._current = connection
+        link._connections.add(connection)
+        connection.pending[7] = mock.Mock()
+        link.cancel(7)
+        outcome = self.loop.create_future()
+        frame = mock.Mock(spec=CallFrame, stream=1, is_repeatable=True)
+        self.assertTrue(link.call(frame, outcome.set_result))
+        self.assertEqual(await outcome, NotRun("peer_unreachable"))
+
+    async def test_outcome_is_dropped_on_a_closing_connection(self) -> None:
+        """An outcome that comes while its peer's connection closes must not raise."""
+        handler = mock.Mock()
+        with mock.patch("cottonlink.path._peer_server.enable_dead_peer_detection"):
+            connection = PeerConnection(handler)
+            connection.connection_made(ClosedTransport())
+        connection._handle(mock.Mock(spec=CallFrame, stream=1))
+        on_outcome = handler.dispatcher.submit.call_args.args[2]
+        on_outcome(NotRun("queue_full"))
+        connection.send_leaving(takes_calls=True)
+        self.assertEqual(connection._streams, set())
+
 
 if __name__ == "__main__":
     unittest.main()
