Send no request on a target's connection that is closing

When a target ends an idle connection, the event loop closes the transport at once but reports it a round later. A request sent in between was written to a closed transport: discarded, or an exception in uvloop, and its outcome counted as unknown (502) though nothing had been sent.

The pool now takes only connections whose transport isn't closing, a send on one that is reports was_sent=False as on a lost one, and the dispatcher turns that into NotRun, so that the call goes to another target.

--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -88,11 +88,11 @@
     ) -> None:
         """Send a request; ``on_result`` is called once, unless ``abort`` or ``close`` comes first.
 
-        If the connection has been lost already, that is at once and nothing is sent.
+        If the connection is lost or closing already, that is at once and nothing is sent.
         With ``expected_id``, the id of the request, a response that carries another id is skipped,
         and so is a response with a 2xx status that carries none.
         """
-        if not self.is_open:
+        if not self.can_send:
             on_result(ExchangeFailed("connection_lost", was_sent=False, is_connection_lost=True))
             return
         self._exchange = _Exchange(on_result, is_head, expected_id)
@@ -100,6 +100,15 @@
         self._reset_parser()
         self._transport.write(data)
 
+    @property
+    def can_send(self) -> bool:
+        """Whether a request would be sent: a closing transport discards what is written to it.
+
+        The server's end of the connection closes the transport a round of the event loop before
+        ``connection_lost`` is called.
+        """
+        return self.is_open and not self._transport.is_closing()
+
     def abort(self) -> None:
         """Close at once; an exchange in progress gets no result."""
         self._exchange = None
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -310,6 +310,8 @@
             self._record_unanswered_run(frame)
             self._log.event("target_connection_lost", request_id=frame.request_id)
             self._check_target()
+        if not failure.was_sent:
+            return NotRun("target_connections")
         return OutcomeUnknown(failure.reason)
 
     def _record_unanswered_run(self, frame: CallFrame) -> None:
--- a/src/cottonlink/path/_target_pool.py
+++ b/src/cottonlink/path/_target_pool.py
@@ -65,7 +65,7 @@
 
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool when its exchange has ended."""
-        if connection.is_open and connection.is_reusable:
+        if connection.can_send and connection.is_reusable:
             connection.idle_since_ms = self._loop.time() * 1000.0
             self._idle.append(connection)
         elif connection.is_open:
@@ -89,7 +89,7 @@
         now_ms = self._loop.time() * 1000.0
         while self._idle:
             connection = self._idle[-1]
-            if not connection.is_open or _is_expired(connection, now_ms):
+            if not connection.can_send or _is_expired(connection, now_ms):
                 self._idle.pop()
                 connection.close()
                 continue
@@ -120,7 +120,7 @@
         except OSError:
             on_failure("target_unreachable")
             return
-        if not connection.is_open:
+        if not connection.can_send:
             # Lost before this task resumed, as a target does that has too many connections.
             on_failure("target_connections")
             return
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -87,6 +87,27 @@
         self.assertEqual(await failure, "target_connections")
         self.assertEqual(pool._open, set())
 
+    async def test_closing_connections_are_not_taken_from_the_pool(self) -> None:
+        """A request must not be written to a connection whose end by the target was just read.
+
+        It would never be sent, and yet its outcome would count as unknown.
+        """
+        pool = TargetPool(ADDRESS, b"id", self.loop)
+        connection = HttpConnection(None)
+        with mock.patch.object(ClosedTransport, "is_closing", return_value=False):
+            connection.connection_made(ClosedTransport())
+            pool.release(connection)
+        results: list[object] = []
+        connection.send(b"GET / HTTP/1.1\r\n\r\n", results.append)
+        self.assertEqual(results, [ExchangeFailed("connection_lost", False, True)])
+        failure: asyncio.Future[str] = self.loop.create_future()
+        pool.acquire(
+            must_be_fresh=False,
+            on_ready=lambda connection: failure.set_exception(AssertionError("closing")),
+            on_failure=failure.set_result,
+        )
+        self.assertEqual(await failure, "target_connections")
+
     async def test_peer_link_fails_its_queued_calls(self) -> None:
         """Calls that wait for a link must be placed elsewhere, not time out."""
         link = PeerLink(ADDRESS, PeerLinkListener(), self.loop)
