--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -4,77 +4,28 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from typing import Protocol
 
 import httptools
 from attrs import define, field
 
-from cottonlink.path._http import Headers, response_bytes
+from cottonlink.path._connection_end import ConnectionEnd, Linger, unsent_bytes
+from cottonlink.path._exchange import CallerHandler, Exchange
+from cottonlink.path._http import response_bytes
 from cottonlink.path._model import CallerLimits, Request
-from cottonlink.path._sockets import enable_dead_peer_detection
+from cottonlink.path._sockets import (
+    CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
+    enable_dead_peer_detection,
+    unread_bytes,
+)
 
 # Unanswered requests of one connection; at this number reading pauses.
 MAX_PIPELINED_REQUESTS = 16
 # Bytes of responses that a slow caller may leave unread before reading of its requests pauses.
 WRITE_BUFFER_LIMIT_BYTES = 1 << 20
-# Time for a caller that is still sending to read the response to its rejected request.
-LINGER_MS = 1_000.0
-
-
-@define(eq=False)
-class Exchange:
-    """A request on a caller's connection, until its response has been written.
-
-    ``cancel`` is set by the code that serves the request, and called when the caller disconnects.
-    ``is_last`` tells that the connection closes after the response.
-    """
-
-    request: Request
-    connection: CallerConnection
-    received_ms: float
-    is_last: bool
-    is_started: bool = False
-    is_repeatable: bool = False
-    cancel: Callable[[], None] | None = None
-    response: tuple[int, Headers, bytes] | None = None
-
-    def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Set the response; later calls have no effect."""
-        if self.response is None:
-            self.response = (status, headers, body)
-            self.cancel = None
-            self.connection.flush()
-
-
-class CallerHandler(Protocol):
-    """Interface through which a caller's connection uses the node that serves it."""
-
-    def now_ms(self) -> float:
-        """Return the monotonic time of the event loop."""
-
-    def caller_limits(self) -> CallerLimits:
-        """Return the limits in force."""
-
-    def is_repeatable(self, request: Request) -> bool:
-        """Return whether ``request`` may run more than once."""
-
-    def parse_request(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes
-    ) -> Request | None:
-        """Return the request, or None if its head is invalid."""
-
-    def serve(self, exchange: Exchange) -> None:
-        """Start serving a request; ``exchange.respond`` is called with its response."""
-
-    def is_shutting_down(self) -> bool:
-        """Return whether the node is shutting down."""
-
-    def on_caller_connected(self, connection: CallerConnection) -> None:
-        """Called when a caller has connected."""
-
-    def on_caller_disconnected(self, connection: CallerConnection) -> None:
-        """Called when a caller's connection is closed."""
+# Time for which a new connection isn't idle: its first request may be on its way.
+NEW_CONNECTION_MS = 1_000.0
+# Ends for which the kernel isn't asked what is left of written responses, unless the node stops.
+_ORDERLY_CAUSES = frozenset(("peer_closed", "answered", "rejected", "idle"))
 
 
 @define
@@ -98,27 +49,43 @@
         self._last_activity_ms = 0.0
         self._head_bytes = 0
         self._exchanges: deque[Exchange] = deque()
+        self._is_new = True
         self._is_closing = False
         self._is_reading_paused = False
         self._is_writable = True
         self._is_rejecting = False
         self._is_starting_exchanges = False
-        self._linger_until_ms: float | None = None
+        self._linger: Linger | None = None
+        self._end_cause = ""
+        self._unsent_bytes = 0
+        self._unsent_when_idle_bytes = 0
+        self._discarded_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
         transport.set_write_buffer_limits(high=WRITE_BUFFER_LIMIT_BYTES)
-        enable_dead_peer_detection(transport)
+        enable_dead_peer_detection(transport, CALLER_UNACKNOWLEDGED_TIMEOUT_MS)
         self._last_activity_ms = self._handler.now_ms()
         self._handler.on_caller_connected(self)
 
+    def eof_received(self) -> None:
+        self._note_end("peer_closed")
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+
     def connection_lost(self, exc: Exception | None) -> None:
+        if self._end_cause not in ("aborted", "stalled"):
+            if exc is None:
+                # The transport has handed everything to the kernel.
+                self._unsent_bytes = 0
+            else:
+                self._end_cause = type(exc).__name__
+        end = self.describe_end()
         self._is_closing = True
         for exchange in self._exchanges:
             if exchange.cancel is not None:
                 exchange.cancel()
         self._exchanges.clear()
-        self._handler.on_caller_disconnected(self)
+        self._handler.on_caller_disconnected(self, end)
 
     def pause_writing(self) -> None:
         self._is_writable = False
@@ -131,6 +98,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self._is_closing or self._is_rejecting:
+            self._discarded_bytes += len(data)
             return
         self._last_activity_ms = self._handler.now_ms()
         if self._message is None or not self._message.is_head_complete:
@@ -150,6 +118,7 @@
 
     # Callbacks of httptools.HttpRequestParser.
     def on_message_begin(self) -> None:
+        self._is_new = False
         self._message = _IncomingMessage()
         self._message_started_ms = self._handler.now_ms()
 
@@ -175,7 +144,7 @@
                 self._send_continue()
 
     def _send_continue(self) -> None:
-        if not self._exchanges and not self._is_rejecting:
+        if not self._exchanges and not self._is_rejecting and not self._is_closing:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -189,7 +158,8 @@
 
     def on_message_complete(self) -> None:
         message, self._message = self._message, None
-        if message is None or self._is_rejecting:
+        # Behind a response that closes the connection in the same bytes, a request isn't read.
+        if message is None or self._is_rejecting or self._is_closing:
             return
         request = self._handler.parse_request(
             self._parser.get_method(),
@@ -229,7 +199,8 @@
             )
             self._last_activity_ms = self._handler.now_ms()
             if close:
-                self._close(linger=self._is_rejecting)
+                cause = "rejected" if self._is_rejecting else "answered"
+                self._end(cause)
                 return
         self._start_exchanges()
         self._pause_or_resume_reading()
@@ -237,8 +208,7 @@
     def sweep(self, now_ms: float, limits: CallerLimits) -> None:
         """Close a connection that is idle or sends its request too slowly."""
         if self._is_closing:
-            if self._linger_until_ms is not None and now_ms >= self._linger_until_ms:
-                self._transport.close()
+            self._sweep_linger(now_ms)
             return
         message = self._message
         if message is not None:
@@ -249,18 +219,66 @@
             if is_late:
                 self._reject(408)
         elif not self._exchanges and now_ms - self._last_activity_ms > limits.idle_timeout_ms:
-            self._close()
+            self._close_idle(now_ms)
+
+    def _close_idle(self, now_ms: float) -> None:
+        """Close a connection that carried nothing for its idle time-out."""
+        unsent = unsent_bytes(self._transport)
+        if unsent == 0:
+            if not unread_bytes(self._transport):
+                self._close("idle")
+        elif unsent != self._unsent_when_idle_bytes:
+            # The caller still reads the last response.
+            self._unsent_when_idle_bytes = unsent
+            self._last_activity_ms = now_ms
+        else:
+            self._abort("stalled")
 
-    def close_if_idle(self) -> bool:
-        """Close the connection if it carries no request; return whether it is closed."""
-        if not self._is_closing and not self._exchanges and self._message is None:
-            self._close()
-        return self._is_closing
+    def _sweep_linger(self, now_ms: float) -> None:
+        """Close a connection whose peer has had enough time to read the last response."""
+        if self._linger is None:
+            return
+        unsent = unsent_bytes(self._transport)
+        if not self._linger.is_over(now_ms, unsent):
+            return
+        if unsent:
+            self._abort("stalled")
+        else:
+            self._transport.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if nothing is in progress on it in either direction.
+
+        A close resets the connection if a request has arrived by then, and discards what the caller
+        hasn't read of its last response.
+        """
+        if self._is_closing or self._exchanges or self._message is not None:
+            return
+        if self._is_new and self._handler.now_ms() - self._last_activity_ms < NEW_CONNECTION_MS:
+            return
+        if unsent_bytes(self._transport) == 0 and not unread_bytes(self._transport):
+            self._close("idle")
 
     def close(self) -> None:
         """Abort the connection, including requests in progress."""
         if self._transport is not None:
-            self._transport.abort()
+            self._abort("aborted")
+
+    def describe_end(self, cause: str = "") -> ConnectionEnd:
+        """Return how the connection ended, or would end now for ``cause``."""
+        cause = cause or self._end_cause or "peer_closed"
+        unsent = self._unsent_bytes or self._transport.get_write_buffer_size()
+        unread = 0
+        if cause not in _ORDERLY_CAUSES or self._handler.is_shutting_down():
+            unsent = max(unsent, unsent_bytes(self._transport))
+            unread = unread_bytes(self._transport) or 0
+        return ConnectionEnd(
+            cause,
+            unsent,
+            self._discarded_bytes + unread,
+            tuple(e.request.request_id for e in self._exchanges),
+            sum(e.is_started and e.response is None for e in self._exchanges),
+        )
 
     def _start_exchanges(self) -> None:
         # Serving may respond at once, which calls this method again.
@@ -275,6 +293,8 @@
             self._is_starting_exchanges = False
 
     def _next_startable(self) -> Exchange | None:
+        if self._is_closing:
+            return None
         for index, exchange in enumerate(self._exchanges):
             if not exchange.is_started:
                 # A request that may run only once waits until it is the first: a response before
@@ -295,14 +315,31 @@
         self._exchanges.append(exchange)
         exchange.respond(status, (), b"")
 
-    def _close(self, *, linger: bool = False) -> None:
+    def _note_end(self, cause: str) -> None:
+        """Keep the first cause of the connection's end."""
+        self._end_cause = self._end_cause or cause
+
+    def _abort(self, cause: str) -> None:
+        self._end_cause = cause
+        self._unsent_bytes = unsent_bytes(self._transport)
+        self._transport.abort()
+
+    def _close(self, cause: str) -> None:
+        """Close a connection on which nothing is in progress."""
         self._is_closing = True
-        if linger:
-            # Closing with unread bytes would reset the connection and lose the response.
-            self._linger_until_ms = self._handler.now_ms() + LINGER_MS
-            self._transport.write_eof()
-        else:
-            self._transport.close()
+        self._note_end(cause)
+        self._transport.close()
+
+    def _end(self, cause: str) -> None:
+        """Close after the last response, once the caller has read it and closed its own side."""
+        self._is_closing = True
+        self._note_end(cause)
+        self._message = None
+        self._linger = Linger(self._handler.now_ms())
+        self._transport.write_eof()
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
 
     def _pause_or_resume_reading(self) -> None:
         if self._transport is None or self._is_closing:
--- /dev/null
+++ b/src/cottonlink/path/_shutdown.py
@@ -0,0 +1,150 @@
+"""Graceful shutdown of a node: which requests it still takes, and when its process may end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from cottonlink.path._caller_connection import CallerConnection
+from cottonlink.path._connection_end import ConnectionEnd
+from cottonlink.path._ingress import Ingress
+from cottonlink.path._listeners import Listeners
+from cottonlink.path._peer_server import PeerConnection
+from cottonlink.path._state import NodeState
+
+# Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
+# runs once a second and needs two failures to stop.
+NEW_CALLERS_AFTER_SHUTDOWN_MS = 2_600.0
+# Time after SIGTERM for which a node still runs calls of other nodes that find no other target. The
+# rest of NEW_CALLERS_AFTER_SHUTDOWN_MS is for calls that are already in transit.
+PEER_CALLS_AFTER_SHUTDOWN_MS = 2_300.0
+# Share of the time until SIGKILL after which new requests are refused, so that those accepted
+# before can still end.
+ACCEPT_SHARE = 0.47
+# Share of the time until SIGKILL after which no more connections are accepted, so that those
+# accepted before get a response.
+LISTEN_SHARE = 0.8
+# Share of the time until SIGKILL within which work in progress may be finished.
+DRAIN_SHARE = 0.95
+# Longest time for which the connections of peers that have everything may take to close.
+PEER_LINGER_MS = 500.0
+# Request ids in one line of the log.
+LOGGED_IDS_LIMIT = 8
+
+
+def report_connection_end(state: NodeState, end: ConnectionEnd) -> None:
+    """Log how a caller's connection ended, and count a response that was cut short."""
+    if end.is_answer_cut_short:
+        state.metrics.count("answers_cut_short", end.cause)
+    state.log.event(
+        "caller_connection_ended",
+        cause=end.cause,
+        unsent_bytes=end.unsent_bytes,
+        unread_bytes=end.unread_bytes,
+        requests=len(end.unanswered_ids),
+        started=end.started_count,
+        request_ids=end.unanswered_ids[:LOGGED_IDS_LIMIT],
+    )
+
+
+@define(eq=False)
+class Shutdown:
+    """A shutdown in progress, which the node's periodic sweep advances.
+
+    ``on_done`` is called once the work in progress has ended, or DRAIN_SHARE of ``grace_ms`` is
+    over. ``takes_calls`` tells whether the node still runs calls of other nodes.
+    """
+
+    _state: NodeState
+    _ingress: Ingress
+    _listeners: Listeners
+    _caller_connections: set[CallerConnection]
+    _peer_connections: set[PeerConnection]
+    _grace_ms: float
+    _on_done: Callable[[], None]
+    started_ms: float = field(init=False)
+    takes_calls: bool = field(default=True, init=False)
+    is_done: bool = field(default=False, init=False)
+    _peers_ended_ms: float | None = field(default=None, init=False)
+
+    def begin(self) -> None:
+        """Tell the peers that this node is shutting down."""
+        self.started_ms = self._state.now_ms()
+        self._state.log.event(
+            "node_leaving", callers=len(self._caller_connections), peers=len(self._peer_connections)
+        )
+        for peer in self._peer_connections:
+            peer.send_leaving(takes_calls=True)
+
+    def refuses_requests(self) -> bool:
+        """Return whether it is too late to accept another request of a caller."""
+        # The event loop still runs callbacks between the end of the shutdown and the process's.
+        if self.is_done or self._peers_ended_ms is not None:
+            return True
+        return self._elapsed_ms() >= self._grace_ms * ACCEPT_SHARE
+
+    def advance(self) -> None:
+        """Take the steps that are due."""
+        elapsed_ms = self._elapsed_ms()
+        dispatcher = self._state.dispatcher
+        if self.takes_calls and elapsed_ms >= PEER_CALLS_AFTER_SHUTDOWN_MS:
+            self.takes_calls = False
+            for peer in self._peer_connections:
+                peer.send_leaving(takes_calls=False)
+            dispatcher.close("node_leaving")
+        if elapsed_ms < NEW_CALLERS_AFTER_SHUTDOWN_MS:
+            return
+        is_work_done = self._ingress.is_idle and dispatcher.is_idle
+        # What was accepted just before the listeners closed gets a sweep's time to appear.
+        is_listening = self._listeners.is_open
+        if is_work_done or elapsed_ms >= self._grace_ms * LISTEN_SHARE:
+            # Callers that connect to a process that ends would wait for a response in vain.
+            self._listeners.close_when_accepted()
+        # Idle keep-alive connections are closed only once no new callers are directed here.
+        for connection in list(self._caller_connections):
+            connection.close_if_idle()
+        is_idle = is_work_done and not is_listening and self._end_peers()
+        is_idle = is_idle and not self._caller_connections
+        if is_idle or elapsed_ms >= self._grace_ms * DRAIN_SHARE:
+            self.is_done = True
+            self._listeners.close()
+            self._report_stop(elapsed_ms, is_idle)
+            self._on_done()
+
+    def _end_peers(self) -> bool:
+        """End the connections to and from peers; return whether all of them have everything."""
+        links = self._state.peer_links.all()
+        now_ms = self._state.now_ms()
+        if self._peers_ended_ms is None:
+            self._peers_ended_ms = now_ms
+            for connection in [*self._peer_connections, *links]:
+                connection.end()
+        if not self._peer_connections and not any(link.connection_count for link in links):
+            return True
+        # A peer that doesn't close its side has everything nonetheless.
+        return now_ms - self._peers_ended_ms >= PEER_LINGER_MS and self._peer_unsent_bytes() == 0
+
+    def _peer_unsent_bytes(self) -> int:
+        connections = [*self._peer_connections, *self._state.peer_links.all()]
+        return sum(connection.unsent_bytes() for connection in connections)
+
+    def _report_stop(self, elapsed_ms: float, is_idle: bool) -> None:
+        ends = [connection.describe_end("process_end") for connection in self._caller_connections]
+        for end in ends:
+            report_connection_end(self._state, end)
+        self._state.log.event(
+            "node_stopped",
+            after_ms=round(elapsed_ms),
+            was_idle=is_idle,
+            callers=len(ends),
+            requests=sum(len(end.unanswered_ids) for end in ends),
+            unsent_bytes=sum(end.unsent_bytes for end in ends),
+            peers=len(self._peer_connections),
+            peer_unsent_bytes=self._peer_unsent_bytes(),
+            calls=self._state.peer_links.pending_count(),
+        )
+        self._state.log.flush()
+
+    def _elapsed_ms(self) -> float:
+        return self._state.now_ms() - self.started_ms
