Wait before a read that another era cut short is repeated

A store whose answers don't agree on their era would have been read without a pause by every node, against the rate that all nodes share.

Cause: the follower began the next read at once where it found two eras, as it expected that to happen once for each return.

--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -111,10 +111,14 @@
             except EraChangedError as error:
                 self._log.event("store_read_restarted", detail=error.detail)
                 self._must_read = True
+                await self._wait_before_retry()
             except CottonlinkError as error:
                 self._on_store_lost(error)
-                await asyncio.sleep(self._retry_delay_s * self._rng.uniform(0.5, 1.0))
-                self._retry_delay_s = min(self._retry_delay_s * 2, MAX_RETRY_DELAY_S)
+                await self._wait_before_retry()
+
+    async def _wait_before_retry(self) -> None:
+        await asyncio.sleep(self._retry_delay_s * self._rng.uniform(0.5, 1.0))
+        self._retry_delay_s = min(self._retry_delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def run_maintenance(self) -> None:
         """Update the contents over time and send heartbeats while watching, until cancelled."""
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -34,17 +34,23 @@
 class RecordingStore:
     """Answers with nothing new, or fails while ``is_reachable`` is not set.
 
-    A watch that begins while ``is_hanging`` is set is never answered.
+    A watch that begins while ``is_hanging`` is set is never answered, and a read that begins while
+    ``is_between_eras`` is set gets answers of two eras.
     """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.is_reachable = True
         self.is_hanging = False
+        self.is_between_eras = False
         self.position = StorePosition(1, 1)
         self.items: tuple[StoreItem, ...] = ()
 
     async def read_all(self) -> Listing:
+        if self.is_between_eras:
+            self.calls.append("read")
+            await asyncio.sleep(0)
+            raise EraChangedError("store_era_changed", "two eras", step=Step.POLICY_READ)
         return self._answer("read", self.items)
 
     async def watch(self, position: StorePosition) -> Listing:
@@ -279,6 +285,17 @@
         ignored = self.logged_events("store_changes_ignored")
         self.assertEqual([fields["reason"] for fields in ignored], ["older_era"])
 
+    async def test_restarted_reads_are_delayed(self) -> None:
+        """A store whose answers never agree on their era must not be read without a pause."""
+        self.store.is_between_eras = True
+        self.follower._must_read = True
+        self.follower._retry_delay_s = 1_000.0
+        running = asyncio.create_task(self.follower.run())
+        for _ in range(20):
+            await asyncio.sleep(0)
+        running.cancel()
+        self.assertEqual(self.store.calls, ["read"])
+
     async def test_answer_of_an_older_era_is_refused(self) -> None:
         """A node must not go back to what the store held before its latest return."""
         await self.enter_era(StorePosition(2, 1))
