Don't rely on changes of builds that know no eras

In a fleet of two builds in which all watchers of a data centre are of the former one, the nodes of this build never learned that the store had returned from a copy (CONFIG): they trusted changes without an era as long as they knew only the first one, and so asked nobody else.

Cause: the order of a frame without an era can't be told in any era. The former build goes on with heartbeats of a revision that means something else since.

Such frames are now neither applied nor heartbeats, unless the store itself tells no era. A node that hears no other watcher watches the store, where the first answer shows the era. That costs calls while a build is being replaced, at nodes of data centres in which both watchers are still of the former build; it keeps the order right without an assumption about which era is the first.

--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -48,11 +48,6 @@
 LISTENER_CHECK_INTERVAL_S = 0.2
 
 
-# The store counts its eras from here. Builds that don't know eras compare revisions only, which is
-# right as long as the store has never returned from a copy.
-FIRST_ERA = 1
-
-
 class StoreListener(Protocol):
     """The node that receives what the follower reads."""
 
@@ -140,10 +135,11 @@
         if known is None:
             # Nothing tells yet whether the frame is of the store's present era.
             return
-        if frame.era is None and known.era > FIRST_ERA:
+        era = UNKNOWN_ERA if frame.era is None else frame.era
+        if era == UNKNOWN_ERA != known.era:
+            # An earlier build may follow a revision of another era without noticing.
             self._ignore_changes(frame, "unknown_era")
             return
-        era = known.era if frame.era is None else frame.era
         if era < known.era:
             self._ignore_changes(frame, "older_era")
             return
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -133,7 +133,8 @@
         A node that hears of a watcher meanwhile must not take the store for regained.
         """
         await self.lose_store()
-        self.follower.apply_changes(StoreChangesFrame(1, 1, ()))
+        self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=1))
+        self.assertTrue(self.hears_watcher())
         await self.follower._step()
         self.clock.now_s += 10.0
         self.store.is_reachable = True
@@ -225,7 +226,7 @@
 
         The same holds for changes that were missed.
         """
-        for frame in (StoreChangesFrame(10, 12, ()), StoreChangesFrame(1, 1, (), era=2)):
+        for frame in (StoreChangesFrame(10, 12, (), era=1), StoreChangesFrame(1, 1, (), era=2)):
             with self.subTest(frame=frame):
                 self.store.is_hanging = True
                 step = asyncio.create_task(self.follower._step())
@@ -263,20 +264,23 @@
             await self.follower._step()
         self.assertEqual(self.follower.snapshot().era, 1)
 
-    async def test_changes_without_an_era_are_trusted_in_the_first_era_only(self) -> None:
+    async def test_changes_without_an_era_are_not_relied_on(self) -> None:
         """The former build compares revisions of different eras, so its order may be wrong.
 
-        Before the store has ever returned, both builds must go on sharing changes.
+        A node whose watchers were all of that build never learned that the store had returned.
         """
         self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"5"),)))
-        self.assertEqual(self.applied_versions(), [5])
-        self.assertTrue(self.hears_watcher())
-        self.clock.now_s += 10.0
-        await self.enter_era(StorePosition(2, 1))
-        self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"6"),)))
-        self.assertEqual(self.applied_versions(), [5])
+        self.assertEqual(self.applied_versions(), [])
         self.assertFalse(self.hears_watcher())
 
+    async def test_store_without_eras_is_followed_through_peers(self) -> None:
+        """A store that doesn't tell its era must not make every node watch it."""
+        self.follower._position = StorePosition(0, 1)
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("configuration", 2, b"5"),)))
+        self.follower.apply_changes(StoreChangesFrame(2, 3, (("configuration", 3, b"6"),), era=0))
+        self.assertEqual(self.applied_versions(), [5, 6])
+        self.assertTrue(self.hears_watcher())
+
     async def test_ignored_changes_are_logged_once_in_an_era(self) -> None:
         """Heartbeats of a node that lags behind must not fill the log."""
         await self.enter_era(StorePosition(2, 1))
