End links that a stopping node opens after its others have ended

A change of the store that arrives at the end of a shutdown may open a link to a peer that has none yet. That link was not ended: what it carried was cut off with the process, and the peer saw a reset.

Measured: test_link_opened_at_the_end_is_ended failed before (the link stayed open) and passes.

--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -118,8 +118,9 @@
         now_ms = self._state.now_ms()
         if self._peers_ended_ms is None:
             self._peers_ended_ms = now_ms
-            for connection in [*self._peer_connections, *links]:
-                connection.end()
+        # Repeated, since a change of the store may still open a link.
+        for connection in [*self._peer_connections, *links]:
+            connection.end()
         if not self._peer_connections and not any(link.connection_count for link in links):
             return True
         # A peer that doesn't close its side has everything nonetheless.
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from cottonlink.path._frames import PingFrame
 from emulator.addresses import PortReserver
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_store import PlatformStore
@@ -263,6 +264,26 @@
         response = await caller.response()
         self.assertEqual(response.status, 503)
 
+    async def test_link_opened_at_the_end_is_ended(self) -> None:
+        """A change of the store may open a link to a peer when the other links have ended.
+
+        Such a link would be cut off by the end of the process.
+        """
+        self.answer_large_bodies()
+        caller = await self.connect_slowly(self.first)
+        caller.writer.write(request_bytes("/reads/1"))
+        await self.wait_until_unsent(self.first)
+        node = self.first.node
+        node.begin_shutdown(lambda: None)
+        self.advance_shutdown(self.first, 3_000)
+        await self.wait_until(lambda: node._shutdown._peers_ended_ms is not None)
+        # As if the peer had been added just now.
+        node.state.peer_links.keep_only(set())
+        peer_host = self.booking.caller_address[0]
+        link = node.state.peer_links.link((peer_host, node.state.peer_port))
+        link.send_or_open(PingFrame(0))
+        await self.wait_until(lambda: link._is_closed and link.connection_count == 0)
+
     async def test_request_that_has_arrived_is_answered_before_a_close(self) -> None:
         """A connection that is closed as idle must not have a request waiting in the kernel."""
         caller = await self.connect(self.first)
