--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -13,7 +13,9 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
+from cottonlink.path._frames import PingFrame
 from emulator.addresses import PortReserver
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_store import PlatformStore
@@ -255,6 +257,9 @@
 
         Its first request may be on its way, so it isn't closed at once.
         """
+        patch = mock.patch("cottonlink.path._caller_connection.NEW_CONNECTION_MS", 60_000.0)
+        patch.start()
+        self.addCleanup(patch.stop)
         self.first.node.begin_shutdown(lambda: None)
         self.advance_shutdown(self.first, 2_900)
         caller = await self.connect(self.first)
@@ -263,6 +268,26 @@
         response = await caller.response()
         self.assertEqual(response.status, 503)
 
+    async def test_link_opened_at_the_end_is_ended(self) -> None:
+        """A change of the store may open a link to a peer when the other links have ended.
+
+        Such a link would be cut off by the end of the process.
+        """
+        self.answer_large_bodies()
+        caller = await self.connect_slowly(self.first)
+        caller.writer.write(request_bytes("/reads/1"))
+        await self.wait_until_unsent(self.first)
+        node = self.first.node
+        node.begin_shutdown(lambda: None)
+        self.advance_shutdown(self.first, 3_000)
+        await self.wait_until(lambda: node._shutdown._peers_ended_ms is not None)
+        # As if the peer had been added just now.
+        node.state.peer_links.keep_only(set())
+        peer_host = self.booking.caller_address[0]
+        link = node.state.peer_links.link((peer_host, node.state.peer_port))
+        link.send_or_open(PingFrame(0))
+        await self.wait_until(lambda: link._is_closed and link.connection_count == 0)
+
     async def test_request_that_has_arrived_is_answered_before_a_close(self) -> None:
         """A connection that is closed as idle must not have a request waiting in the kernel."""
         caller = await self.connect(self.first)
@@ -422,12 +447,12 @@
         await self.wait_until(lambda: len(target.runs) == runs + 1)
         leaving.send_signal(signal.SIGTERM)
         await self.wait_until(lambda: self.log_lines(2, "node_leaving"))
-        await asyncio.sleep(1.8)
+        # Until shortly before the shutdown would end if no call were in progress.
+        await asyncio.sleep(2.3)
         ingress.send_signal(signal.SIGSTOP)
         try:
             target.answer_gate.set()
-            # Longer than the shutdown lasts if nothing is in progress.
-            await asyncio.sleep(1.6)
+            await asyncio.sleep(1.0)
         finally:
             ingress.send_signal(signal.SIGCONT)
         self.assertEqual(await _read_large_response(caller), (200, len(LARGE_BODY)))
