--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -74,6 +74,11 @@
         self._history.clear()
         self._oldest_known_revision = self._revision
 
+    def value(self, key: str) -> bytes | None:
+        """Return the value of an item, or None if there is none."""
+        item = self._items.get(key)
+        return None if item is None else item[0]
+
     def take_copy(self) -> StoreCopy:
         """Return a copy of the present items."""
         return StoreCopy(self._revision, dict(self._items), tuple(self._history))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,59 +4,112 @@
 
 import asyncio
 import json
+import queue
+import shutil
 import sys
 import tempfile
 from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from pathlib import Path
 
 import attrs
 import click
 
-from soak.fleet import ROOT
-from soak.run import SoakResult, run_seed
+from soak.faults import PlannedFault
+from soak.run import DEFAULT_VM_COUNT, SoakPlan, SoakResult, make_plan, run_plan
+from soak.vm import ROOT
 
-# Seeds of past failures, each with its cause; every run repeats them.
+# Plans of past failures, each with its cause; every run repeats them.
 REGRESSION_SEEDS_FILE = Path(__file__).parent / "regression_seeds.json"
 DEFAULT_JOBS = 4
+FIRST_BLOCK = 20
 
 
 @click.command()
 @click.option("--seeds", default=10, show_default=True, help="Number of seeds.")
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option("--jobs", default=DEFAULT_JOBS, show_default=True, help="Seeds played side by side.")
+@click.option("--vms", default=DEFAULT_VM_COUNT, show_default=True, help="VMs of a fleet.")
+@click.option(
+    "--first-block",
+    default=FIRST_BLOCK,
+    show_default=True,
+    help="Second byte of the first loopback addresses; each job uses another.",
+)
+@click.option("--regression/--no-regression", default=True, help="Repeat past failures first.")
 @click.option(
     "--beside",
     type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
     help="Checkout of another build; half of the nodes run from there.",
 )
-def main(seeds: int, first: int, jobs: int, beside: Path | None) -> None:
+def main(
+    seeds: int,
+    first: int,
+    jobs: int,
+    vms: int,
+    first_block: int,
+    regression: bool,
+    beside: Path | None,
+) -> None:
     """Run the soak test for a range of seeds and for the regression seeds."""
-    regression = json.loads(REGRESSION_SEEDS_FILE.read_text())
-    all_seeds = [*(entry["seed"] for entry in regression), *range(first, first + seeds)]
     checkouts = (ROOT,) if beside is None else (ROOT, beside)
-    results = asyncio.run(_run_all(list(dict.fromkeys(all_seeds)), jobs, checkouts))
+    plans = _regression_plans(checkouts) if regression else []
+    plans += [make_plan(seed, vms, checkouts) for seed in range(first, first + seeds)]
+    results = _run_all(plans, jobs, first_block)
     failed = [result for result in results if result.problems]
-    for result in failed:
-        click.echo(json.dumps(attrs.asdict(result)))
     sent, served = sum(r.sent for r in results), sum(r.served for r in results)
     click.echo(f"{len(results)} seeds, {len(failed)} failed, {served} of {sent} requests served")
     sys.exit(bool(failed))
 
 
-async def _run_all(seeds: list[int], jobs: int, checkouts: Sequence[Path]) -> list[SoakResult]:
-    address_blocks = asyncio.Queue()
-    for address_block in range(jobs):
-        address_blocks.put_nowait(20 + address_block)
+def _regression_plans(checkouts: Sequence[Path]) -> list[SoakPlan]:
+    """Return the plans of past failures.
+
+    Each keeps its faults: those of a seed change with every fault that is added to the soak.
+    """
+    return [
+        SoakPlan(
+            entry["seed"],
+            tuple(PlannedFault(**fault) for fault in entry["faults"]),
+            entry.get("vms", DEFAULT_VM_COUNT),
+            tuple(checkouts),
+        )
+        for entry in json.loads(REGRESSION_SEEDS_FILE.read_text())
+    ]
+
+
+def _run_all(plans: Sequence[SoakPlan], jobs: int, first_block: int) -> list[SoakResult]:
+    """Run each plan in a process of its own, so that none delays the callers of another."""
+    address_blocks: queue.Queue[int] = queue.Queue()
+    for number in range(jobs):
+        address_blocks.put(first_block + number)
 
-    async def run_in_free_block(seed: int) -> SoakResult:
-        address_block = await address_blocks.get()
-        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    def run_in_free_block(plan: SoakPlan) -> SoakResult:
+        address_block = address_blocks.get()
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{plan.seed}-"))
         try:
-            return await run_seed(seed, folder, address_block, checkouts)
+            result = processes.submit(_run_in_process, plan, folder, address_block).result()
         finally:
-            address_blocks.put_nowait(address_block)
+            address_blocks.put(address_block)
+        if result.problems:
+            _print_failure(result)
+        else:
+            shutil.rmtree(folder)
+        return result
+
+    with ProcessPoolExecutor(jobs) as processes, ThreadPoolExecutor(jobs) as threads:
+        return list(threads.map(run_in_free_block, plans))
+
+
+def _print_failure(result: SoakResult) -> None:
+    """Print the plan, which can be kept as a regression case, and the problems."""
+    faults = [attrs.asdict(fault) for fault in result.faults]
+    lines = [json.dumps({"seed": result.seed, "faults": faults}), f"logs: {result.folder}"]
+    click.echo("\n".join([*lines, *result.problems]))
+
 
-    return await asyncio.gather(*(run_in_free_block(seed) for seed in seeds))
+def _run_in_process(plan: SoakPlan, folder: Path, address_block: int) -> SoakResult:
+    return asyncio.run(run_plan(plan, folder, address_block))
 
 
 if __name__ == "__main__":
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,143 +1,150 @@
-"""Callers that send requests over persistent connections and record the responses."""
+"""Callers of different kinds that send requests to nodes and record the responses."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
+import random
 from collections.abc import Sequence
 
-import httptools
-from attrs import define, field
+from soak.client_connection import ClientConnection, connect
+from soak.configuration_series import ConfigurationSeries
+from soak.lag import LagMeter
+from soak.observations import ObservedRequest
+from soak.vm import SoakVm
 
-DEADLINE_MS = 3_000
-# How long after the deadline a caller still waits for the response.
-ANSWER_GRACE_S = 3.0
-
-
-@define
-class ObservedRequest:
-    """A request and the response that its caller received.
-
-    ``status`` is 0 if the response is incomplete. ``seal`` is its X-Server-Seal header, which a
-    target adds to each success; it is empty if there is none.
-    """
-
-    request_id: str
-    path: str
-    is_booking: bool
-    status: int = 0
-    body: bytes = b""
-    seal: str = ""
-    headers: dict[str, str] = field(factory=dict)
-    is_complete: bool = False
-    duration_s: float = 0.0
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode().lower()] = value.decode()
-
-    def on_body(self, body: bytes) -> None:
-        self.body += body
-
-    def on_message_complete(self) -> None:
-        self.is_complete = True
+# A caller that reads slowly waits this long after each chunk of 64 KiB.
+SLOW_READ_PAUSE_S = 0.02
+# Keeps most of a large response at the node until the caller reads it.
+SLOW_RECEIVE_BUFFER_BYTES = 64 * 1024
+LARGE_BODY_BYTES = (1_000_000, 3_000_000)
+MAX_PIPELINED = 4
+CONNECTIONS_AT_A_TIME = 4
 
 
 class Callers:
     """Sends requests to nodes and records each with its response in ``observed``."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, rng: random.Random, lag_meter: LagMeter, stop_event: asyncio.Event, pause_s: float
+    ) -> None:
+        self._rng = rng
+        self._lag_meter = lag_meter
+        self._stop_event = stop_event
+        self._pause_s = pause_s
         self._request_numbers = itertools.count()
         self.observed: list[ObservedRequest] = []
 
-    async def run(
-        self, address: tuple[str, int], pause_s: float, stop_event: asyncio.Event
-    ) -> None:
-        """Send requests to one node until the event is set, and reconnect when necessary."""
+    async def keep_connection(self, vm: SoakVm) -> None:
+        """Send one request after another on a connection, as long as it stays open."""
         connection = None
-        while not stop_event.is_set():
-            if connection is None:
-                connection = await _connect(address)
+        while not self._stop_event.is_set():
+            connection = connection or await connect(vm, self._lag_meter)
             if connection is not None:
-                observed = await self.send(connection, "reads", "bookings")
-                if not observed.is_complete or observed.headers.get("connection") == "close":
-                    connection[1].close()
+                await self._exchange(connection, self._new_request("reads", "bookings"))
+                if not connection.is_open or connection.is_closing:
                     connection = None
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(self._pause_s)
         if connection is not None:
-            connection[1].close()
-
-    async def resend(
-        self,
-        path: str,
-        addresses: Sequence[tuple[str, int]],
-        pause_s: float,
-        stop_event: asyncio.Event,
-    ) -> None:
-        """Send a read with the same path to each of the nodes in turn until the event is set."""
-        for address in itertools.cycle(addresses):
-            if stop_event.is_set():
-                return
-            connection = await _connect(address)
+            connection.close()
+
+    async def pipeline(self, vm: SoakVm) -> None:
+        """Send several reads before the first of them is answered."""
+        connection = None
+        while not self._stop_event.is_set():
+            connection = connection or await connect(vm, self._lag_meter)
+            if connection is not None:
+                count = self._rng.randint(2, MAX_PIPELINED)
+                requests = [self._new_request("reads") for _ in range(count)]
+                exchanges = (self._exchange(connection, request) for request in requests)
+                await asyncio.gather(*exchanges)
+                if not connection.is_open or connection.is_closing:
+                    connection = None
+            await asyncio.sleep(3 * self._pause_s)
+        if connection is not None:
+            connection.close()
+
+    async def read_slowly(self, vm: SoakVm) -> None:
+        """Read large responses slowly, and send the next request while doing so."""
+        connection = None
+        while not self._stop_event.is_set():
+            connection = connection or await connect(
+                vm,
+                self._lag_meter,
+                read_pause_s=SLOW_READ_PAUSE_S,
+                receive_buffer_bytes=SLOW_RECEIVE_BUFFER_BYTES,
+            )
             if connection is not None:
-                await self._exchange(connection, f"r{next(self._request_numbers)}", path)
-                connection[1].close()
+                await self._read_one_slowly(connection)
+                if not connection.is_open or connection.is_closing:
+                    connection = None
+            await asyncio.sleep(4 * self._pause_s)
+        if connection is not None:
+            connection.close()
+
+    async def _read_one_slowly(self, connection: ClientConnection) -> None:
+        large = self._new_request(f"reads/large-{self._rng.randint(*LARGE_BODY_BYTES)}")
+        exchanges = [asyncio.ensure_future(self._exchange(connection, large))]
+        await asyncio.sleep(self._rng.uniform(0, 0.6))
+        if not large.ending and self._rng.random() < 0.7:
+            following = self._new_request("reads")
+            exchanges.append(asyncio.ensure_future(self._exchange(connection, following)))
+        await asyncio.gather(*exchanges)
+
+    async def reconnect(self, vm: SoakVm) -> None:
+        """Send each request on a new connection; several connect at a time."""
+        while not self._stop_event.is_set():
+            await asyncio.gather(
+                *(
+                    self.send_on_new_connection(vm, "reads", "bookings")
+                    for _ in range(CONNECTIONS_AT_A_TIME)
+                )
+            )
+            await asyncio.sleep(2 * self._pause_s)
+
+    async def probe(self, vm: SoakVm, series: ConfigurationSeries) -> None:
+        """Send reads on routes that were added, moved or removed lately."""
+        connection = None
+        while not self._stop_event.is_set():
+            prefix = series.choose_changed_prefix()
+            connection = connection or await connect(vm, self._lag_meter)
+            if prefix is not None and connection is not None:
+                await self._exchange(connection, self._new_request(prefix.strip("/")))
+                if not connection.is_open or connection.is_closing:
+                    connection = None
+            await asyncio.sleep(self._pause_s)
+        if connection is not None:
+            connection.close()
+
+    async def resend(self, path: str, vms: Sequence[SoakVm], pause_s: float) -> None:
+        """Send a read with the same path to each of the nodes in turn."""
+        for vm in itertools.cycle(vms):
+            if self._stop_event.is_set():
+                return
+            request = ObservedRequest(f"r{next(self._request_numbers)}", path)
+            await self._send_on_new_connection(vm, request)
             await asyncio.sleep(pause_s)
 
-    async def send_on_new_connection(
-        self, address: tuple[str, int], kind: str
-    ) -> ObservedRequest | None:
+    async def send_on_new_connection(self, vm: SoakVm, *kinds: str) -> ObservedRequest | None:
         """Send one request on a new connection; return None if the node can't be reached."""
-        connection = await _connect(address)
+        return await self._send_on_new_connection(vm, self._new_request(*kinds))
+
+    async def _send_on_new_connection(
+        self, vm: SoakVm, request: ObservedRequest
+    ) -> ObservedRequest | None:
+        connection = await connect(vm, self._lag_meter)
         if connection is None:
             return None
-        observed = await self.send(connection, kind)
-        connection[1].close()
-        return observed
+        await self._exchange(connection, request)
+        connection.close()
+        return request
+
+    async def _exchange(self, connection: ClientConnection, request: ObservedRequest) -> None:
+        self.observed.append(request)
+        await connection.exchange(request)
 
-    async def send(self, connection: tuple, *kinds: str) -> ObservedRequest:
-        """Send a request to one of the routes ``kinds``, in turn; return it with its response."""
+    def _new_request(self, *kinds: str) -> ObservedRequest:
+        """Return a request to one of the routes ``kinds``, in turn."""
         number = next(self._request_numbers)
         kind = kinds[number % len(kinds)]
-        return await self._exchange(
-            connection, f"r{number}", f"/{kind}/{number}", is_booking=kind == "bookings"
-        )
-
-    async def _exchange(
-        self, connection: tuple, request_id: str, path: str, *, is_booking: bool = False
-    ) -> ObservedRequest:
-        observed = ObservedRequest(request_id, path, is_booking)
-        self.observed.append(observed)
-        reader, writer = connection
-        body = b"x" if observed.is_booking else b""
-        method = "POST" if observed.is_booking else "GET"
-        head = (
-            f"{method} {observed.path} HTTP/1.1\r\nHost: shop.example\r\n"
-            f"X-Attempt-Id: {observed.request_id}\r\nX-Request-Deadline-Ms: {DEADLINE_MS}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        with contextlib.suppress(ConnectionError, TimeoutError):
-            writer.write(head.encode() + body)
-            await asyncio.wait_for(_read(reader, observed), DEADLINE_MS / 1000 + ANSWER_GRACE_S)
-        observed.duration_s = loop.time() - started_s
-        return observed
-
-
-async def _connect(address: tuple[str, int]) -> tuple | None:
-    try:
-        return await asyncio.wait_for(asyncio.open_connection(*address), 1.0)
-    except (OSError, TimeoutError):
-        return None
-
-
-async def _read(reader: asyncio.StreamReader, observed: ObservedRequest) -> None:
-    parser = httptools.HttpResponseParser(observed)
-    while not observed.is_complete:
-        data = await reader.read(65_536)
-        if not data:
-            return
-        parser.feed_data(data)
-    observed.status = parser.get_status_code()
-    observed.seal = observed.headers.get("x-server-seal", "")
+        return ObservedRequest(f"r{number}", f"/{kind}/{number}", kind == "bookings")
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,48 +2,69 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from collections.abc import Mapping, Sequence
 
-from soak.callers import ObservedRequest
-from soak.fleet import SoakFleet
+from soak.disturbances import CONTACT_S
+from soak.observations import ObservedRequest, Violation, expected_body
+from soak.runs import Run
 
 # Statuses that guarantee that the request has not run and will not run.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
-# After a fault, nodes reach each other and the store again within this time.
-CONTACT_S = 3.0
-# Targets that a request may crash later than that after its third crash.
+# Targets that a request may crash later than ``CONTACT_S`` after its third crash.
 MAX_LATER_CRASHES = 3
 
 
-def find_violations(fleet: SoakFleet, requests: list[ObservedRequest]) -> list[str]:
-    """Return a line for each guarantee that was violated at any time during the run."""
-    runs = Counter(run.header("x-attempt-id") for vm in fleet.vms for run in vm.target.runs)
+def find_violations(
+    requests: Sequence[ObservedRequest], runs: Mapping[str, Sequence[Run]]
+) -> list[Violation]:
+    """Return requests for which a guarantee was violated at any time."""
+    return [
+        Violation(rule, request, text)
+        for request in requests
+        for rule, text in _check_request(request, runs.get(request.request_id, ()))
+    ]
+
+
+def find_unasked(
+    requests: Sequence[ObservedRequest], runs: Mapping[str, Sequence[Run]]
+) -> list[str]:
+    """Return a line for each request that ran although no caller sent it."""
     sent_ids = {request.request_id for request in requests}
-    problems = [
+    return [
         f"{request_id}: ran at a target, but no caller sent it"
         for request_id in runs
         if request_id not in sent_ids
     ]
-    for request in requests:
-        problems += _check_request(request, runs[request.request_id])
-    return problems
 
 
-def _check_request(request: ObservedRequest, run_count: int) -> list[str]:
-    name = f"{request.request_id} {request.path} ({request.status})"
+def _check_request(request: ObservedRequest, runs: Sequence[Run]) -> list[tuple[str, str]]:
     problems = []
-    if request.is_booking and run_count > 1:
-        problems.append(f"{name}: ran {run_count} times, expected at most once")
-    if request.status in NOT_EXECUTED_STATUSES and request.is_booking and run_count:
-        problems.append(f"{name}: ran despite a status that says it did not run")
+    if request.is_booking and len(runs) > 1:
+        problems.append(("TWICE", f"ran {len(runs)} times, expected at most once"))
+    if request.status in NOT_EXECUTED_STATUSES and request.is_booking and runs:
+        problems.append(("REFUSED", "ran despite a status that says it did not run"))
+    if request.ending.startswith("not a response"):
+        problems.append(("MIXED", f"bytes that are {request.ending}"))
     if request.status == 200:
         if not request.seal:
-            problems.append(f"{name}: success without an X-Server-Seal header")
-        if request.body.partition(b":")[2] != request.path.encode():
-            problems.append(f"{name}: response body does not end with the path: {request.body!r}")
+            problems.append(("MIXED", "success without an X-Server-Seal header"))
+        if not _is_whole_body(request, runs):
+            problems.append(
+                ("MIXED", f"success with {request.body_bytes} bytes, not the target's body")
+            )
     return problems
 
 
+def _is_whole_body(request: ObservedRequest, runs: Sequence[Run]) -> bool:
+    expected = (expected_body(f"i-{run.vm}", request.path) for run in runs)
+    return any(
+        len(body) == request.body_bytes
+        and body.startswith(request.body_start)
+        and request.is_rest_padding
+        for body in expected
+    )
+
+
 def find_uncontained_crashes(crash_times_s: list[float]) -> list[str]:
     """Return a line if a request went on to crash targets although three had crashed before.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,9 +10,15 @@
 
 from attrs import frozen
 
-from soak.fleet import SoakFleet, SoakVm
+from soak.disturbances import Kind
+from soak.fleet import SoakFleet
+from soak.vm import SoakVm
 
 MAX_DURATION_S = 2.5
+# A target that has reported that it drains serves for this time and a little longer.
+DRAIN_S = 2.0
+# How long the store is away before it returns from a copy, as shares of the age of the copy.
+AWAY_SHARES = (0.0, 0.15, 0.6)
 FaultAction = Callable[[SoakFleet, SoakVm, float], Awaitable[None]]
 
 
@@ -29,24 +35,27 @@
     for_s: float
 
 
-async def kill(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+async def kill(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Kill the node's process and start it again after a quarter of ``for_s``."""
-    await vm.stop_node()
-    await asyncio.sleep(for_s / 4)
-    await vm.start_node()
+    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+        await vm.kill_node()
+        await asyncio.sleep(for_s / 4)
+        await vm.start_node()
 
 
-async def term(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+async def term(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Stop the node's process with SIGTERM and start it again."""
-    await vm.stop_node(signal.SIGTERM)
-    await vm.start_node()
+    with fleet.disturbances.of_vm(vm.number, Kind.PLANNED):
+        await vm.terminate_node()
+        await vm.start_node()
 
 
-async def pause(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+async def pause(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Suspend the node's process with SIGSTOP for ``for_s``."""
-    vm.signal_node(signal.SIGSTOP)
-    await asyncio.sleep(for_s)
-    vm.signal_node(signal.SIGCONT)
+    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+        vm.signal_node(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        vm.signal_node(signal.SIGCONT)
 
 
 async def hang_up(_fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
@@ -66,60 +75,83 @@
     return any(int(masks[name], 16) & 1 for name in ("SigIgn", "SigCgt"))
 
 
-async def delay(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+async def delay(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Delay the data on the connections of peers to the node, in both directions."""
-    vm.peer_proxy.delay_s = 0.15
-    await asyncio.sleep(for_s)
-    vm.peer_proxy.delay_s = 0.0
+    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+        vm.peer_proxy.delay_s = 0.15
+        await asyncio.sleep(for_s)
+        vm.peer_proxy.delay_s = 0.0
 
 
-async def reset(_fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
+async def reset(fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
     """Reset all connections of peers to the node and of the node to the store."""
-    vm.peer_proxy.reset()
-    vm.store_proxy.reset()
+    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+        vm.peer_proxy.reset()
+        vm.store_proxy.reset()
 
 
-async def silence(_fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
+async def silence(fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
     """Drop all further data on the open connections to the node and to the store.
 
     The connections stay open, so that neither end gets an error.
     """
-    vm.peer_proxy.silence()
-    vm.store_proxy.silence()
+    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+        vm.peer_proxy.silence()
+        vm.store_proxy.silence()
 
 
-async def one_way(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+async def one_way(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Drop the data that the node sends back on connections of its peers."""
-    vm.peer_proxy.drops_responses = True
-    await asyncio.sleep(for_s)
-    vm.peer_proxy.drops_responses = False
-    vm.peer_proxy.reset()
+    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+        vm.peer_proxy.drops_responses = True
+        await asyncio.sleep(for_s)
+        vm.peer_proxy.drops_responses = False
+        vm.peer_proxy.reset()
 
 
-async def cut_store(_fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+async def cut_store(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Cut the node off from the store."""
-    vm.store_proxy.refuses_connections = True
-    vm.store_proxy.reset()
-    await asyncio.sleep(for_s)
-    vm.store_proxy.refuses_connections = False
+    with fleet.disturbances.of_vm(vm.number, Kind.STORE_PATH):
+        vm.store_proxy.refuses_connections = True
+        vm.store_proxy.reset()
+        await asyncio.sleep(for_s)
+        vm.store_proxy.refuses_connections = False
 
 
 async def store_fault(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Set a fault at the store, chosen by the number of the VM; it affects all nodes."""
-    fleet.store.fault = fleet.store.FAULTS[vm.number % len(fleet.store.FAULTS)]
-    await asyncio.sleep(for_s)
-    fleet.store.fault = None
+    with fleet.store_fault(fleet.store.FAULTS[vm.number % len(fleet.store.FAULTS)]):
+        await asyncio.sleep(for_s)
 
 
 async def forget_history(fleet: SoakFleet, vm: SoakVm, _for_s: float) -> None:
     """Compact the history of the store and reset the node's watches."""
-    await fleet.store.compact()
-    vm.store_proxy.reset()
+    with fleet.disturbances.of_vm(vm.number, Kind.STORE_PATH):
+        await fleet.store.compact()
+        vm.store_proxy.reset()
+
+
+async def return_store_from_copy(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+    """Let the store return from a copy that is ``for_s`` old, after a time in which it is away.
+
+    The operator and the targets then write again what it has lost. The number of the VM chooses
+    what a node sees while the store is away.
+    """
+    async with fleet.copy_lock:
+        copy = fleet.store.take_copy()
+        await asyncio.sleep(for_s)
+        away_s = for_s * AWAY_SHARES[int(for_s * 1000) % len(AWAY_SHARES)]
+        fault = fleet.store.FAULTS[vm.number % len(fleet.store.FAULTS)]
+        with fleet.writers.store_away(), fleet.disturbances.of_store():
+            if away_s:
+                with fleet.store_fault(fault):
+                    await asyncio.sleep(away_s)
+            fleet.return_store_from_copy(copy)
 
 
 async def crash_target(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Stop the target without removing its store entry, as in a crash; then start a new one."""
-    await vm.target.stop()
+    await vm.stop_target()
     await fleet.restart_target(vm, for_s)
 
 
@@ -131,10 +163,11 @@
 
 
 async def drain_target(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
-    """Set the state of the target to draining for ``for_s``, then back to ready."""
+    """Let the target report that it drains, serve on for ``DRAIN_S`` and more, and start anew."""
     await fleet.register(vm, state="draining")
-    await asyncio.sleep(for_s)
-    await fleet.register(vm)
+    await asyncio.sleep(DRAIN_S + for_s)
+    await vm.stop_target()
+    await fleet.restart_target(vm, 0.0)
 
 
 FAULT_ACTIONS: dict[str, FaultAction] = {
@@ -151,6 +184,7 @@
         cut_store,
         store_fault,
         forget_history,
+        return_store_from_copy,
         crash_target,
         lose_answers,
         drain_target,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,74 +4,44 @@
 
 import asyncio
 import json
-import os
+import random
 import signal
-import sys
-from collections.abc import Sequence
+from collections.abc import Coroutine, Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
-from attrs import define
-
 from emulator.http_stand_in import ReceivedRequest
-from emulator.platform_store import PlatformStore
-from emulator.platform_target import PlatformTarget, configuration, route_resource
+from emulator.platform_store import PlatformStore, StoreCopy
+from emulator.platform_target import PlatformTarget, route_resource
+from soak.disturbances import Disturbances
+from soak.lag import LagMeter
+from soak.observations import expected_body
 from soak.proxy import FaultyProxy
-
-ROOT = Path(__file__).resolve().parent.parent
-READS_ROUTE = route_resource("reads", "shop.example", "/reads/", "browse", timeout_s=3)
+from soak.runs import Run
+from soak.store_writers import StoreWriters
+from soak.vm import GRACE_S, ROOT, SoakVm
+
+HOST = "shop.example"
+SERVICES = ("browse", "booking")
+# The longest that the operator wants a request kept waiting.
+ROUTE_TIMEOUT_S = 3
+READS_ROUTE = route_resource("reads", HOST, "/reads/", "browse", timeout_s=ROUTE_TIMEOUT_S)
 BOOKINGS_ROUTE = route_resource(
-    "bookings", "shop.example", "/bookings/", "booking", kind="unsafe", priority=0, timeout_s=3
+    "bookings",
+    HOST,
+    "/bookings/",
+    "booking",
+    kind="unsafe",
+    priority=0,
+    timeout_s=ROUTE_TIMEOUT_S,
 )
-ADDED_ROUTE = route_resource("added", "shop.example", "/added/", "browse", timeout_s=3)
+ADDED_ROUTE = route_resource("added", HOST, "/added/", "browse", timeout_s=ROUTE_TIMEOUT_S)
 REQUEST_DURATION_S = 0.02
 # A request with this path crashes the target that runs it, which is started again after a while.
 CRASH_PATH = "/reads/crash"
 CRASH_DOWNTIME_S = 0.5
 FIRST_START_MS = 1_700_000_000_000
-
-
-@define(eq=False)
-class SoakVm:
-    """A VM: the node's process, its target, and the proxies for peers and for the store.
-
-    Peers reach the node through ``peer_proxy``; the node reaches the store through ``store_proxy``.
-    """
-
-    number: int
-    target: PlatformTarget
-    peer_proxy: FaultyProxy
-    store_proxy: FaultyProxy
-    settings_path: Path
-    log_path: Path
-    caller_address: tuple[str, int]
-    # The checkout that the node is started from.
-    checkout: Path = ROOT
-    process: asyncio.subprocess.Process | None = None
-
-    async def start_node(self) -> None:
-        """Start the node's process; its output is appended to the file at ``log_path``."""
-        environment = {
-            "PATH": os.environ["PATH"],
-            "COTTONLINK_NODE_FILE": str(self.settings_path),
-        }
-        with self.log_path.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(self.checkout / "src" / "run_node.py"),
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal_node(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the node's process, if it runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal_number)
-
-    async def stop_node(self, signal_number: signal.Signals = signal.SIGKILL) -> None:
-        """End the node's process with a signal and wait until it has exited."""
-        self.signal_node(signal_number)
-        await self.process.wait()
+VMS_PER_BLOCK = 250
 
 
 class SoakFleet:
@@ -82,59 +52,82 @@
     """
 
     def __init__(
-        self, folder: Path, address_block: int, vm_count: int, checkouts: Sequence[Path] = (ROOT,)
+        self,
+        folder: Path,
+        address_block: int,
+        vm_count: int,
+        rng: random.Random,
+        checkouts: Sequence[Path] = (ROOT,),
     ) -> None:
         self._folder = folder
         self._checkouts = checkouts
         # Runs in parallel need different blocks of loopback addresses.
         self._address_block = address_block
         self._vm_count = vm_count
+        self.now_s = asyncio.get_running_loop().time
         self.store = PlatformStore()
+        self.writers = StoreWriters(self.store, rng, self.now_s)
+        self.disturbances = Disturbances(self.now_s)
+        self.lag_meter = LagMeter(self.now_s)
         self.vms: list[SoakVm] = []
-        self.configuration_version = 3
+        self.runs: list[Run] = []
         # When a run of CRASH_PATH crashed a target, in seconds of the event loop's clock.
         self.crash_times_s: list[float] = []
-        self._restarts: set[asyncio.Task] = set()
+        # When the store returned from a copy.
+        self.returned_s: list[float] = []
+        # The store returns from one copy after another.
+        self.copy_lock = asyncio.Lock()
+        self._store_faults: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
         self._restart_lock = asyncio.Lock()
+        self._started_at_ms: dict[str, int] = {}
         self._last_start_ms = FIRST_START_MS
 
     async def start(self) -> None:
         """Start the store, targets and proxies, publish the configuration and start the nodes."""
+        self.start_task(self.lag_meter.run())
         await self.store.start()
         host, _, port = self.store.address.rpartition(":")
         for number in range(self._vm_count):
             self.vms.append(await self._make_vm(number, (host, int(port))))
-        await self.publish(READS_ROUTE, BOOKINGS_ROUTE)
+        await self.writers.publish(READS_ROUTE, BOOKINGS_ROUTE)
         for vm in self.vms:
             await vm.start_node()
 
-    async def publish(self, *routes: dict) -> None:
-        """Publish a configuration with the next version."""
-        self.configuration_version += 1
-        await self.store.put("op/config", configuration(self.configuration_version, *routes))
-
     async def stop(self) -> None:
         """Stop the nodes, proxies, targets and the store.
 
         Only the processes that this fleet started are ended, by their ids.
         """
-        for restart in self._restarts:
-            restart.cancel()
+        for task in self._tasks:
+            task.cancel()
         for vm in self.vms:
             vm.signal_node(signal.SIGCONT)
             if vm.process is not None and vm.process.returncode is None:
-                await vm.stop_node()
+                await vm.kill_node()
             vm.peer_proxy.stop()
             vm.store_proxy.stop()
             await vm.target.stop()
         await self.store.stop()
 
+    @contextmanager
+    def store_fault(self, fault: str) -> Iterator[None]:
+        """Set a fault of the store while the context is entered; of several the last counts."""
+        self._store_faults.append(fault)
+        self.store.fault = fault
+        try:
+            with self.disturbances.of_store():
+                yield
+        finally:
+            self._store_faults.remove(fault)
+            self.store.fault = self._store_faults[-1] if self._store_faults else None
+
     async def register(self, vm: SoakVm, **changes: object) -> None:
         """Write a target's entry to the store; ``changes`` replace fields of the entry."""
-        await self.store.put(f"servers/{vm.target.upstream_id}", vm.target.entry(**changes))
+        await self.writers.register(vm.target, **changes)
 
     async def restart_target(self, vm: SoakVm, after_s: float) -> None:
-        """Start a target again that has crashed, as a new incarnation under its former id."""
+        """Start a target again that has stopped, as a new incarnation under its former id."""
         await asyncio.sleep(after_s)
         # A crash and a fault that stops the target may end at the same moment.
         async with self._restart_lock:
@@ -142,34 +135,69 @@
                 return
             await vm.target.start()
         self._last_start_ms += 1
-        await self.register(vm, born=self._last_start_ms)
+        self._started_at_ms[vm.target.upstream_id] = self._last_start_ms
+        await self.register(vm, state="ready", born=self._last_start_ms)
+
+    def era_at(self, time_s: float) -> int:
+        """Return the era of the store at a past time."""
+        return 1 + sum(returned_s <= time_s for returned_s in self.returned_s)
+
+    def return_store_from_copy(self, copy: StoreCopy) -> None:
+        """Let the store return from a copy; the operator then writes again what it has lost."""
+        self.store.return_from_copy(copy)
+        self.returned_s.append(self.now_s())
+        self.start_task(self.writers.publish_again())
+
+    def start_task(self, coroutine: Coroutine) -> asyncio.Task:
+        """Run a coroutine beside the rest until the fleet is stopped; return its task."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
 
     async def _serve_request(
-        self, target: PlatformTarget, request: ReceivedRequest, _writer: object
+        self, target: PlatformTarget, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bytes | None:
+        (vm,) = (vm for vm in self.vms if vm.target is target)
+        started_at_ms = self._started_at_ms.get(target.upstream_id, FIRST_START_MS)
+        request_id = request.header("x-attempt-id")
+        now_s = self.now_s()
+        run = Run(request_id, vm.number, target.service, started_at_ms, now_s)
+        run.lag_s = self.lag_meter.largest_since(now_s - 1.0)
+        self.runs.append(run)
+        try:
+            response = await self._run_request(vm, request)
+            run.is_broken_off = response is None
+            if response is not None:
+                writer.write(response)
+                await writer.drain()
+        finally:
+            run.ended_s = self.now_s()
+        return None if run.is_broken_off else b""
+
+    async def _run_request(self, vm: SoakVm, request: ReceivedRequest) -> bytes | None:
         if request.target == CRASH_PATH:
-            await self._crash(target)
+            await self._crash(vm)
             return None
         await asyncio.sleep(REQUEST_DURATION_S)
-        if target.loses_answers:
+        if vm.target.loses_answers:
             return None
-        return target.success_response(request)
+        return vm.target.success_response(
+            request, expected_body(vm.target.upstream_id, request.target)
+        )
 
-    async def _crash(self, target: PlatformTarget) -> None:
-        loop = asyncio.get_running_loop()
-        self.crash_times_s.append(loop.time())
-        (vm,) = (vm for vm in self.vms if vm.target is target)
-        restart = loop.create_task(self.restart_target(vm, CRASH_DOWNTIME_S))
-        self._restarts.add(restart)
-        restart.add_done_callback(self._restarts.discard)
-        await target.stop()
+    async def _crash(self, vm: SoakVm) -> None:
+        self.crash_times_s.append(self.now_s())
+        self.start_task(self.restart_target(vm, CRASH_DOWNTIME_S))
+        await vm.stop_target()
 
     async def _make_vm(self, number: int, store: tuple[str, int]) -> SoakVm:
         # Peers reach the VM at its public address, where the proxy listens; the node listens at
         # another address.
-        public_host = f"127.{self._address_block}.1.{number + 1}"
-        node_host = f"127.{self._address_block}.2.{number + 1}"
-        service = "booking" if number % 2 else "browse"
+        block, host_number = divmod(number, VMS_PER_BLOCK)
+        public_host = f"127.{self._address_block}.{1 + 2 * block}.{host_number + 1}"
+        node_host = f"127.{self._address_block}.{2 + 2 * block}.{host_number + 1}"
+        service = SERVICES[number % len(SERVICES)]
         target = PlatformTarget(
             service, public_host, 7002, f"i-{number}", behaviour=self._serve_request
         )
@@ -187,7 +215,7 @@
             "metrics_address": f"{node_host}:7004",
             "target_address": f"{public_host}:7002",
             "store_address": f"{node_host}:{store_port}",
-            "grace_s": 6,
+            "grace_s": GRACE_S,
         }
         settings_path = self._folder / f"node-{number}.yaml"
         settings_path.write_text(json.dumps(settings))
@@ -199,8 +227,10 @@
             settings_path,
             self._folder / f"node-{number}.log",
             (node_host, 7000),
+            self.now_s,
             # Each pair of VMs has one of each service, so that every build runs both services.
             self._checkouts[number // 2 % len(self._checkouts)],
         )
         await self.register(vm)
+        self.start_task(self.writers.keep_registered(target))
         return vm
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,21 +1,26 @@
-"""Runs one seed: faults under load, then recovery, a draining target and a graceful shutdown."""
+"""Runs one seed: faults under load, recovery, a draining target and stops of all nodes in turn."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import signal
+import random
 from collections.abc import Sequence
 from pathlib import Path
 
-from attrs import frozen
+from attrs import define, field, frozen
 
-from soak.callers import Callers, ObservedRequest
-from soak.checks import find_uncontained_crashes, find_unserved, find_violations
-from soak.faults import PlannedFault, inject, plan_faults
+from soak.callers import Callers
+from soak.checks import find_unasked, find_uncontained_crashes, find_unserved, find_violations
+from soak.configuration_series import ConfigurationSeries
+from soak.disturbances import CONTACT_S
+from soak.faults import FAULT_ACTIONS, PlannedFault, inject, plan_faults
 from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, CRASH_PATH, READS_ROUTE, ROOT, SoakFleet
+from soak.observations import ObservedRequest
+from soak.runs import group_by_request
+from soak.trace import describe_all
+from soak.vm import SoakVm
 
-VM_COUNT = 4
+DEFAULT_VM_COUNT = 4
 CALLERS_PER_VM = 2
 REQUEST_PAUSE_S = 0.05
 CRASHING_REQUEST_PAUSE_S = 0.3
@@ -23,9 +28,26 @@
 # Within 3 s after the last fault nodes reach each other again, and a configuration is in force 2 s
 # after the store acknowledged it.
 RECOVERY_S = 5.0
-# A draining target gets no request later than this after the store acknowledged its state.
-DRAIN_LIMIT_S = 2.0
 START_TIMEOUT_S = 30.0
+CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
+# The calm return: how old the copy is, and how many configurations the store loses with it.
+CALM_COPY_AGE_S = (0.6, 2.0)
+CALM_CHANGES = (1, 4)
+CALM_MARGIN_S = 0.2
+CALM_OBSERVED_S = 1.0
+# At the end all nodes are stopped in turn; several may be stopping at a time.
+STOP_GAP_S = (0.2, 1.2)
+
+
+@frozen
+class SoakPlan:
+    """What a run depends on: the seed, the faults, the size of the fleet and the builds."""
+
+    seed: int
+    faults: tuple[PlannedFault, ...]
+    vm_count: int = DEFAULT_VM_COUNT
+    checkouts: tuple[Path, ...] = (ROOT,)
 
 
 @frozen
@@ -37,106 +59,160 @@
     sent: int
     served: int
     problems: tuple[str, ...]
+    folder: str
+
 
+def make_plan(
+    seed: int, vm_count: int = DEFAULT_VM_COUNT, checkouts: Sequence[Path] = (ROOT,)
+) -> SoakPlan:
+    """Return the plan of a seed."""
+    faults = tuple(plan_faults(seed, vm_count, FAULT_PHASE_S))
+    return SoakPlan(seed, faults, vm_count, tuple(checkouts))
 
-async def run_seed(
-    seed: int, folder: Path, address_block: int, checkouts: Sequence[Path] = (ROOT,)
-) -> SoakResult:
+
+async def run_plan(plan: SoakPlan, folder: Path, address_block: int) -> SoakResult:
     """Run one seed on the loopback addresses of ``address_block``.
 
     Settings and logs of the nodes are kept in ``folder``.
     """
-    fleet = SoakFleet(folder, address_block, VM_COUNT, checkouts)
-    callers = Callers()
-    faults = plan_faults(seed, VM_COUNT, FAULT_PHASE_S)
-    problems: list[str] = []
+    fleet = SoakFleet(
+        folder, address_block, plan.vm_count, random.Random(f"{plan.seed}-writers"), plan.checkouts
+    )
+    run = SoakRun(plan, fleet)
     try:
-        await fleet.start()
-        await _wait_until_served(fleet, callers)
-        stop_event = asyncio.Event()
-        caller_tasks = [
-            asyncio.ensure_future(callers.run(vm.caller_address, REQUEST_PAUSE_S, stop_event))
-            for vm in fleet.vms
-            for _ in range(CALLERS_PER_VM)
-        ]
-        # A request comes again from the same service, whose nodes are every second one.
-        caller_tasks.append(
-            asyncio.ensure_future(
-                callers.resend(
-                    CRASH_PATH,
-                    [vm.caller_address for vm in fleet.vms[::2]],
-                    CRASHING_REQUEST_PAUSE_S,
-                    stop_event,
-                )
-            )
-        )
-        await inject(fleet, faults)
-        await fleet.publish(READS_ROUTE, BOOKINGS_ROUTE, ADDED_ROUTE)
-        await asyncio.sleep(RECOVERY_S)
-        problems += find_unserved(await _request_all_routes(fleet, callers))
-        problems += await _check_drain(fleet)
-        problems += await _check_graceful_shutdown(fleet, callers)
-        stop_event.set()
-        await asyncio.gather(*caller_tasks)
+        await run.play()
     finally:
         await fleet.stop()
-    problems += find_violations(fleet, callers.observed)
-    problems += find_uncontained_crashes(fleet.crash_times_s)
-    served = sum(request.status == 200 for request in callers.observed)
-    return SoakResult(seed, tuple(faults), len(callers.observed), served, tuple(problems))
-
-
-async def _wait_until_served(fleet: SoakFleet, callers: Callers) -> None:
-    async def wait_for_node(address: tuple[str, int]) -> None:
-        while True:
-            request = await callers.send_on_new_connection(address, "reads")
-            if request is not None and request.status == 200:
-                return
-            await asyncio.sleep(0.1)
-
-    waits = (wait_for_node(vm.caller_address) for vm in fleet.vms)
-    await asyncio.wait_for(asyncio.gather(*waits), START_TIMEOUT_S)
-
-
-async def _request_all_routes(fleet: SoakFleet, callers: Callers) -> list[ObservedRequest | None]:
-    responses: list[ObservedRequest | None] = []
-    for vm in fleet.vms:
-        for kind in ("reads", "bookings", "added"):
-            responses.append(await callers.send_on_new_connection(vm.caller_address, kind))
-    return responses
-
-
-async def _check_drain(fleet: SoakFleet) -> list[str]:
-    vm = fleet.vms[0]
-    await fleet.register(vm, state="draining")
-    await asyncio.sleep(DRAIN_LIMIT_S)
-    run_count = len(vm.target.runs)
-    await asyncio.sleep(0.5)
-    late_runs = len(vm.target.runs) - run_count
-    await fleet.register(vm)
-    return (
-        [f"{late_runs} runs at a target that was draining for {DRAIN_LIMIT_S} s"]
-        if late_runs
-        else []
-    )
+    problems = run.problems + run.check_observations()
+    observed = run.callers.observed
+    served = sum(request.status == 200 for request in observed)
+    return SoakResult(plan.seed, plan.faults, len(observed), served, tuple(problems), str(folder))
+
+
+@define
+class SoakRun:
+    """The phases of one seed."""
+
+    plan: SoakPlan
+    fleet: SoakFleet
+    problems: list[str] = field(factory=list)
+    callers: Callers = field(init=False)
+    _series: ConfigurationSeries = field(init=False)
+    _stop_event: asyncio.Event = field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        # A large fleet gets about as many requests in all.
+        pause_s = REQUEST_PAUSE_S * max(1.0, self.plan.vm_count / DEFAULT_VM_COUNT)
+        rng = random.Random(f"{self.plan.seed}-callers")
+        self.callers = Callers(rng, self.fleet.lag_meter, self._stop_event, pause_s)
+        self._series = ConfigurationSeries(
+            self.fleet.writers,
+            random.Random(f"{self.plan.seed}-configurations"),
+            [READS_ROUTE, BOOKINGS_ROUTE],
+        )
 
+    async def play(self) -> None:
+        """Run all phases."""
+        fleet = self.fleet
+        await fleet.start()
+        await self._wait_until_served()
+        callers = [asyncio.ensure_future(coroutine) for coroutine in self._caller_coroutines()]
+        changes = fleet.start_task(self._series.run())
+        await inject(fleet, self.plan.faults)
+        await self._series.publish_lasting(ADDED_ROUTE)
+        await asyncio.sleep(RECOVERY_S)
+        self.problems += find_unserved(await self._request_all_routes())
+        changes.cancel()
+        await self._return_store_in_calm()
+        fleet.start_task(self._series.run())
+        await self._stop_all_nodes()
+        self._stop_event.set()
+        await asyncio.gather(*callers)
+
+    def check_observations(self) -> list[str]:
+        """Return a line for each guarantee that was violated, with what is needed to trace it."""
+        fleet, requests = self.fleet, self.callers.observed
+        runs = group_by_request(fleet.runs)
+        violations = [
+            *find_violations(requests, runs),
+        ]
+        return [
+            *find_unasked(requests, runs),
+            *find_uncontained_crashes(fleet.crash_times_s),
+            *describe_all(fleet, runs, violations),
+        ]
 
-async def _check_graceful_shutdown(fleet: SoakFleet, callers: Callers) -> list[str]:
-    """Check that a node that gets SIGTERM answers all requests it accepted and exits with 0."""
-    vm = fleet.vms[-1]
-    tasks = [
-        asyncio.ensure_future(callers.send_on_new_connection(vm.caller_address, "reads"))
-        for _ in range(8)
-    ]
-    await asyncio.sleep(0.01)
-    vm.signal_node(signal.SIGTERM)
-    requests = await asyncio.gather(*tasks)
-    with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(vm.process.wait(), 8.0)
-    problems = (
-        []
-        if vm.process.returncode == 0
-        else [f"exit status after SIGTERM should be 0, was {vm.process.returncode}"]
-    )
-    unanswered = [r for r in requests if r is not None and r.status == 0]
-    return problems + [f"{r.path}: no response during a graceful shutdown" for r in unanswered]
+    def _caller_coroutines(self):
+        for vm in self.fleet.vms:
+            for _ in range(CALLERS_PER_VM):
+                yield self.callers.keep_connection(vm)
+            yield self.callers.pipeline(vm)
+            yield self.callers.read_slowly(vm)
+            yield self.callers.reconnect(vm)
+            yield self.callers.probe(vm, self._series)
+        # A request comes again from the same service, whose nodes are every second one.
+        yield self.callers.resend(CRASH_PATH, self.fleet.vms[::2], CRASHING_REQUEST_PAUSE_S)
+
+    async def _wait_until_served(self) -> None:
+        async def wait_for_node(vm: SoakVm) -> None:
+            while True:
+                request = await self.callers.send_on_new_connection(vm, "reads")
+                if request is not None and request.status == 200:
+                    return
+                await asyncio.sleep(0.1)
+
+        waits = (wait_for_node(vm) for vm in self.fleet.vms)
+        await asyncio.wait_for(asyncio.gather(*waits), START_TIMEOUT_S)
+
+    async def _request_all_routes(self) -> list[ObservedRequest | None]:
+        responses: list[ObservedRequest | None] = []
+        for vm in self.fleet.vms:
+            for kind in ("reads", "bookings", "added"):
+                responses.append(await self.callers.send_on_new_connection(vm, kind))
+        return responses
+
+    async def _return_store_in_calm(self) -> None:
+        """Let the store return from a copy without any other fault; a target begins to drain.
+
+        It begins either after the copy, so that the store loses its report, or after the return.
+        A single configuration follows once all nodes are in touch again.
+        """
+        fleet, vm = self.fleet, self.fleet.vms[0]
+        rng = random.Random(f"{self.plan.seed}-calm")
+        for_s = rng.uniform(*CALM_COPY_AGE_S)
+        store_return = asyncio.ensure_future(
+            FAULT_ACTIONS["return_store_from_copy"](fleet, rng.choice(fleet.vms), for_s)
+        )
+        drains_before = rng.random() < 0.5
+        if drains_before:
+            await asyncio.sleep(0)
+            await fleet.register(vm, state="draining")
+        for _ in range(rng.randint(*CALM_CHANGES)):
+            await asyncio.sleep(for_s / (CALM_CHANGES[1] + 1))
+            await self._series.publish_next()
+        await store_return
+        await asyncio.sleep(CONTACT_S + CALM_MARGIN_S)
+        if not drains_before:
+            await fleet.register(vm, state="draining")
+        await self._series.publish_next()
+        await asyncio.sleep(max(CONFIG_APPLY_S, DRAIN_S) + CALM_OBSERVED_S)
+        await vm.stop_target()
+        await fleet.restart_target(vm, 0.0)
+
+    async def _stop_all_nodes(self) -> None:
+        """Stop all nodes in turn and start them again, while the store returns from a copy."""
+        rng = random.Random(f"{self.plan.seed}-stops")
+        order = rng.sample(self.fleet.vms, len(self.fleet.vms))
+        store_return = FAULT_ACTIONS["return_store_from_copy"](
+            self.fleet, order[0], rng.uniform(0.3, 2.0)
+        )
+        stops = []
+        for vm in order:
+            stops.append(asyncio.ensure_future(FAULT_ACTIONS["term"](self.fleet, vm, 0.0)))
+            await asyncio.sleep(rng.uniform(*STOP_GAP_S))
+        await asyncio.gather(store_return, *stops)
+        self.problems += [
+            f"node-{vm.number}: exit status after SIGTERM should be 0, was {vm.stops[-1].status}"
+            for vm in order
+            if vm.stops[-1].status != 0
+        ]
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,176 @@
+"""The checks of the fault soak report what the users' pages forbid, and only that."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+
+from emulator.platform_store import PlatformStore
+from emulator.platform_target import PlatformTarget, route_resource
+from soak.checks import find_violations
+from soak.disturbances import Disturbances, Kind
+from soak.lag import LagMeter
+from soak.observations import ObservedRequest, expected_body
+from soak.runs import Run
+from soak.store_writers import StoreWriters
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self, time_s: float = 0.0) -> None:
+        self.time_s = time_s
+
+    def __call__(self) -> float:
+        return self.time_s
+
+
+def make_request(path: str = "/reads/1", sent_s: float = 100.0, **changes: object):
+    fields = {
+        "request_id": "r1",
+        "path": path,
+        "incarnations": (1, 1),
+        "sent_s": sent_s,
+        "ended_s": sent_s + 0.1,
+        "ending": "answered",
+        "status": 200,
+        "seal": "i-0.1",
+    }
+    return ObservedRequest(**{**fields, **changes})
+
+
+def make_run(vm: int = 0, service: str = "browse", arrived_s: float = 100.0, **changes: object):
+    return Run(
+        **{
+            "request_id": "r1",
+            "vm": vm,
+            "service": service,
+            "started_at_ms": 1,
+            "arrived_s": arrived_s,
+            "ended_s": arrived_s + 0.02,
+            **changes,
+        }
+    )
+
+
+def disturb(disturbances: Disturbances, vm: int | None, kind: Kind, start_s: float, end_s: float):
+    """Record a disturbance of a VM, or of the store without one."""
+    clock = disturbances.now_s
+    clock.time_s = start_s
+    with disturbances.of_store() if vm is None else disturbances.of_vm(vm, kind):
+        clock.time_s = end_s
+
+
+class TestInTouch(unittest.TestCase):
+    """A wrong span would excuse real failures, or blame nodes that couldn't know better."""
+
+    def setUp(self) -> None:
+        self.disturbances = Disturbances(Clock())
+
+    def test_not_in_touch_until_contact_s_after_a_disturbance(self) -> None:
+        disturb(self.disturbances, 0, Kind.UNPLANNED, 10.0, 11.0)
+        self.assertFalse(self.disturbances.is_in_touch(0, 13.9))
+        self.assertTrue(self.disturbances.is_in_touch(0, 14.1))
+        self.assertTrue(self.disturbances.is_in_touch(1, 13.9))
+        self.assertTrue(self.disturbances.is_in_touch(0, 9.9))
+
+    def test_disturbance_of_the_store_concerns_all(self) -> None:
+        disturb(self.disturbances, None, Kind.STORE_PATH, 10.0, 11.0)
+        self.assertFalse(self.disturbances.is_in_touch(3, 13.9))
+        self.assertFalse(self.disturbances.is_disrupted(3, 10.5, 10.6))
+
+    def test_disturbance_during_the_request_counts(self) -> None:
+        disturb(self.disturbances, 0, Kind.UNPLANNED, 10.0, 11.0)
+        self.assertFalse(self.disturbances.is_in_touch(0, 9.5, 10.2))
+
+    def test_planned_stop_is_no_disruption(self) -> None:
+        """LOST holds around planned stops, so that they may not excuse it."""
+        disturb(self.disturbances, 0, Kind.PLANNED, 10.0, 12.0)
+        self.assertFalse(self.disturbances.is_in_touch(0, 12.0))
+        self.assertFalse(self.disturbances.is_disrupted(0, 11.0, 11.5))
+
+
+class TestResponses(unittest.TestCase):
+    """Guards against a truncated answer that passes for a whole one."""
+
+    def find(self, body: bytes) -> list[str]:
+        request = make_request("/reads/large-2000/1")
+        request.add_body(body[:100])
+        request.add_body(body[100:])
+        return [v.rule for v in find_violations([request], {"r1": [make_run(0)]})]
+
+    def test_whole_body(self) -> None:
+        body = expected_body("i-0", "/reads/large-2000/1")
+        self.assertEqual(len(body), 2000)
+        self.assertEqual(self.find(body), [])
+
+    def test_truncated_or_foreign_body(self) -> None:
+        body = expected_body("i-0", "/reads/large-2000/1")
+        self.assertEqual(self.find(body[:-1]), ["MIXED"])
+        self.assertEqual(self.find(body[:-1] + b"x"), ["MIXED"])
+        self.assertEqual(self.find(expected_body("i-1", "/reads/large-2000/1")), ["MIXED"])
+
+
+class TestLagMeter(unittest.TestCase):
+    """Without the lag of the soak itself, a busy machine would look like a slow node."""
+
+    def test_largest_lag_since_a_time(self) -> None:
+        clock = Clock(10.0)
+        meter = LagMeter(clock)
+        meter.add(9.0, 0.5)
+        meter.add(9.98, 0.1)
+        self.assertAlmostEqual(meter.largest_since(9.5), 0.1)
+        self.assertAlmostEqual(meter.largest_since(8.0), 0.5)
+
+    def test_sample_that_is_overdue(self) -> None:
+        clock = Clock(10.0)
+        meter = LagMeter(clock)
+        meter.add(9.0, 0.0)
+        self.assertAlmostEqual(meter.largest_since(9.5), 0.98)
+
+
+class TestStoreWriters(unittest.IsolatedAsyncioTestCase):
+    """Guards against a soak whose store stays without what the platform would write again."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = PlatformStore()
+        self.writers = StoreWriters(self.store, random.Random(1), Clock())
+        self.target = PlatformTarget("browse", "127.0.0.1", 7002, "i-0")
+
+    def stored(self, key: str) -> dict:
+        return json.loads(self.store.value(key))
+
+    async def test_lost_configuration_and_entry_are_written_again(self) -> None:
+        await self.writers.register(self.target)
+        copy = self.store.take_copy()
+        route = route_resource("reads", "shop.example", "/reads/", "browse")
+        published = await self.writers.publish(route)
+        await self.writers.register(self.target, state="draining")
+        self.store.return_from_copy(copy)
+        self.assertIsNone(self.store.value("op/config"))
+        await self.writers.publish_again()
+        self.assertEqual(self.stored("op/config")["version"], published.version)
+        await self.writers.register(self.target)
+        self.assertEqual(self.stored("servers/i-0")["state"], "draining")
+
+    async def test_sequence_rises_with_each_change(self) -> None:
+        await self.writers.register(self.target)
+        first = self.stored("servers/i-0")["sequence"]
+        await self.writers.register(self.target)
+        self.assertEqual(self.stored("servers/i-0")["sequence"], first)
+        await self.writers.register(self.target, state="draining")
+        self.assertGreater(self.stored("servers/i-0")["sequence"], first)
+
+    async def test_writes_wait_for_the_store(self) -> None:
+        with self.writers.store_away():
+            write = asyncio.ensure_future(self.writers.register(self.target))
+            await asyncio.sleep(0)
+            self.assertIsNone(self.store.value("servers/i-0"))
+        await write
+        self.assertIsNotNone(self.store.value("servers/i-0"))
+
+
+if __name__ == "__main__":
+    unittest.main()
