Soak: check that configurations come into force and stay

The soak asked once, 5 s after the last fault, for one added route. A node that kept an old configuration in between, or went back to one, passed.

While faults go on, each node gets reads on routes that were added, moved or removed within 8 s. How a request was handled shows which versions explain it. CONFIG is reported if only versions explain it that a newer one had replaced more than config_apply_s (2 s) before it was sent, at a node in touch: neither it nor its links nor the store disturbed for contact_s (3 s). It is also reported, at any time, if a node in one incarnation handles a request as before a version whose effect a target had seen more than rollback_slack_s (0.25 s, eight times that after a disruption) before. What no version explains is ROUTE. A version explains nothing before the store has acknowledged it: a unit test found that a later removal of the route excused a 404.

--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 
 from soak.callers import Callers
 from soak.checks import find_unasked, find_uncontained_crashes, find_unserved, find_violations
+from soak.configuration_checks import CONFIG_APPLY_S, ConfigurationCheck
 from soak.configuration_series import ConfigurationSeries
 from soak.disturbances import CONTACT_S
 from soak.faults import FAULT_ACTIONS, PlannedFault, inject, plan_faults
@@ -29,7 +30,6 @@
 # after the store acknowledged it.
 RECOVERY_S = 5.0
 START_TIMEOUT_S = 30.0
-CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
 # The calm return: how old the copy is, and how many configurations the store loses with it.
 CALM_COPY_AGE_S = (0.6, 2.0)
@@ -133,8 +133,10 @@
         """Return a line for each guarantee that was violated, with what is needed to trace it."""
         fleet, requests = self.fleet, self.callers.observed
         runs = group_by_request(fleet.runs)
+        configurations = ConfigurationCheck(fleet.writers.configurations, fleet.disturbances)
         violations = [
             *find_violations(requests, runs),
+            *configurations.find_violations(requests, runs),
         ]
         return [
             *find_unasked(requests, runs),
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,11 +10,12 @@
 from emulator.platform_store import PlatformStore
 from emulator.platform_target import PlatformTarget, route_resource
 from soak.checks import find_violations
+from soak.configuration_checks import ConfigurationCheck
 from soak.disturbances import Disturbances, Kind
 from soak.lag import LagMeter
 from soak.observations import ObservedRequest, expected_body
 from soak.runs import Run
-from soak.store_writers import StoreWriters
+from soak.store_writers import PublishedConfiguration, StoreWriters
 
 
 class Clock:
@@ -92,6 +93,77 @@
         self.assertFalse(self.disturbances.is_disrupted(0, 11.0, 11.5))
 
 
+class TestConfigurations(unittest.TestCase):
+    """Guards against a soak that misses a configuration that isn't in force in time."""
+
+    def setUp(self) -> None:
+        self.disturbances = Disturbances(Clock())
+        published = [
+            PublishedConfiguration(4, {"/reads/": "browse"}, 90.0),
+            PublishedConfiguration(7, {"/reads/": "browse", "/n1/": "browse"}, 100.0),
+            PublishedConfiguration(9, {"/reads/": "browse", "/n1/": "booking"}, 110.0),
+            PublishedConfiguration(12, {"/reads/": "browse"}, 120.0),
+        ]
+        self.check = ConfigurationCheck(published, self.disturbances)
+
+    def find(self, *observed: tuple[ObservedRequest, list[Run]]) -> list[str]:
+        requests = []
+        runs = {}
+        for number, (request, own_runs) in enumerate(observed):
+            request.request_id = f"r{number}"
+            requests.append(request)
+            runs[request.request_id] = own_runs
+        return [violation.rule for violation in self.check.find_violations(requests, runs)]
+
+    def not_found(self, sent_s: float, path: str = "/n1/5", **changes: object) -> tuple:
+        return make_request(path, sent_s, status=404, seal="", **changes), []
+
+    def ran(self, sent_s: float, service: str, **changes: object) -> tuple:
+        return make_request("/n1/5", sent_s, **changes), [make_run(0, service, sent_s + 0.01)]
+
+    def test_added_route_not_found_in_time(self) -> None:
+        self.assertEqual(self.find(self.not_found(102.1)), ["CONFIG"])
+        self.assertEqual(self.find(self.not_found(101.9)), [])
+
+    def test_moved_route_run_by_the_old_service(self) -> None:
+        self.assertEqual(self.find(self.ran(112.1, "browse")), ["CONFIG"])
+        self.assertEqual(self.find(self.ran(111.9, "browse")), [])
+        self.assertEqual(self.find(self.ran(112.1, "booking")), [])
+
+    def test_removed_route_still_run(self) -> None:
+        self.assertEqual(self.find(self.ran(122.1, "booking")), ["CONFIG"])
+        self.assertEqual(self.find(self.not_found(122.1)), [])
+
+    def test_node_out_of_touch(self) -> None:
+        disturb(self.disturbances, 0, Kind.STORE_PATH, 98.0, 99.5)
+        self.assertEqual(self.find(self.not_found(102.2)), [])
+        self.assertEqual(self.find(self.not_found(102.6)), ["CONFIG"])
+
+    def test_newer_configuration_that_allows_it_as_well(self) -> None:
+        self.assertEqual(self.find(self.not_found(119.5)), ["CONFIG"])
+        self.assertEqual(self.find(self.not_found(120.5)), [])
+
+    def test_return_to_an_older_version(self) -> None:
+        """A return counts at any time, also while the store is disturbed."""
+        disturb(self.disturbances, None, Kind.STORE_PATH, 100.0, 115.0)
+        moved = self.ran(110.1, "booking")
+        self.assertEqual(self.find(moved, self.ran(110.2, "browse")), [])
+        self.assertEqual(self.find(moved, self.ran(110.5, "browse")), ["CONFIG"])
+        self.assertEqual(self.find(moved, self.ran(110.5, "browse", incarnations=(2, 2))), [])
+        self.assertEqual(self.find(moved, self.ran(110.5, "browse", vm=1)), [])
+
+    def test_disrupted_node_has_eight_times_as_long(self) -> None:
+        disturb(self.disturbances, 0, Kind.UNPLANNED, 109.0, 111.0)
+        moved = self.ran(110.1, "booking")
+        self.assertEqual(self.find(moved, self.ran(111.9, "browse")), [])
+        self.assertEqual(self.find(moved, self.ran(112.3, "browse")), ["CONFIG"])
+
+    def test_service_that_no_configuration_allows(self) -> None:
+        run = make_run(0, "booking", 100.0)
+        self.assertEqual(self.find((make_request("/reads/1"), [run])), ["ROUTE"])
+        self.assertEqual(self.find(self.not_found(100.0, "/reads/1")), ["ROUTE"])
+
+
 class TestResponses(unittest.TestCase):
     """Guards against a truncated answer that passes for a whole one."""
 
