Soak: check each drain, also across a return from a copy

The soak counted the runs at one target that drained in calm. It now checks every report: no request may reach a target later than drain_s (2 s) after the store, while stable, acknowledged that it drains, if the node that took the request and the one next to the target are in touch. A report counts from the first write or heartbeat that a stable store acknowledged; the incarnation that follows the drain may run requests. The event loop's own lag is taken off the time of arrival.

--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 from soak.configuration_checks import CONFIG_APPLY_S, ConfigurationCheck
 from soak.configuration_series import ConfigurationSeries
 from soak.disturbances import CONTACT_S
+from soak.drain_checks import DRAIN_S, find_late_runs
 from soak.faults import FAULT_ACTIONS, PlannedFault, inject, plan_faults
 from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, CRASH_PATH, READS_ROUTE, ROOT, SoakFleet
 from soak.observations import ObservedRequest
@@ -30,7 +31,6 @@
 # after the store acknowledged it.
 RECOVERY_S = 5.0
 START_TIMEOUT_S = 30.0
-DRAIN_S = 2.0
 # The calm return: how old the copy is, and how many configurations the store loses with it.
 CALM_COPY_AGE_S = (0.6, 2.0)
 CALM_CHANGES = (1, 4)
@@ -137,6 +137,7 @@
         violations = [
             *find_violations(requests, runs),
             *configurations.find_violations(requests, runs),
+            *find_late_runs(requests, runs, fleet.writers.entry_writes, fleet.disturbances),
         ]
         return [
             *find_unasked(requests, runs),
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -12,10 +12,11 @@
 from soak.checks import find_violations
 from soak.configuration_checks import ConfigurationCheck
 from soak.disturbances import Disturbances, Kind
+from soak.drain_checks import find_late_runs
 from soak.lag import LagMeter
 from soak.observations import ObservedRequest, expected_body
 from soak.runs import Run
-from soak.store_writers import PublishedConfiguration, StoreWriters
+from soak.store_writers import EntryWrite, PublishedConfiguration, StoreWriters
 
 
 class Clock:
@@ -164,6 +165,39 @@
         self.assertEqual(self.find(self.not_found(100.0, "/reads/1")), ["ROUTE"])
 
 
+class TestDrain(unittest.TestCase):
+    """Guards against a soak that misses requests for a target that has left."""
+
+    def setUp(self) -> None:
+        self.disturbances = Disturbances(Clock())
+        self.writes = [EntryWrite("i-0", 1, False, 80.0), EntryWrite("i-0", 1, True, 90.0)]
+
+    def find(self, **changes: object) -> int:
+        runs = {"r1": [make_run(**changes)]}
+        found = find_late_runs([make_request(vm=1)], runs, self.writes, self.disturbances)
+        return len(found)
+
+    def test_run_later_than_drain_s(self) -> None:
+        self.assertEqual(self.find(arrived_s=92.1), 1)
+        self.assertEqual(self.find(arrived_s=91.9), 0)
+        self.assertEqual(self.find(arrived_s=92.1, lag_s=0.2), 0)
+
+    def test_new_incarnation_may_run_it(self) -> None:
+        self.assertEqual(self.find(arrived_s=95.0, started_at_ms=2), 0)
+
+    def test_either_node_out_of_touch(self) -> None:
+        disturb(self.disturbances, 1, Kind.PLANNED, 91.0, 92.0)
+        self.assertEqual(self.find(arrived_s=94.0), 0)
+        self.assertEqual(self.find(arrived_s=95.1), 1)
+
+    def test_report_to_a_disturbed_store_counts_from_the_next_heartbeat(self) -> None:
+        disturb(self.disturbances, None, Kind.STORE_PATH, 88.0, 89.0)
+        self.assertEqual(self.find(arrived_s=95.0), 0)
+        self.writes.append(EntryWrite("i-0", 1, True, 92.5))
+        self.assertEqual(self.find(arrived_s=94.4), 0)
+        self.assertEqual(self.find(arrived_s=94.6), 1)
+
+
 class TestResponses(unittest.TestCase):
     """Guards against a truncated answer that passes for a whole one."""
 
