Soak: check what is lost around a planned stop

Around each SIGTERM, until 1 s after the grace, LOST is reported if a request that a target ran ends without its whole answer or with a failure of the node, or if a request that did not run ends with its connection later than loss_slack_s (0.2 s) after its last byte. A disturbed store excuses nothing.

--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,6 +6,7 @@
 import json
 import random
 import unittest
+from types import SimpleNamespace
 
 from emulator.platform_store import PlatformStore
 from emulator.platform_target import PlatformTarget, route_resource
@@ -14,9 +15,11 @@
 from soak.disturbances import Disturbances, Kind
 from soak.drain_checks import find_late_runs
 from soak.lag import LagMeter
+from soak.loss_checks import find_losses
 from soak.observations import ObservedRequest, expected_body
 from soak.runs import Run
 from soak.store_writers import EntryWrite, PublishedConfiguration, StoreWriters
+from soak.vm import Stop
 
 
 class Clock:
@@ -198,6 +201,64 @@
         self.assertEqual(self.find(arrived_s=94.6), 1)
 
 
+class TestLoss(unittest.TestCase):
+    """Guards against a soak that misses a request that is lost when its node stops."""
+
+    def setUp(self) -> None:
+        self.disturbances = Disturbances(Clock())
+        self.vms = [SimpleNamespace(stops=[], target_stops_s=[]) for _ in range(2)]
+        self.vms[0].stops.append(Stop(1, 100.0))
+
+    def find(self, runs: list[Run], **changes: object) -> int:
+        lost = {"ending": "reset", "status": 0, "seal": "", **changes}
+        request = make_request(**lost)
+        return len(find_losses([request], {"r1": runs}, self.vms, self.disturbances))
+
+    def test_run_without_a_whole_answer(self) -> None:
+        for ending in ("closed", "reset"):
+            self.assertEqual(self.find([make_run(1)], ending=ending), 1)
+        self.assertEqual(self.find([make_run(1)], ending="answered", status=200, seal="s"), 0)
+
+    def test_run_answered_with_a_failure_of_the_node(self) -> None:
+        self.assertEqual(self.find([make_run(1)], ending="answered", status=502), 1)
+        self.assertEqual(self.find([make_run(1)], ending="answered", status=500, seal="s"), 0)
+
+    def test_not_run_and_closed_late(self) -> None:
+        self.assertEqual(self.find([], sent_s=101.0, ended_s=101.3), 1)
+        self.assertEqual(self.find([], sent_s=101.0, ended_s=101.15), 0)
+        self.assertEqual(self.find([], sent_s=101.0, ended_s=101.3, lag_s=0.15), 0)
+        self.assertEqual(self.find([], sent_s=101.0, ended_s=101.3, is_behind=True), 0)
+
+    def test_request_behind_another_that_ran(self) -> None:
+        self.assertEqual(self.find([make_run(1)], is_behind=True), 1)
+
+    def test_other_incarnation_or_time(self) -> None:
+        self.assertEqual(self.find([make_run(1)], incarnations=(2, 2)), 0)
+        self.assertEqual(self.find([make_run(1)], sent_s=99.0, ended_s=99.9), 0)
+        self.assertEqual(self.find([make_run(1)], sent_s=107.0, ended_s=107.1), 0)
+
+    def test_connection_that_outlives_the_process(self) -> None:
+        """The next start may come before the caller sees the end of its connection."""
+        self.assertEqual(self.find([make_run(1)], incarnations=(1, 2)), 1)
+
+    def test_target_that_broke_off(self) -> None:
+        self.assertEqual(self.find([make_run(1, is_broken_off=True)]), 0)
+        self.vms[1].target_stops_s.append(100.05)
+        self.assertEqual(self.find([make_run(1)]), 0)
+
+    def test_disruption_of_either_node(self) -> None:
+        disturb(self.disturbances, 1, Kind.UNPLANNED, 97.5, 97.6)
+        self.assertEqual(self.find([make_run(1)]), 0)
+        self.assertEqual(self.find([make_run(0)]), 1)
+
+    def test_disturbed_store_excuses_nothing(self) -> None:
+        disturb(self.disturbances, None, Kind.STORE_PATH, 99.0, 101.0)
+        self.assertEqual(self.find([make_run(1)]), 1)
+
+    def test_timeout_of_the_route(self) -> None:
+        self.assertEqual(self.find([make_run(1)], sent_s=100.0, ended_s=103.1), 0)
+
+
 class TestResponses(unittest.TestCase):
     """Guards against a truncated answer that passes for a whole one."""
 
