--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 from soak.vm import SoakVm
 
 MAX_DURATION_S = 2.5
+# A fleet of twice this size gets twice the faults.
+VMS_PER_FAULT_SET = 8
 # A target that has reported that it drains serves for this time and a little longer.
 DRAIN_S = 2.0
 # How long the store is away before it returns from a copy, as shares of the age of the copy.
@@ -202,7 +204,7 @@
             rng.uniform(0, phase_s),
             rng.uniform(0.3, MAX_DURATION_S),
         )
-        for _ in range(rng.randint(3, 8))
+        for _ in range(rng.randint(3, 8) * max(1, vm_count // VMS_PER_FAULT_SET))
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -31,13 +31,16 @@
 # Within 3 s after the last fault nodes reach each other again, and a configuration is in force 2 s
 # after the store acknowledged it.
 RECOVERY_S = 5.0
+# Many processes that start at once share the processors.
 START_TIMEOUT_S = 30.0
+START_TIMEOUT_PER_VM_S = 1.0
 # The calm return: how old the copy is, and how many configurations the store loses with it.
 CALM_COPY_AGE_S = (0.6, 2.0)
 CALM_CHANGES = (1, 4)
 CALM_MARGIN_S = 0.2
 CALM_OBSERVED_S = 1.0
-# At the end all nodes are stopped in turn; several may be stopping at a time.
+# At the end nodes are stopped in turn, in a small fleet all; several may be stopping at a time.
+MAX_STOPS = 12
 STOP_GAP_S = (0.2, 1.2)
 
 
@@ -126,7 +129,7 @@
         changes.cancel()
         await self._return_store_in_calm()
         fleet.start_task(self._series.run())
-        await self._stop_all_nodes()
+        await self._stop_nodes_in_turn()
         self._stop_event.set()
         await asyncio.gather(*callers)
 
@@ -167,7 +170,8 @@
                 await asyncio.sleep(0.1)
 
         waits = (wait_for_node(vm) for vm in self.fleet.vms)
-        await asyncio.wait_for(asyncio.gather(*waits), START_TIMEOUT_S)
+        timeout_s = START_TIMEOUT_S + START_TIMEOUT_PER_VM_S * self.plan.vm_count
+        await asyncio.wait_for(asyncio.gather(*waits), timeout_s)
 
     async def _request_all_routes(self) -> list[ObservedRequest | None]:
         responses: list[ObservedRequest | None] = []
@@ -204,10 +208,10 @@
         await vm.stop_target()
         await fleet.restart_target(vm, 0.0)
 
-    async def _stop_all_nodes(self) -> None:
-        """Stop all nodes in turn and start them again, while the store returns from a copy."""
+    async def _stop_nodes_in_turn(self) -> None:
+        """Stop nodes in turn and start them again, while the store returns from a copy."""
         rng = random.Random(f"{self.plan.seed}-stops")
-        order = rng.sample(self.fleet.vms, len(self.fleet.vms))
+        order = rng.sample(self.fleet.vms, min(MAX_STOPS, len(self.fleet.vms)))
         store_return = FAULT_ACTIONS["return_store_from_copy"](
             self.fleet, order[0], rng.uniform(0.3, 2.0)
         )
