--- a/soak/loss_checks.py
+++ b/soak/loss_checks.py
@@ -17,6 +17,8 @@
 # Of a request sent up to this time after SIGTERM, a run may be cut in the last part of the grace.
 LATE_RUN_SENT_S = 3.0
 LATE_RUN_SHARE = 5 / 6
+# Kept connections that nodes in touch may close at any time though a request ran.
+MAX_CLOSED_UNANSWERED = 3
 ENDED_BY_NODE = ("closed", "reset")
 
 
@@ -40,6 +42,44 @@
     return problems
 
 
+def find_closed_unanswered(
+    requests: Sequence[ObservedRequest],
+    runs: Mapping[str, Sequence[Run]],
+    vms: Sequence[SoakVm],
+    disturbances: Disturbances,
+) -> list[Violation]:
+    """Return requests that ran and whose kept connections a node in touch closed unanswered.
+
+    A few may be; beyond ``MAX_CLOSED_UNANSWERED`` all are returned.
+    """
+    used_connections: set[int] = set()
+    problems = []
+    for request in requests:
+        is_kept = request.connection_id in used_connections
+        used_connections.add(request.connection_id)
+        own_runs = runs.get(request.request_id, ())
+        if (
+            is_kept
+            and own_runs
+            and request.ending in ENDED_BY_NODE
+            and request.duration_s < ROUTE_TIMEOUT_S
+            and disturbances.is_in_touch(request.vm, request.sent_s, request.ended_s)
+            and not any(_is_unsound(run, request, vms, disturbances) for run in own_runs)
+        ):
+            text = f"ran, but its node in touch {request.ending} its connection"
+            problems.append(Violation("LOST", request, text))
+    return problems if len(problems) > MAX_CLOSED_UNANSWERED else []
+
+
+def _is_unsound(
+    run: Run, request: ObservedRequest, vms: Sequence[SoakVm], disturbances: Disturbances
+) -> bool:
+    """Return whether the target broke off, or its node was disrupted."""
+    return _has_broken_off(run, request, vms[run.vm]) or disturbances.is_disrupted(
+        run.vm, request.sent_s, request.ended_s
+    )
+
+
 def _find_stop(request: ObservedRequest, stops: Sequence[Stop]) -> Stop | None:
     return next(
         (
@@ -89,10 +129,15 @@
 
 def _is_run_excused(run: Run, request: ObservedRequest, stop: Stop, vm: SoakVm) -> bool:
     """Return whether the target broke off, or was at work until late in the grace."""
-    stopped = any(run.arrived_s <= time_s <= request.ended_s for time_s in vm.target_stops_s)
     was_late = (
         request.sent_s <= stop.term_s + LATE_RUN_SENT_S
         and run.ended_s is not None
         and run.ended_s >= stop.term_s + LATE_RUN_SHARE * GRACE_S
     )
-    return run.is_broken_off or stopped or was_late
+    return _has_broken_off(run, request, vm) or was_late
+
+
+def _has_broken_off(run: Run, request: ObservedRequest, vm: SoakVm) -> bool:
+    return run.is_broken_off or any(
+        run.arrived_s <= time_s <= request.ended_s for time_s in vm.target_stops_s
+    )
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,7 +17,7 @@
 from soak.drain_checks import DRAIN_S, find_late_runs
 from soak.faults import FAULT_ACTIONS, PlannedFault, inject, plan_faults
 from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, CRASH_PATH, READS_ROUTE, ROOT, SoakFleet
-from soak.loss_checks import find_losses
+from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest
 from soak.runs import group_by_request
 from soak.trace import describe_all
@@ -143,6 +143,7 @@
             *configurations.find_violations(requests, runs),
             *find_late_runs(requests, runs, fleet.writers.entry_writes, fleet.disturbances),
             *find_losses(requests, runs, fleet.vms, fleet.disturbances),
+            *find_closed_unanswered(requests, runs, fleet.vms, fleet.disturbances),
         ]
         return [
             *find_unasked(requests, runs),
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -15,7 +15,7 @@
 from soak.disturbances import Disturbances, Kind
 from soak.drain_checks import find_late_runs
 from soak.lag import LagMeter
-from soak.loss_checks import find_losses
+from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest, expected_body
 from soak.runs import Run
 from soak.store_writers import EntryWrite, PublishedConfiguration, StoreWriters
@@ -258,6 +258,27 @@
     def test_timeout_of_the_route(self) -> None:
         self.assertEqual(self.find([make_run(1)], sent_s=100.0, ended_s=103.1), 0)
 
+    def test_kept_connections_closed_at_any_time(self) -> None:
+        """More than three are LOST also far from any stop."""
+        first = make_request(sent_s=49.0, connection_id=1)
+        closed = [
+            make_request(
+                request_id=f"r{number}", sent_s=50.0, ending="closed", status=0, connection_id=1
+            )
+            for number in range(2, 6)
+        ]
+        runs = {request.request_id: [make_run(1, arrived_s=50.0)] for request in closed}
+
+        def count(requests: list[ObservedRequest]) -> int:
+            found = find_closed_unanswered(requests, runs, self.vms, self.disturbances)
+            return len(found)
+
+        self.assertEqual(count([first, *closed]), 4)
+        self.assertEqual(count([first, *closed[1:]]), 0)
+        self.assertEqual(count(closed), 0)
+        disturb(self.disturbances, 0, Kind.STORE_PATH, 47.5, 48.0)
+        self.assertEqual(count([first, *closed]), 0)
+
 
 class TestResponses(unittest.TestCase):
     """Guards against a truncated answer that passes for a whole one."""
