Soak: refuse a fleet that needs too many open files

Every node may be linked to every other through a proxy of the soak. With 120 VMs its process ran into the limit of 20,000 open files, wrote an error for each refused accept (70 MB in a minute) and no longer reacted to SIGINT; its nodes had to be ended by their ids. A fleet that may exceed the limit is now refused with the figures.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import queue
+import resource
 import shutil
 import sys
 import tempfile
@@ -23,6 +24,8 @@
 REGRESSION_SEEDS_FILE = Path(__file__).parent / "regression_seeds.json"
 DEFAULT_JOBS = 4
 FIRST_BLOCK = 20
+# Listeners, and connections of callers, to the target and to the store.
+FILES_PER_VM = 60
 
 
 @click.command()
@@ -52,6 +55,7 @@
     beside: Path | None,
 ) -> None:
     """Run the soak test for a range of seeds and for the regression seeds."""
+    _check_file_limit(vms)
     checkouts = (ROOT,) if beside is None else (ROOT, beside)
     plans = _regression_plans(checkouts) if regression else []
     plans += [make_plan(seed, vms, checkouts) for seed in range(first, first + seeds)]
@@ -62,6 +66,15 @@
     sys.exit(bool(failed))
 
 
+def _check_file_limit(vm_count: int) -> None:
+    """Raise ClickException if a process can't open the files that the proxies of a fleet need."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    # Each node may be linked to each other; a proxy has two connections for a link.
+    needed = 2 * vm_count * (vm_count - 1) + FILES_PER_VM * vm_count
+    if needed > limit:
+        raise click.ClickException(f"{vm_count} VMs may need {needed} open files, limit {limit}")
+
+
 def _regression_plans(checkouts: Sequence[Path]) -> list[SoakPlan]:
     """Return the plans of past failures.
 
