Soak: a stall of its own counts as a delay of all links

The event loop of the soak, which runs all proxies, targets and the store, was 0.92 s late at that time, so the proxies delayed the data of all links.

A lag of 0.15 s or more is now recorded as an unplanned disturbance of all VMs and of the store: it is what the fault delay does to the links of one. Shorter lags change nothing. The summary tells how often the soak stalled. Callers start 5 ms apart, as all of a large fleet at once stalled it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,7 +62,11 @@
     results = _run_all(plans, jobs, first_block)
     failed = [result for result in results if result.problems]
     sent, served = sum(r.sent for r in results), sum(r.served for r in results)
-    click.echo(f"{len(results)} seeds, {len(failed)} failed, {served} of {sent} requests served")
+    stalls = sum(result.stall_count for result in results)
+    click.echo(
+        f"{len(results)} seeds, {len(failed)} failed, {served} of {sent} requests served,"
+        f" the soak itself stalled {stalls} times"
+    )
     sys.exit(bool(failed))
 
 
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -46,6 +46,7 @@
     now_s: Callable[[], float]
     _by_vm: dict[int, list[Span]] = field(factory=lambda: defaultdict(list))
     _of_store: list[Span] = field(factory=list)
+    stalls: list[Span] = field(factory=list)
 
     @contextmanager
     def of_vm(self, vm: int, kind: Kind) -> Iterator[None]:
@@ -59,10 +60,15 @@
         with self._record(self._of_store, Kind.STORE_PATH):
             yield
 
+    def add_stall(self, start_s: float, end_s: float) -> None:
+        """Record that the soak itself stalled: its store and proxies delayed all data."""
+        self.stalls.append(Span(Kind.UNPLANNED, start_s, end_s))
+
     def is_store_stable(self, start_s: float, end_s: float | None = None) -> bool:
         """Return whether the store was undisturbed from ``CONTACT_S`` before the start."""
         end_s = start_s if end_s is None else end_s
-        return not any(span.overlaps(start_s - CONTACT_S, end_s) for span in self._of_store)
+        spans = [*self._of_store, *self.stalls]
+        return not any(span.overlaps(start_s - CONTACT_S, end_s) for span in spans)
 
     def is_in_touch(self, vm: int, start_s: float, end_s: float | None = None) -> bool:
         """Return whether a VM was in touch at each moment between the two times."""
@@ -75,7 +81,7 @@
         """Return whether an unplanned disturbance of the VM ends after ``CONTACT_S`` before."""
         return any(
             span.kind is Kind.UNPLANNED and span.overlaps(start_s - CONTACT_S, end_s)
-            for span in self._by_vm[vm]
+            for span in [*self._by_vm[vm], *self.stalls]
         )
 
     @contextmanager
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 
 from soak.disturbances import Kind
 from soak.fleet import SoakFleet
+from soak.lag import STALL_S
 from soak.vm import SoakVm
 
 MAX_DURATION_S = 2.5
@@ -80,7 +81,7 @@
 async def delay(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Delay the data on the connections of peers to the node, in both directions."""
     with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
-        vm.peer_proxy.delay_s = 0.15
+        vm.peer_proxy.delay_s = STALL_S
         await asyncio.sleep(for_s)
         vm.peer_proxy.delay_s = 0.0
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -68,7 +68,7 @@
         self.store = PlatformStore()
         self.writers = StoreWriters(self.store, rng, self.now_s)
         self.disturbances = Disturbances(self.now_s)
-        self.lag_meter = LagMeter(self.now_s)
+        self.lag_meter = LagMeter(self.now_s, self.disturbances.add_stall)
         self.vms: list[SoakVm] = []
         self.runs: list[Run] = []
         # When a run of CRASH_PATH crashed a target, in seconds of the event loop's clock.
--- a/soak/lag.py
+++ b/soak/lag.py
@@ -9,6 +9,8 @@
 from attrs import define, field
 
 INTERVAL_S = 0.02
+# The fault that delays the data of a node's links delays it by this time.
+STALL_S = 0.15
 # Longer than any request is observed.
 KEPT_S = 15.0
 
@@ -18,6 +20,7 @@
     """Samples the time by which a timer of the event loop is late."""
 
     now_s: Callable[[], float]
+    on_stall: Callable[[float, float], None]
     _samples: deque[tuple[float, float]] = field(factory=deque)
 
     async def run(self) -> None:
@@ -28,7 +31,9 @@
             self.add(self.now_s(), self.now_s() - due_s)
 
     def add(self, time_s: float, lag_s: float) -> None:
-        """Record a sample."""
+        """Record a sample; ``on_stall`` gets the start and the end of a long lag."""
+        if lag_s >= STALL_S:
+            self.on_stall(time_s - lag_s, time_s)
         self._samples.append((time_s, lag_s))
         while self._samples[0][0] < time_s - KEPT_S:
             self._samples.popleft()
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,6 +25,7 @@
 
 DEFAULT_VM_COUNT = 4
 CALLERS_PER_VM = 2
+CALLER_START_PAUSE_S = 0.005
 REQUEST_PAUSE_S = 0.05
 CRASHING_REQUEST_PAUSE_S = 0.3
 FAULT_PHASE_S = 4.0
@@ -56,7 +57,10 @@
 
 @frozen
 class SoakResult:
-    """Result of one seed: the faults, the counts of requests and a line for each problem."""
+    """Result of one seed: the faults, the counts of requests and a line for each problem.
+
+    ``stall_count`` tells how often the soak itself stalled, which excuses as a fault does.
+    """
 
     seed: int
     faults: tuple[PlannedFault, ...]
@@ -64,6 +68,7 @@
     served: int
     problems: tuple[str, ...]
     folder: str
+    stall_count: int
 
 
 def make_plan(
@@ -90,7 +95,15 @@
     problems = run.problems + run.check_observations()
     observed = run.callers.observed
     served = sum(request.status == 200 for request in observed)
-    return SoakResult(plan.seed, plan.faults, len(observed), served, tuple(problems), str(folder))
+    return SoakResult(
+        plan.seed,
+        plan.faults,
+        len(observed),
+        served,
+        tuple(problems),
+        str(folder),
+        len(fleet.disturbances.stalls),
+    )
 
 
 @define
@@ -120,7 +133,11 @@
         fleet = self.fleet
         await fleet.start()
         await self._wait_until_served()
-        callers = [asyncio.ensure_future(coroutine) for coroutine in self._caller_coroutines()]
+        callers = []
+        for coroutine in self._caller_coroutines():
+            callers.append(asyncio.ensure_future(coroutine))
+            # All callers of a large fleet at once would stall the soak.
+            await asyncio.sleep(CALLER_START_PAUSE_S)
         changes = fleet.start_task(self._series.run())
         await inject(fleet, self.plan.faults)
         await self._series.publish_lasting(ADDED_ROUTE)
