Hold an upstream that had left whatever sequence its copied entry has

A target whose entry had been removed could get requests again after the store returned from a copy (DRAIN), if its entry in the copy had a higher sequence than the one known at its removal.

Cause: the sequence in a copy was taken as evidence that the target is alive. A target writes about every 1.5 s, and nodes are told only of changes beyond the sequence, so what a node knew may be older than what the copy holds.

Such an entry now waits for a change in the new era, or until it has outlived one that nobody writes (6.5 s). The cost is that a live target which had lapsed before the return waits as long if it registered again before a node's first read. Entries that differ only in their sequence are equal again, as before it was decoded, so that a listing alone doesn't replace the set of upstreams.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -213,12 +213,12 @@
             self._departures[entry_id] = _Departure(record.entry, now_ms)
 
     def _has_left(self, entry_id: str, entry: Any) -> bool:
-        """Return whether an entry in a copy is of an upstream that is known to have left."""
+        """Return whether an entry in a copy is of an upstream that is known to have left.
+
+        The sequence doesn't tell: an upstream may raise it without a change that nodes are told of.
+        """
         departure = self._departures.get(entry_id)
-        if departure is None or not _is_same_incarnation(departure.entry, entry):
-            return False
-        known, sequence = departure.entry.sequence, entry.sequence
-        return known is None or sequence is None or sequence <= known
+        return departure is not None and _is_same_incarnation(departure.entry, entry)
 
     def _forget_departures(self, now_ms: float) -> None:
         for entry_id, departure in list(self._departures.items()):
--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -100,7 +100,8 @@
     is_draining: bool
     warmup_left_ms: float
     started_at_ms: int | None
-    sequence: int | None = None
+    # Two registrations that differ only in it are equal.
+    sequence: int | None = field(default=None, eq=False)
 
     @property
     def vm_ip(self) -> str:
