Tell peers of no more changes of the store than a frame holds

Cause: a watcher stamped the changes of its own answer with the revision that it knew by then. If frames of the other watcher had come during the call, that was further than the changes reached. A node that heard this frame first took the other watcher's, which held the rest, for known.

A frame now reaches exactly as far as the answer that it was made from.

Measured: test_frame_claims_no_more_than_its_changes failed before (version 2 instead of 3) and passes now; tests.test_store_follower, 21 passed.

--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -127,7 +127,7 @@
                 and is_current
                 and now_ms >= self._heartbeat_due_ms
             ):
-                self._broadcast(self._position.revision, ())
+                self._broadcast(self._position.revision, self._position, ())
 
     def apply_changes(self, frame: StoreChangesFrame) -> None:
         """Apply changes, or a heartbeat without any, that a watching node has sent."""
@@ -222,7 +222,7 @@
         self._apply_listing(listing)
         if self._watcher_election.is_watcher and previous and position.era > previous.era:
             # The other nodes rely on this one and can't tell by themselves that the era changed.
-            self._broadcast(position.revision, ())
+            self._broadcast(position.revision, position, ())
 
     def _apply_listing(self, listing: Listing) -> None:
         self._enter_era(listing.position)
@@ -264,13 +264,14 @@
         self._contents.apply(changes.items, self._now_ms())
         self._position = max(changes.position, self._position)
         if self._watcher_election.is_watcher:
-            self._broadcast(asked.revision, changes.items)
+            # Frames of other watchers may have taken this node further than this answer.
+            self._broadcast(asked.revision, changes.position, changes.items)
         if changes.items:
             await asyncio.sleep(BATCH_DELAY_S)
 
-    def _broadcast(self, after: int, items: tuple[StoreItem, ...]) -> None:
+    def _broadcast(self, after: int, position: StorePosition, items: tuple[StoreItem, ...]) -> None:
+        """Send the changes after one revision up to a position, which must be all of them."""
         self._heartbeat_due_ms = self._now_ms() + HEARTBEAT_PERIOD_MS
-        position = self._position
         self._node.broadcast_changes(
             StoreChangesFrame(after, position.revision, pack_items(items), era=position.era)
         )
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -187,6 +187,38 @@
         await self.follower._step()
         self.store.calls.clear()
 
+    async def test_frame_claims_no_more_than_its_changes(self) -> None:
+        """A watcher overtaken by the other one must not tell of changes that it doesn't send.
+
+        A node that hears it first would take the other's changes for known ones, and keep an old
+        configuration until the next change.
+        """
+        answer = asyncio.Event()
+
+        async def watch(_position: StorePosition) -> Listing:
+            await answer.wait()
+            return Listing((StoreItem("configuration", StorePosition(1, 2), b"2"),), position)
+
+        position = StorePosition(1, 2)
+        self.store.watch = watch
+        self.follower._watcher_election.is_watcher = True
+        step = asyncio.create_task(self.follower._step())
+        for _ in range(3):
+            await asyncio.sleep(0)
+        whole = StoreChangesFrame(
+            1, 3, (("configuration", 2, b"2"), ("configuration", 3, b"3")), era=1
+        )
+        self.follower.apply_changes(whole)
+        answer.set()
+        await step
+        overtaken = self.node.broadcast_changes.call_args.args[0]
+        self.follower = self.make_follower()
+        await self.follower._read_all()
+        self.node.apply_configuration.reset_mock()
+        for frame in (overtaken, whole):
+            self.follower.apply_changes(frame)
+        self.assertEqual(self.applied_versions()[-1], 3)
+
     async def test_heartbeat_with_a_known_revision_counts(self) -> None:
         """Repeated changes are routine: a node must not ask the store because of them."""
         self.follower.apply_changes(StoreChangesFrame(0, 1, (), era=1))
