Let no older change end a deferred removal of an upstream

Cause: UpstreamDirectory.put forgot that an entry was missing before it compared positions, so an older change that came late, which changes nothing otherwise, ended the deferred removal.

Measured: test_older_change_does_not_end_a_deferred_removal passes; the former order of statements fails it by reading, and wasn't run.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -91,14 +91,16 @@
         hold = self._holds.get(entry_id)
         if hold is not None and position <= hold.position:
             return False
+        known = self._records.get(entry_id)
+        if known is not None and position < known.position:
+            return False
         self._holds.pop(entry_id, None)
         self._departures.pop(entry_id, None)
         self._missing_since_ms.pop(entry_id, None)
-        known = self._records.get(entry_id)
         if known is None:
             self._records[entry_id] = _Record(entry, position, position)
             return True
-        if position <= known.position:
+        if position == known.position:
             return False
         if self.is_outdated(entry_id, entry, position):
             self._records[entry_id] = evolve(known, position=position)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -675,6 +675,14 @@
         self.assertEqual(self.directory.release_held(16_000), ["one"])
         self.assertEqual(self.directory.entries(), [self.ready])
 
+    def test_older_change_does_not_end_a_deferred_removal(self) -> None:
+        """Guards against keeping an upstream that has left, by a change that comes late."""
+        self.directory.store_lost()
+        self.directory.remove("one", 500)
+        self.directory.put("one", self.ready, StorePosition(1, 4))
+        self.directory.store_regained(1_000)
+        self.assertEqual(self.directory.drop_missing(4_000), ["one"])
+
     def test_removal_and_return_within_an_era_take_effect_at_once(self) -> None:
         """Guards against holding an upstream that registers again after its entry expired."""
         self.directory.remove("one", 500)
