Apply removals on a node that the store alone refuses

A node that must read the store and is refused kept upstreams that had left for as long as it was refused (DRAIN), although its peers told it of their removal. It also logged store_regained after each failed read, and store_changes_missed for each heartbeat.

Cause: each failed call recorded the store as lost again, and each heartbeat as regained, so that the grace period for entries that lapse in an outage began anew and again.

A later failure of the same outage now counts only while no watcher is heard. A gap is logged once until it is read. A store whose history is lost again and again is read with the pauses of failed calls.

--- a/src/cottonlink/overload/_watcher_election.py
+++ b/src/cottonlink/overload/_watcher_election.py
@@ -41,7 +41,11 @@
 
     def must_watch(self, now_ms: float) -> bool:
         """Return whether this node has to watch the store itself."""
-        return self.is_watcher or now_ms - self._last_heartbeat_ms >= HEARTBEAT_TIMEOUT_MS
+        return self.is_watcher or not self.hears_watcher(now_ms)
+
+    def hears_watcher(self, now_ms: float) -> bool:
+        """Return whether a watcher has reported lately that it reaches the store."""
+        return now_ms - self._last_heartbeat_ms < HEARTBEAT_TIMEOUT_MS
 
 
 def make_watcher_election(name: str) -> WatcherElection:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -103,6 +103,7 @@
             except HistoryLostError as error:
                 self._log.event("store_history_lost", detail=error.detail)
                 self._must_read = True
+                await self._wait_before_retry()
             except EraChangedError as error:
                 self._log.event("store_read_restarted", detail=error.detail)
                 self._must_read = True
@@ -155,7 +156,8 @@
             return
         if frame.after > known.revision:
             # A change was missed, which only the store still has.
-            self._log_changes("store_changes_missed", frame)
+            if not self._must_read:
+                self._log_changes("store_changes_missed", frame)
             self._require_read()
             return
         self._log_changes("store_changes_received", frame)
@@ -302,10 +304,13 @@
         self._node.apply_upstreams(upstreams)
 
     def _on_store_lost(self, error: CottonlinkError) -> None:
-        if not self._is_store_lost:
+        is_first_failure = not self._is_store_lost
+        if is_first_failure:
             self._is_store_lost = True
             self._log.event("store_lost", code=error.code, detail=error.detail, peer=error.peer)
-        self._contents.store_lost()
+        # A node that is cut off alone still hears what is removed, and must not defer it for good.
+        if is_first_failure or not self._watcher_election.hears_watcher(self._now_ms()):
+            self._contents.store_lost()
 
     def _on_store_regained(self) -> None:
         self._retry_delay_s = MIN_RETRY_DELAY_S
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -167,6 +167,28 @@
         self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
         self.node.apply_upstreams.assert_not_called()
 
+    async def test_node_that_is_cut_off_alone_learns_of_removals(self) -> None:
+        """A node that must read and can't deferred removals with each failed read (DRAIN)."""
+        self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
+        self.follower._must_read = True
+        await self.follower._step()
+        self.node.apply_upstreams.reset_mock()
+        removal = StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1)
+        for frame in (StoreChangesFrame(1, 1, (), era=1), *[removal] * 20):
+            self.follower._must_read = True
+            await self.lose_store()
+            self.clock.now_s += 0.4
+            self.follower.apply_changes(frame)
+            self.follower._contents.maintain(self.clock.now_s * 1000.0)
+        self.node.apply_upstreams.assert_called_once_with([])
+        self.assertEqual(len(self.logged_events("store_regained")), 1)
+
+    async def test_gap_that_cannot_be_read_is_logged_once(self) -> None:
+        """A node that is cut off must not log each heartbeat of its peers."""
+        for _ in range(20):
+            self.follower.apply_changes(StoreChangesFrame(5, 5, (), era=1))
+        self.assertEqual(len(self.logged_events("store_changes_missed")), 1)
+
     async def lose_store(self) -> None:
         """Let a call of the node fail."""
         self.store.is_reachable = False
