Follow peers over a return of the store that refuses this node

Cause: a node that hears of a later era, or of changes after a gap, reads everything itself, and dropped what its peers sent until then.

Configurations in such changes are applied at once, as their versions order them whatever the era. The request carries the node's position, so that no peer sends a copy that tells nothing new; earlier builds read its type code only.

--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -109,7 +109,13 @@
 
 @frozen
 class SnapshotRequestFrame:
-    """The sender has no configuration yet and requests the receiver's copy of the store."""
+    """Requests the receiver's copy of the store, if it is later than the sender's.
+
+    ``era`` and ``revision`` are 0 if the sender has none.
+    """
+
+    era: int = 0
+    revision: int = 0
 
 
 @frozen
@@ -123,6 +129,10 @@
     items: tuple[tuple[str, int, bytes], ...]
     era: int | None = None
 
+    def is_later_than(self, request: SnapshotRequestFrame) -> bool:
+        """Return whether the snapshot tells the sender of ``request`` anything new."""
+        return (self.era or 0, self.revision) > (request.era, request.revision)
+
 
 # Key of an item that is not of the store and carries the era in place of a revision. Earlier builds
 # refuse frames with further fields, but ignore items with unknown keys; as a removed item it isn't
@@ -220,8 +230,9 @@
 
 
 @encode.register
-def _(_frame: SnapshotRequestFrame) -> bytes:
-    return msgpack.packb((_SNAPSHOT_REQUEST,))
+def _(frame: SnapshotRequestFrame) -> bytes:
+    # Earlier builds read only the type code.
+    return msgpack.packb((_SNAPSHOT_REQUEST, frame.era, frame.revision))
 
 
 @encode.register
@@ -353,6 +364,6 @@
     _LEAVING: lambda fields: LeavingFrame(fields[1]),
     _QUARANTINE: _decode_quarantine,
     _STORE_CHANGES: lambda fields: StoreChangesFrame(*fields[1:3], *_split_era(fields[3])),
-    _SNAPSHOT_REQUEST: lambda _fields: SnapshotRequestFrame(),
+    _SNAPSHOT_REQUEST: lambda fields: SnapshotRequestFrame(*fields[1:3]),
     _STORE_SNAPSHOT: lambda fields: StoreSnapshotFrame(fields[1], *_split_era(fields[2])),
 }
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -51,8 +51,8 @@
 SWEEPS_PER_QUARANTINE_SPREAD = 10
 # Retry-After while shutting down: short, since another node can serve the caller at once.
 LEAVING_RETRY_AFTER_MS = 50.0
-# A node without a configuration requests a snapshot from one peer at a time; a reply takes a few
-# round trips.
+# A node that depends on a snapshot requests it from one peer at a time; a reply takes a few round
+# trips.
 SNAPSHOT_REQUEST_INTERVAL_MS = 300.0
 
 
@@ -68,6 +68,9 @@
     def snapshot(self) -> StoreSnapshotFrame | None:
         """Return this node's whole copy, or None if it has none yet."""
 
+    def snapshot_request(self) -> SnapshotRequestFrame | None:
+        """Return the request for a later copy, or None if this node doesn't depend on one."""
+
 
 class Node(PeerLinkListener):
     """Carries calls between callers, other nodes and the target next to it."""
@@ -306,7 +309,7 @@
     def on_link_frame(self, address: Address, frame: Any) -> None:
         if isinstance(frame, SnapshotRequestFrame):
             snapshot = self.store_view.snapshot()
-            if snapshot is not None:
+            if snapshot is not None and snapshot.is_later_than(frame):
                 self.state.peer_links.link(address).send(snapshot)
             return
         self.on_peer_frame(frame)
@@ -328,14 +331,20 @@
         )
 
     def _request_snapshot(self, connection: PeerConnection) -> None:
-        """Request a snapshot of the store from a peer while this node has no configuration."""
+        """Request a snapshot of the store from a peer if this node depends on one."""
+        request = self._snapshot_request()
         now_ms = self.now_ms()
         if (
-            self.state.configuration is None
+            request is not None
             and now_ms - self._snapshot_requested_at_ms >= SNAPSHOT_REQUEST_INTERVAL_MS
         ):
             self._snapshot_requested_at_ms = now_ms
-            connection.send(SnapshotRequestFrame())
+            connection.send(request)
+
+    def _snapshot_request(self) -> SnapshotRequestFrame | None:
+        if self.state.configuration is None:
+            return SnapshotRequestFrame()
+        return self.store_view.snapshot_request()
 
     def _on_target_crashed(self, fingerprints: list[str]) -> None:
         self._quarantine_exchange.report_own_crash(fingerprints)
@@ -372,7 +381,7 @@
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.state.peer_links.sweep()
         self._pool.sweep()
-        if self.state.configuration is None and self._peer_connections:
+        if self._peer_connections and self._snapshot_request() is not None:
             self._request_snapshot(self.state.rng.choice(list(self._peer_connections)))
         self._sweep_count += 1
         if self._sweep_count % SWEEPS_PER_QUARANTINE_SPREAD == 0:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -21,7 +21,7 @@
     StorePosition,
     make_watcher_election,
 )
-from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
+from cottonlink.path._frames import SnapshotRequestFrame, StoreChangesFrame, StoreSnapshotFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
 from cottonlink.path._store import (
@@ -90,6 +90,8 @@
         # The latest era that another node told of.
         self._announced_era = UNKNOWN_ERA
         self._ignored_changes: set[tuple[str, int | None]] = set()
+        # The latest position that another node told of and this one couldn't follow.
+        self._missed_position: StorePosition | None = None
         self._is_store_lost = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._heartbeat_due_ms = 0.0
@@ -146,6 +148,7 @@
             return
         if era > known.era:
             self._learn_era(era)
+            self._miss_changes(frame, era)
             return
         self._watcher_election.record_heartbeat(self._now_ms())
         # A watcher reaches the store, so entries are removed again, though this node's own next
@@ -159,6 +162,7 @@
             if not self._must_read:
                 self._log_changes("store_changes_missed", frame)
             self._require_read()
+            self._miss_changes(frame, era)
             return
         self._log_changes("store_changes_received", frame)
         self._contents.apply(unpack_items(frame.items, era), self._now_ms())
@@ -171,23 +175,37 @@
         items = pack_items(self._contents.items())
         return StoreSnapshotFrame(self._position.revision, items, era=self._position.era)
 
+    def snapshot_request(self) -> SnapshotRequestFrame | None:
+        """Return the request for a peer's copy, or None if this node doesn't depend on one.
+
+        It does if the store refuses it while peers have told it of changes that it can't follow.
+        """
+        if self._missed_position is None or not (self._must_read and self._is_store_lost):
+            return None
+        return SnapshotRequestFrame(self._position.era, self._position.revision)
+
     def apply_snapshot(self, frame: StoreSnapshotFrame) -> None:
-        """Apply another node's copy of the store, or only its configuration if this node has one.
+        """Apply another node's copy of the store, or only its configuration.
 
-        The store may have returned from a copy with an older configuration than the peer knows.
+        The whole copy is used by a node that has none, or that depends on a later one. The store
+        may have returned from a copy with an older configuration than the peer knows.
         """
-        era = UNKNOWN_ERA if frame.era is None else frame.era
-        items = unpack_items(frame.items, era)
-        if self._position is not None:
+        position = StorePosition(UNKNOWN_ERA if frame.era is None else frame.era, frame.revision)
+        items = unpack_items(frame.items, position.era)
+        is_needed = self._position is None or (
+            self.snapshot_request() is not None and position > self._position
+        )
+        if not is_needed:
             self._contents.adopt_configuration(items)
             return
         self._log.event(
             "store_known_by_peer", era=frame.era, revision=frame.revision, items=len(items)
         )
-        position = StorePosition(era, frame.revision)
         self._apply_listing(Listing(items, position))
         # Without the era, changes of other nodes can't be put in order with the snapshot.
-        self._must_read = frame.era is None
+        self._must_read = frame.era is None or (
+            self._missed_position is not None and position < self._missed_position
+        )
 
     async def _step(self) -> None:
         must_watch = self._watcher_election.must_watch(self._now_ms())
@@ -221,6 +239,8 @@
         )
         # An era that was announced meanwhile may have begun after the first answer.
         self._must_read = position.era < self._announced_era != announced_era
+        if not self._must_read:
+            self._missed_position = None
         self._apply_listing(listing)
         if self._watcher_election.is_watcher and previous and position.era > previous.era:
             # The other nodes rely on this one and can't tell by themselves that the era changed.
@@ -291,6 +311,16 @@
             self._require_read()
             self._log.event("store_era_announced", era=era, known=self._position.era)
 
+    def _miss_changes(self, frame: StoreChangesFrame, era: int) -> None:
+        """Note changes that can't be applied, and apply a configuration among them.
+
+        Versions order configurations in whatever era they were read.
+        """
+        position = StorePosition(era, frame.revision)
+        if self._missed_position is None or position > self._missed_position:
+            self._missed_position = position
+        self._contents.adopt_configuration(unpack_items(frame.items, era))
+
     def _ignore_changes(self, frame: StoreChangesFrame, reason: str) -> None:
         """Log the first of the changes that are ignored for this reason, not each of them."""
         if (reason, frame.era) not in self._ignored_changes:
--- a/tests/test_store_frames.py
+++ b/tests/test_store_frames.py
@@ -12,9 +12,15 @@
 
 import msgpack
 
-from cottonlink.path._frames import FrameReader, StoreChangesFrame, StoreSnapshotFrame, encode
-
-STORE_CHANGES, STORE_SNAPSHOT = 9, 11
+from cottonlink.path._frames import (
+    FrameReader,
+    SnapshotRequestFrame,
+    StoreChangesFrame,
+    StoreSnapshotFrame,
+    encode,
+)
+
+STORE_CHANGES, SNAPSHOT_REQUEST, STORE_SNAPSHOT = 9, 10, 11
 ITEMS = (("servers/i-1", 7, b"{}"), ("servers/i-2", 8, None))
 
 
@@ -77,6 +83,13 @@
         frame = decode(msgpack.packb((STORE_SNAPSHOT, 8, handed_on)))
         self.assertEqual(frame, StoreSnapshotFrame(8, ITEMS[:1], era=None))
 
+    def test_former_build_understands_a_request_with_a_position(self) -> None:
+        """The former build must answer the request; its own, which tells nothing, is for all."""
+        request = SnapshotRequestFrame(3, 8)
+        self.assertEqual(decode(encode(request)), request)
+        self.assertEqual(msgpack.unpackb(encode(request))[0], SNAPSHOT_REQUEST)
+        self.assertEqual(decode(msgpack.packb((SNAPSHOT_REQUEST,))), SnapshotRequestFrame())
+
     def test_frames_of_the_former_build_have_no_era(self) -> None:
         """A frame of the former build must not be taken for one of the first era."""
         changes = decode(msgpack.packb((STORE_CHANGES, 6, 8, ITEMS)))
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -5,7 +5,7 @@
 import asyncio
 from unittest import mock
 
-from cottonlink.errors import CottonlinkError
+from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import EraChangedError
 from cottonlink.path._http import parse_address
 from cottonlink.platform._store_client import StoreClient
@@ -121,6 +121,36 @@
         await self.wait_until(lambda: restarted.node.state.load_balancer.upstream("i-2").slots == 4)
         self.assertEqual((await self.call(restarted, "/offers/1")).status, 200)
 
+    async def test_node_that_the_store_refuses_follows_its_peers(self) -> None:
+        """A node that can't read a new era itself must learn of changes from its peers.
+
+        The store may refuse some nodes while it serves the others.
+        """
+        await self.add_vm("browse", "i-3")
+        await self.add_vm("browse", "i-4")
+        await self.wait_until_version(4)
+        refused, *others = sorted(self.vms, key=lambda vm: vm.follower._watcher_election.is_watcher)
+        copy = self.store.take_copy()
+        await self.write_unrelated(5)
+        await self.wait_until(lambda: len({vm.follower._position for vm in self.vms}) == 1)
+
+        async def refuse(*_args: object) -> None:
+            raise CottonlinkError("store_refused", "busy", step=Step.POLICY_READ)
+
+        with mock.patch.object(refused.follower._store, "_get", refuse):
+            self.store.return_from_copy(copy)
+            await self.store.put("op/config", configuration(5, READS, OFFERS))
+            draining = others[0].target
+            await self.store.put(
+                f"servers/{draining.upstream_id}", draining.entry(state="draining")
+            )
+            await self.wait_until(lambda: refused.node.state.configuration_version == 5)
+            await self.wait_until(lambda: draining.upstream_id not in self.upstream_ids(refused))
+            self.assertEqual((await self.call(refused, "/offers/1")).status, 200)
+            await self.store.put("op/config", configuration(6, READS, OFFERS))
+            await self.wait_until(lambda: refused.node.state.configuration_version == 6)
+        self.assertEqual(refused.follower._position.era, 2)
+
     async def test_node_that_starts_takes_what_the_copy_has(self) -> None:
         """A node without any knowledge must serve with the copy, and later with what follows."""
         copy = self.store.take_copy()
