Soak: entries of a large fleet come in few pages

All 80 nodes read everything at once, 41 pages of 2 entries each, which took 1 to 2.5 s of the soak's one process; changes that came meanwhile were missed and read for in the same way. The platform's pages hold about 500 items. The emulated store now takes the size of a page; the soak sets it so that a listing has three pages or less.

--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -30,12 +30,13 @@
 
     ``fault`` is one of ``FAULTS`` or None: ``silent`` never answers, ``busy`` answers 503,
     ``reset`` closes the connection without an answer. ``request_targets`` lists the HTTP request
-    targets received.
+    targets received. A page of a range has ``page_items`` items.
     """
 
     FAULTS = ("silent", "busy", "reset")
 
-    def __init__(self) -> None:
+    def __init__(self, page_items: int = 2) -> None:
+        self._page_items = page_items
         self._era = 1
         self._revision = 1
         self._items: dict[str, tuple[bytes, int]] = {}
@@ -128,7 +129,7 @@
 
     def _get_range(self, prefix: str, after: str) -> bytes:
         keys = [key for key in sorted(self._items) if key.startswith(prefix) and key > after]
-        page = [self._event(key) for key in keys[:2]]
+        page = [self._event(key) for key in keys[: self._page_items]]
         has_more = len(keys) > len(page)
         return self._json(200, {"items": page, "has_more": has_more, "as_of": self._revision})
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -65,7 +65,8 @@
         self._address_block = address_block
         self._vm_count = vm_count
         self.now_s = asyncio.get_running_loop().time
-        self.store = PlatformStore()
+        # Entries come in three pages or less, however large the fleet is.
+        self.store = PlatformStore(page_items=max(2, vm_count // 2))
         self.writers = StoreWriters(self.store, rng, self.now_s)
         self.disturbances = Disturbances(self.now_s)
         self.lag_meter = LagMeter(self.now_s, self.disturbances.add_stall)
