Open a new connection to the store if the present one is closing

A read on a connection whose end by the store had just been read failed, counted as a loss of the store, and began a grace period for entries.

Cause: the client asked whether the connection was open, not whether something can still be sent on it.

--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -160,7 +160,7 @@
         return result
 
     async def _connect(self) -> HttpConnection:
-        if self._connection is not None and self._connection.is_open:
+        if self._connection is not None and self._connection.can_send:
             return self._connection
         connecting = self._loop.create_connection(lambda: HttpConnection(None), *self._address)
         _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
