Don't suspect a request of a crash if it was never sent

A request for which a connection turned out to be closing was recorded as a run without an answer, so a crash soon after could be blamed on it.

Cause: the loss was recorded before asking whether anything was sent.

--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -306,12 +306,12 @@
         return Answered(response.status, headers, response.body)
 
     def _on_exchange_failed(self, frame: CallFrame, failure: ExchangeFailed) -> Outcome:
+        if not failure.was_sent:
+            return NotRun("target_connections")
         if failure.is_connection_lost:
             self._record_unanswered_run(frame)
             self._log.event("target_connection_lost", request_id=frame.request_id)
             self._check_target()
-        if not failure.was_sent:
-            return NotRun("target_connections")
         return OutcomeUnknown(failure.reason)
 
     def _record_unanswered_run(self, frame: CallFrame) -> None:
