Give readers of a closing response as long as other readers

A caller that paused for more than 5 s while it read the last response on a connection lost the rest, while one that kept its connection had 15 s.

Both now end after 15 s without progress. During a shutdown the grace time bounds both.

--- a/src/cottonlink/path/_connection_end.py
+++ b/src/cottonlink/path/_connection_end.py
@@ -6,12 +6,12 @@
 
 from attrs import define, frozen
 
-from cottonlink.path._sockets import unacknowledged_bytes
+from cottonlink.path._sockets import CALLER_UNACKNOWLEDGED_TIMEOUT_MS, unacknowledged_bytes
 
 # Time for a peer that has everything to read it and to close the connection.
 LINGER_MS = 2_000.0
 # Time for which a peer that hasn't everything may take nothing.
-STALLED_MS = 5_000.0
+STALLED_MS = float(CALLER_UNACKNOWLEDGED_TIMEOUT_MS)
 # Longest time for a peer that takes a little now and then.
 LONGEST_LINGER_MS = 60_000.0
 
