Notice connections to the store that went silent within 3 s

A node had an old configuration 2.8 to 3.0 s after a newer one was acknowledged (CONFIG; five requests, one 404 for an added route among them), 3.4 s after all its connections had gone silent, when it counts as in touch again.

Cause: its watch on the silent connection was given up after 3.5 s (2.5 s of waiting and 1 s of margin), and its peers' connections to it, silent too, brought no heartbeats. A node that only listens would have needed 1.2 s without a heartbeat and then the same 3.5 s.

A watch now waits for 1.2 s, so silence is noticed within 2.2 s. A node that stops hearing watchers reads before it watches, with a time-out of 1.2 s, and is back within 2.7 s. Watches at rest cost twice as many calls as before.

--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -93,6 +93,8 @@
         # The latest position that another node told of and this one couldn't follow.
         self._missed_position: StorePosition | None = None
         self._is_store_lost = False
+        # Whether the connection to the store may have gone silent while nothing was asked on it.
+        self._has_listened = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._heartbeat_due_ms = 0.0
         self.call_count = 0
@@ -209,13 +211,14 @@
 
     async def _step(self) -> None:
         must_watch = self._watcher_election.must_watch(self._now_ms())
-        if self._must_read or (must_watch and self._is_store_lost):
-            # A read shows at once whether the store answers again. A watch may wait for changes, or
-            # be sent on a connection that broke in the outage.
+        if self._must_read or (must_watch and (self._is_store_lost or self._has_listened)):
+            # A read shows at once whether the store answers. A watch may wait for changes, or be
+            # sent on a connection that broke in an outage or went silent.
             await self._read_all()
         elif must_watch:
             await self._watch(self._position)
         else:
+            self._has_listened = True
             await asyncio.sleep(LISTENER_CHECK_INTERVAL_S)
 
     async def _read_all(self) -> None:
@@ -230,6 +233,7 @@
                 step=Step.POLICY_READ,
             )
         self._on_store_regained()
+        self._has_listened = False
         self._log.event(
             "store_read",
             era=position.era,
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -31,12 +31,11 @@
 )
 
 # The store usually answers within milliseconds; a slow one takes about a hundred times as long.
-READ_TIMEOUT_S = 1.5
+READ_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 1.0
-# How long the store holds a watch open when nothing changes. A store that stopped responding never
-# answers a watch, so a longer wait would delay changes of the configuration after it returns; they
-# must be known within seconds.
-WATCH_WAIT_MS = 2_500
+# How long the store holds a watch open when nothing changes. A store that stopped responding, or a
+# connection that went silent, never answers a watch; a node must be back in touch 3 s later.
+WATCH_WAIT_MS = 1_200
 # A watch fails if it isn't answered within this time after its wait.
 WATCH_MARGIN_S = 1.0
 # Counts the times that the store returned from a copy.
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -10,6 +10,7 @@
 from attrs import define
 
 from cottonlink.errors import CottonlinkError, Step
+from cottonlink.overload._watcher_election import HEARTBEAT_TIMEOUT_MS
 from cottonlink.path import (
     EraChangedError,
     Listing,
@@ -19,6 +20,11 @@
     Upstream,
 )
 from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
+from cottonlink.path._store_follower import LISTENER_CHECK_INTERVAL_S, MIN_RETRY_DELAY_S
+from cottonlink.platform._store_client import READ_TIMEOUT_S, WATCH_MARGIN_S, WATCH_WAIT_MS
+
+# A node whose connections were disturbed is in touch again after this time.
+CONTACT_S = 3.0
 
 
 @define
@@ -142,6 +148,28 @@
         await self.follower._step()
         self.assertEqual(self.store.calls, ["read"])
 
+    async def test_node_that_stops_hearing_watchers_reads_before_it_watches(self) -> None:
+        """All connections of a node may go silent at once, to its peers and to the store.
+
+        A watch on such a connection is given up later than a read, and the node had an old
+        configuration for too long.
+        """
+        self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=1))
+        with mock.patch("cottonlink.path._store_follower.LISTENER_CHECK_INTERVAL_S", 0.0):
+            await self.follower._step()
+        self.assertEqual(self.store.calls, [])
+        self.clock.now_s += 10.0
+        for _ in range(2):
+            await self.follower._step()
+        self.assertEqual(self.store.calls, ["read", "watch"])
+
+    def test_silent_connections_are_replaced_within_the_time_to_be_in_touch(self) -> None:
+        """Time-outs that add up to more than 3 s leave a configuration unknown for too long."""
+        watching_s = WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S
+        listening_s = HEARTBEAT_TIMEOUT_MS / 1000.0 + LISTENER_CHECK_INTERVAL_S + READ_TIMEOUT_S
+        for noticed_s in (watching_s, listening_s):
+            self.assertLess(noticed_s + MIN_RETRY_DELAY_S, CONTACT_S)
+
     async def test_removal_takes_effect_after_the_grace_period_on_a_listening_node(self) -> None:
         """A node that lost the store and then only listens kept upstreams that had left.
 
