Log to whom changes of the store are sent, and when a node begins to watch it

Change: events store_changes_sent (revisions, items, peers), store_watch_began and store_watch_ended (elected or not, time since the last heartbeat). Measured: the 97 tests of the follower, of the store's return, of overload and of the stand-in pass. No decision changed.

--- a/src/cottonlink/overload/_watcher_election.py
+++ b/src/cottonlink/overload/_watcher_election.py
@@ -43,6 +43,11 @@
         """Return whether this node has to watch the store itself."""
         return self.is_watcher or not self.hears_watcher(now_ms)
 
+    def silent_ms(self, now_ms: float) -> int | None:
+        """Return the time since the last heartbeat, or None if there was none."""
+        silent_ms = now_ms - self._last_heartbeat_ms
+        return None if silent_ms == float("inf") else round(silent_ms)
+
     def hears_watcher(self, now_ms: float) -> bool:
         """Return whether a watcher has reported lately that it reaches the store."""
         return now_ms - self._last_heartbeat_ms < HEARTBEAT_TIMEOUT_MS
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -54,6 +54,8 @@
 # A node that depends on a snapshot requests it from one peer at a time; a reply takes a few round
 # trips.
 SNAPSHOT_REQUEST_INTERVAL_MS = 300.0
+# Peers in one line of the log.
+LOGGED_PEERS_LIMIT = 16
 
 
 class StoreView(Protocol):
@@ -214,6 +216,15 @@
         }
         for vm_ip in vm_ips:
             self.state.peer_links.link((vm_ip, self.state.peer_port)).send_or_open(frame)
+        if frame.items:
+            self.state.log.event(
+                "store_changes_sent",
+                after=frame.after,
+                revision=frame.revision,
+                items=len(frame.items),
+                peers=sorted(vm_ips)[:LOGGED_PEERS_LIMIT],
+                peer_count=len(vm_ips),
+            )
 
     def apply_settings(self, settings: NodeSettings) -> None:
         """Replace the settings. Those that are used only at the start, such as addresses, stay."""
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -95,6 +95,7 @@
         self._is_store_lost = False
         # Whether the connection to the store may have gone silent while nothing was asked on it.
         self._has_listened = False
+        self._is_watching = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
         self._heartbeat_due_ms = 0.0
         self.call_count = 0
@@ -211,6 +212,14 @@
 
     async def _step(self) -> None:
         must_watch = self._watcher_election.must_watch(self._now_ms())
+        if must_watch != self._is_watching:
+            self._is_watching = must_watch
+            self._log.event(
+                "store_watch_began" if must_watch else "store_watch_ended",
+                is_elected=self._watcher_election.is_watcher,
+                silent_ms=self._watcher_election.silent_ms(self._now_ms()),
+                known=self._position and self._position.revision,
+            )
         if self._must_read or (must_watch and (self._is_store_lost or self._has_listened)):
             # A read shows at once whether the store answers. A watch may wait for changes, or be
             # sent on a connection that broke in an outage or went silent.
