Failing tests of requests that reach leaving targets (DRAIN)

The emulated store holds watches back, forgets its history and cuts them; the emulated target says in its responses that it leaves.

--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -47,6 +47,9 @@
         self.fault: str | None = None
         self.request_targets: list[str] = []
         self.address = ""
+        self._are_watches_held = False
+        # How often the waiting watches were cut.
+        self._cut_count = 0
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Listen on a free port."""
@@ -75,6 +78,18 @@
         self._history.clear()
         self._oldest_known_revision = self._revision
 
+    def hold_watches(self) -> None:
+        """Answer no watch until the history is forgotten, as if nothing had changed."""
+        self._are_watches_held = True
+
+    def forget_and_cut_watches(self) -> None:
+        """Discard the history and close the connections of waiting watches without an answer."""
+        self._are_watches_held = False
+        self._history.clear()
+        self._oldest_known_revision = self._revision
+        self._cut_count += 1
+        self._wake_watches()
+
     def value(self, key: str) -> bytes | None:
         """Return the value of an item, or None if there is none."""
         item = self._items.get(key)
@@ -107,8 +122,8 @@
         self.request_targets.append(request.target)
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        if url.path == "/-/kv-watch":
-            await self._wait_for_events(query)
+        if url.path == "/-/kv-watch" and await self._wait_for_events(query):
+            return None
         # Checked after the wait, so that a fault set during a watch affects its answer.
         if self.fault == "silent":
             await asyncio.Event().wait()
@@ -138,20 +153,28 @@
         if not self._oldest_known_revision <= after <= self._revision:
             return self._json(410, {"error": "history is gone"})
         events = self._events(query)
-        return self._json(200, {"events": events, "as_of": self._revision})
+        as_of = after if self._are_watches_held else self._revision
+        return self._json(200, {"events": events, "as_of": as_of})
 
-    async def _wait_for_events(self, query: dict[str, str]) -> None:
+    async def _wait_for_events(self, query: dict[str, str]) -> bool:
+        """Wait until a watch can be answered; return whether it was cut instead."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(query["wait_ms"]) / 1000
+        cut_count = self._cut_count
         while self._must_wait(query) and loop.time() < end_s:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), end_s - loop.time())
+            if self._cut_count != cut_count:
+                return True
+        return False
 
     def _must_wait(self, query: dict[str, str]) -> bool:
         """Return whether a watch has nothing to return yet, and isn't refused."""
         return int(query["after"]) <= self._revision and not self._events(query)
 
     def _events(self, query: dict[str, str]) -> list[dict]:
+        if self._are_watches_held:
+            return []
         after, prefix = int(query["after"]), query.get("prefix", "")
         return [e for e in self._history if e["revision"] > after and e["key"].startswith(prefix)]
 
--- a/emulator/platform_target.py
+++ b/emulator/platform_target.py
@@ -22,6 +22,7 @@
 
     ``behaviour``, if set, answers requests in place of the default, which waits while
     ``answer_gate`` is not set. ``loses_answers`` has no effect here; a behaviour may check it.
+    While ``is_leaving`` is set, responses say that the target leaves.
     """
 
     service: str
@@ -32,6 +33,7 @@
     behaviour: Behaviour | None = None
     runs: list[ReceivedRequest] = field(factory=list)
     loses_answers: bool = False
+    is_leaving: bool = False
     answer_gate: asyncio.Event = field(factory=asyncio.Event)
     _server: HttpStandIn | None = None
     _numbers: itertools.count = field(factory=itertools.count)
@@ -73,7 +75,12 @@
         attempt = request.header("x-attempt-id") or ""
         text = body if body is not None else f"{self.upstream_id}:{request.target}".encode()
         seal = f"{self.upstream_id}.{next(self._numbers)}"
-        return make_response(200, text, ("X-Attempt-Id", attempt), ("X-Server-Seal", seal))
+        headers = (("X-Attempt-Id", attempt), ("X-Server-Seal", seal), *self.state_headers())
+        return make_response(200, text, *headers)
+
+    def state_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers by which all its responses tell of the target's state."""
+        return (("Server-Leaving", "1"),) if self.is_leaving else ()
 
     async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bytes | None:
         expected = request.header("x-expected-instance")
@@ -86,10 +93,12 @@
         return self.success_response(request)
 
 
-def not_executed_response(request: ReceivedRequest, status: int = 503) -> bytes:
-    """Return the answer of a target that did not execute ``request``."""
+def not_executed_response(
+    request: ReceivedRequest, status: int = 503, *headers: tuple[str, str]
+) -> bytes:
+    """Return the answer of a target that did not execute ``request``, with further headers."""
     attempt = request.header("x-attempt-id") or ""
-    return make_response(status, b"", ("X-Attempt-Id", attempt), ("X-Not-Executed", "1"))
+    return make_response(status, b"", ("X-Attempt-Id", attempt), ("X-Not-Executed", "1"), *headers)
 
 
 def route_resource(name: str, host: str, prefix: str, service: str, **changes: object) -> dict:
--- /dev/null
+++ b/tests/test_leaving_targets.py
@@ -0,0 +1,248 @@
+"""Targets that leave, whether the store, another node or a response of theirs tells of it."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+
+from cottonlink.errors import CottonlinkError, Step
+from cottonlink.overload import StorePosition, make_upstream_directory
+from cottonlink.path import Listing, Upstream
+from cottonlink.platform._store_client import WATCH_MARGIN_S, WATCH_WAIT_MS
+from emulator.http_stand_in import ReceivedRequest
+from emulator.platform_target import (
+    PlatformTarget,
+    configuration,
+    not_executed_response,
+    route_resource,
+)
+from tests.platform_fixtures import FleetCase, Response, Vm
+
+READS = route_resource("reads", "shop.example", "/reads/", "browse")
+ADDED = route_resource("added", "shop.example", "/added/", "browse")
+# The users' bound from the moment at which a target has said that it leaves.
+DRAIN_S = 2.0
+# Enough for each of a few upstreams to be chosen.
+REQUEST_COUNT = 30
+
+
+class HangingStore:
+    """A store client whose connection went silent: calls fail only by their time-outs."""
+
+    async def read_all(self) -> Listing:
+        return await self.watch(None)
+
+    async def watch(self, _position: StorePosition | None) -> Listing:
+        await asyncio.sleep(WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S)
+        raise CottonlinkError("store_unreachable", "TimeoutError", step=Step.POLICY_READ)
+
+
+class StoreCase(FleetCase):
+    """Four targets of one service in a data centre; two of their nodes watch the store."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for number in range(4):
+            await self.add_vm("browse", f"i-{number}")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_version(4)
+        await self.wait_until(lambda: len(self.watchers()) == 2)
+        await self.wait_until(lambda: all(self.hears_watcher(vm) for vm in self.listeners()))
+
+    def watchers(self) -> list[Vm]:
+        """Return the VMs whose nodes are elected to watch."""
+        return [vm for vm in self.vms if vm.follower._watcher_election.is_watcher]
+
+    def listeners(self) -> list[Vm]:
+        """Return the VMs whose nodes rely on the watchers."""
+        return [vm for vm in self.vms if not vm.follower._watcher_election.is_watcher]
+
+    def hears_watcher(self, vm: Vm) -> bool:
+        """Return whether a node relies on a watcher now."""
+        return not vm.follower._watcher_election.must_watch(vm.node.now_ms())
+
+    def knows(self, vm: Vm, upstream_id: str) -> bool:
+        """Return whether a node may still call an upstream."""
+        upstreams = vm.node.state.load_balancer.upstreams()
+        return any(u.upstream_id == upstream_id and not u.is_draining for u in upstreams)
+
+    def silence_store(self, vm: Vm) -> None:
+        """Let a node's connection to the store go silent."""
+        vm.follower._store = HangingStore()
+        if vm.follower._watch_call is not None:
+            vm.follower._watch_call.cancel()
+
+
+class TestChangesOfTheStore(StoreCase):
+    """How soon nodes know what the store has acknowledged."""
+
+    async def test_node_next_to_a_removed_target_is_told_of_the_removal(self) -> None:
+        """A watcher sent changes to the nodes of the targets that were left after them.
+
+        The node next to the removed target went on sending it requests until it had missed
+        heartbeats and read the store, on a connection that could be silent.
+        """
+        leaving, _ = self.listeners()
+        self.silence_store(leaving)
+        await self.store.remove(f"servers/{leaving.target.upstream_id}")
+        await asyncio.sleep(DRAIN_S)
+        self.assertFalse(self.knows(leaving, leaving.target.upstream_id))
+        for number in range(REQUEST_COUNT):
+            response = await self.call(leaving, f"/reads/{number}", attempt=f"a{number}")
+            self.assertEqual(response.status, 200)
+        self.assertEqual(leaving.target.runs, [])
+
+    async def test_listener_does_not_rely_on_watchers_that_hear_nothing(self) -> None:
+        """Watchers sent heartbeats while their own watches hung, on silent connections."""
+        listener, leaving = self.listeners()
+        for vm in self.watchers():
+            self.silence_store(vm)
+        await self.store.remove(f"servers/{leaving.target.upstream_id}")
+        removed_s = time.monotonic()
+        await self.wait_until(lambda: not self.knows(listener, leaving.target.upstream_id))
+        self.assertLess(time.monotonic() - removed_s, DRAIN_S)
+
+    async def test_changes_read_after_a_gap_are_sent_on(self) -> None:
+        """A watcher that had lost the history read the changes and told nobody of them.
+
+        The other nodes noticed the gap with its next heartbeat and read the store themselves.
+        """
+        listener, leaving = self.listeners()
+        calls = {vm.settings.node: vm.follower.call_count for vm in self.listeners()}
+        self.store.hold_watches()
+        await self.store.remove(f"servers/{leaving.target.upstream_id}")
+        await self.store.put("op/config", configuration(5, READS, ADDED))
+        await asyncio.sleep(0.3)
+        self.store.forget_and_cut_watches()
+        await self.wait_until(
+            lambda: all(vm.node.state.configuration_version == 5 for vm in self.vms)
+        )
+        await self.wait_until(lambda: not self.knows(listener, leaving.target.upstream_id))
+        for vm in self.listeners():
+            self.assertEqual(vm.follower.call_count, calls[vm.settings.node])
+
+
+def make_entry(*, is_draining: bool, sequence: int | None, started_at_ms: int = 1) -> Upstream:
+    """Return an entry of one upstream."""
+    address = ("127.0.0.9", 80)
+    return Upstream("one", "reads", address, "a", 1, is_draining, 0.0, started_at_ms, sequence)
+
+
+class TestLateWrites(unittest.TestCase):
+    """Entries that the store applies in another order than their target wrote them."""
+
+    def setUp(self) -> None:
+        self.directory = make_upstream_directory()
+        self.directory.put("one", make_entry(is_draining=False, sequence=7), StorePosition(1, 3))
+        self.directory.put("one", make_entry(is_draining=True, sequence=9), StorePosition(1, 4))
+
+    def is_used(self) -> bool:
+        """Return whether the upstream may be called."""
+        return any(not entry.is_draining for entry in self.directory.entries())
+
+    def test_ready_entry_that_was_written_late_does_not_end_the_drain(self) -> None:
+        """A store that applies a write late put a leaving target back among those to use."""
+        self.directory.put("one", make_entry(is_draining=False, sequence=8), StorePosition(1, 5))
+        self.assertFalse(self.is_used())
+        self.directory.put("one", make_entry(is_draining=False, sequence=10), StorePosition(1, 6))
+        self.assertTrue(self.is_used())
+
+    def test_ready_entry_that_was_written_late_does_not_undo_the_removal(self) -> None:
+        """The same write may be applied after the target's entry was removed."""
+        self.directory.remove("one", 100.0)
+        self.directory.put("one", make_entry(is_draining=False, sequence=8), StorePosition(1, 6))
+        self.assertFalse(self.is_used())
+        restarted = make_entry(is_draining=False, sequence=1, started_at_ms=2)
+        self.directory.put("one", restarted, StorePosition(1, 7))
+        self.assertTrue(self.is_used())
+
+
+async def refuse(
+    target: PlatformTarget, request: ReceivedRequest, _writer: asyncio.StreamWriter
+) -> bytes:
+    """Refuse a request, as a target does whose queue is full."""
+    return not_executed_response(request, 503, *target.state_headers())
+
+
+class TestResponsesOfLeavingTargets(FleetCase):
+    """A target that leaves says so in its responses; the store hears nothing of it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.first = await self.add_vm("browse", "i-1")
+        self.second = await self.add_vm("browse", "i-2")
+        self.caller = await self.add_vm("booking", "i-3")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_version(4)
+
+    async def send(self, vm: Vm, count: int = REQUEST_COUNT) -> list[Response]:
+        """Send requests at a node, one after another."""
+        return [await self.call(vm, f"/reads/{n}", attempt=f"a{n}") for n in range(count)]
+
+    async def leave(self) -> None:
+        """Let the first target leave, and let a response tell a node of it."""
+        self.first.target.is_leaving = True
+        while not self.first.target.runs:
+            await self.send(self.caller, 1)
+        self.first.target.runs.clear()
+
+    async def assert_unused(self, *vms: Vm) -> None:
+        """Check that requests at these nodes are served, and not by the first target."""
+        for vm in vms:
+            responses = await self.send(vm)
+            self.assertEqual({response.status for response in responses}, {200})
+        self.assertEqual(self.first.target.runs, [])
+
+    async def test_target_that_said_it_leaves_gets_no_more_requests(self) -> None:
+        """Nodes passed the response on and went on sending, as the store hadn't told them."""
+        await self.leave()
+        await self.assert_unused(self.caller, self.second, self.first)
+
+    async def test_refusal_tells_that_a_target_leaves(self) -> None:
+        """All responses of a leaving target say so, also those to requests that it doesn't run."""
+        self.first.target.behaviour = refuse
+        await self.leave()
+        await self.assert_unused(self.caller, self.second, self.first)
+
+    async def test_target_that_said_it_leaves_stays_unused_for_good(self) -> None:
+        """Neither a later ready entry, nor an absence of the store or its return undoes it."""
+        copy = self.store.take_copy()
+        await self.leave()
+        await self.store.put("servers/i-1", self.first.target.entry(slots=17))
+        await self.store.put("op/config", configuration(5, READS))
+        await self.wait_until_version(5)
+        await self.assert_unused(self.caller, self.second, self.first)
+        self.store.return_from_copy(copy)
+        await self.store.put("op/config", configuration(6, READS))
+        await self.wait_until_version(6)
+        await self.assert_unused(self.caller, self.second, self.first)
+
+    async def test_restarted_node_learns_which_targets_leave(self) -> None:
+        """A node that starts knows nothing of the responses that its former process got."""
+        await self.leave()
+        for vm in (self.caller, self.first):
+            node = (await self.restart_node(vm)).node
+            await self.wait_until(lambda node=node: node.state.configuration_version == 4)
+            await self.wait_until(lambda node=node: bool(node.state.leaving_targets.all()))
+        await self.assert_unused(*self.vms)
+
+    async def test_next_incarnation_of_a_leaving_target_is_used(self) -> None:
+        """The word of a target holds for one start of it, not for its id or its address."""
+        await self.leave()
+        self.first.target.is_leaving = False
+        entry = self.first.target.entry(born=1_700_000_009_000)
+        await self.store.put("servers/i-1", entry)
+        for _ in range(REQUEST_COUNT):
+            await self.send(self.caller, 1)
+            if self.first.target.runs:
+                break
+            await asyncio.sleep(0.1)
+        self.assertTrue(self.first.target.runs)
+
+
+del FleetCase, StoreCase
+
+
+if __name__ == "__main__":
+    unittest.main()
