Let only answers of the store be heartbeats of a watcher

Cause: a watcher sent a heartbeat every 0.4 s as long as its task hadn't failed, and its watch may hang for 2.2 s on a connection that has gone silent or that alone is cut from the store. The other nodes of the data centre took that for currency, and read the store themselves only 1.2 s after the last one: 3.6 s in all, where 2 s are allowed. Class: a sign of life taken for a sign of being up to date. Change: each answer to a watch is sent on, also an empty one, and nothing else is a heartbeat. The store is asked to answer after 0.7 s instead of 1.2 s, so that the time without one (1.2 s) and the check (0.2 s) leave room for a read. Ruled out: the load that links report and their pings are used as such only. More watches: 1.4 a second and watcher instead of 0.8.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -39,13 +39,11 @@
 from cottonlink.overload._traffic_split import TrafficSplit, make_traffic_split
 from cottonlink.overload._upstream_directory import UpstreamDirectory, make_upstream_directory
 from cottonlink.overload._watcher_election import (
-    HEARTBEAT_PERIOD_MS,
     WatcherElection,
     make_watcher_election,
 )
 
 __all__ = [
-    "HEARTBEAT_PERIOD_MS",
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
     "UNKNOWN_ERA",
--- a/src/cottonlink/overload/_watcher_election.py
+++ b/src/cottonlink/overload/_watcher_election.py
@@ -1,8 +1,9 @@
 """Elects the nodes that watch the store, and detects when a node can't rely on them.
 
 Each change wakes every watch, and the request rate of the store grows more slowly than the fleet.
-So only a few nodes of each data centre watch, and forward changes to the others. A node that
-receives no heartbeat for a while watches the store itself, so that no node depends on any other.
+So only a few nodes of each data centre watch, and forward each answer of the store to the others,
+also one without changes, as a heartbeat. A node that receives none for a while watches the store
+itself, so that no node depends on any other.
 """
 
 from __future__ import annotations
@@ -13,10 +14,9 @@
 
 # With two watchers the others don't notice the loss of one.
 WATCHERS_PER_DATA_CENTRE = 2
-# Time between the heartbeats of a watcher.
-HEARTBEAT_PERIOD_MS = 400.0
-# A node without a heartbeat for this long watches the store itself. Together with the time of one
-# read this is less than the two seconds within which a change must be in force.
+# A node without a heartbeat for this long watches the store itself. It is longer than the time
+# between two answers to a watch, and together with the time of one read less than the two seconds
+# within which a change must be in force.
 HEARTBEAT_TIMEOUT_MS = 1_200.0
 _RENDEZVOUS_KEY = "watch"
 
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -16,7 +16,6 @@
 
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.overload import (
-    HEARTBEAT_PERIOD_MS,
     UNKNOWN_ERA,
     StorePosition,
     make_watcher_election,
@@ -41,8 +40,7 @@
 MAX_RETRY_DELAY_S = 1.5
 # Delay between two watches, so that changes close to each other are read with one call.
 BATCH_DELAY_S = 0.15
-# Interval of the check for entries that went missing around an outage of the store, and for a
-# heartbeat that is due.
+# Interval of the check for entries that went missing around an outage of the store.
 MAINTENANCE_INTERVAL_S = 0.25
 # Interval at which a node that doesn't watch checks whether the watching nodes still send.
 LISTENER_CHECK_INTERVAL_S = 0.2
@@ -97,7 +95,6 @@
         self._has_listened = False
         self._is_watching = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
-        self._heartbeat_due_ms = 0.0
         self.call_count = 0
 
     async def run(self) -> None:
@@ -122,18 +119,10 @@
         self._retry_delay_s = min(self._retry_delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def run_maintenance(self) -> None:
-        """Update the contents over time and send heartbeats while watching, until cancelled."""
+        """Update the contents over time, until cancelled."""
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            now_ms = self._now_ms()
-            self._contents.maintain(now_ms)
-            is_current = not self._must_read and not self._is_store_lost
-            if (
-                self._watcher_election.is_watcher
-                and is_current
-                and now_ms >= self._heartbeat_due_ms
-            ):
-                self._broadcast(self._position.revision, self._position, ())
+            self._contents.maintain(self._now_ms())
 
     def apply_changes(self, frame: StoreChangesFrame) -> None:
         """Apply changes, or a heartbeat without any, that a watching node has sent."""
@@ -307,8 +296,11 @@
             await asyncio.sleep(BATCH_DELAY_S)
 
     def _broadcast(self, after: int, position: StorePosition, items: tuple[StoreItem, ...]) -> None:
-        """Send the changes after one revision up to a position, which must be all of them."""
-        self._heartbeat_due_ms = self._now_ms() + HEARTBEAT_PERIOD_MS
+        """Send the changes after one revision up to a position, which must be all of them.
+
+        Without changes this is a heartbeat. Only an answer of the store is a reason for one: a
+        watcher whose watch hangs runs, but isn't up to date.
+        """
         self._node.broadcast_changes(
             StoreChangesFrame(after, position.revision, pack_items(items), era=position.era)
         )
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -33,10 +33,11 @@
 # The store usually answers within milliseconds; a slow one takes about a hundred times as long.
 READ_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 1.0
-# How long the store holds a watch open when nothing changes. A store that stopped responding, or a
-# connection that went silent, never answers a watch; a node must be back in touch 3 s later.
-WATCH_WAIT_MS = 1_200
-# A watch fails if it isn't answered within this time after its wait.
+# How long the store holds a watch open when nothing changes. Other nodes rely on a watcher until it
+# has had no answer for HEARTBEAT_TIMEOUT_MS.
+WATCH_WAIT_MS = 700
+# A watch fails if it isn't answered within this time after its wait. A connection that went silent
+# never answers; a node must be back in touch 3 s later.
 WATCH_MARGIN_S = 1.0
 # Counts the times that the store returned from a copy.
 _ERA_HEADER = b"store-era"
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -25,6 +25,8 @@
 
 # A node whose connections were disturbed is in touch again after this time.
 CONTACT_S = 3.0
+# A change that the store has acknowledged is in force after this time.
+CONFIG_APPLY_S = 2.0
 
 
 @define
@@ -170,6 +172,17 @@
         for noticed_s in (watching_s, listening_s):
             self.assertLess(noticed_s + MIN_RETRY_DELAY_S, CONTACT_S)
 
+    def test_silence_of_all_watchers_is_noticed_within_the_time_to_apply_a_change(self) -> None:
+        """A node that relied on watchers for longer sent requests to a target that had left.
+
+        A store that is slow answers a call within about 0.4 s; its watchers count as heard.
+        """
+        slow_answer_s = 0.4
+        answer_interval_s = WATCH_WAIT_MS / 1000.0 + slow_answer_s
+        self.assertLess(answer_interval_s, HEARTBEAT_TIMEOUT_MS / 1000.0)
+        noticed_s = HEARTBEAT_TIMEOUT_MS / 1000.0 + LISTENER_CHECK_INTERVAL_S
+        self.assertLess(noticed_s + slow_answer_s, CONFIG_APPLY_S)
+
     async def test_removal_takes_effect_after_the_grace_period_on_a_listening_node(self) -> None:
         """A node that lost the store and then only listens kept upstreams that had left.
 
