Don't read the store on a connection that was idle

Cause: a node that relies on watchers keeps a connection to the store on which nothing is asked. If it goes silent, the read with which the node replaces missing heartbeats takes 1.2 s to fail; with the 1.4 s until it begins that is more than the 2 s within which a change must be in force. Change: a connection that was idle for more than 1 s is closed, and a new one opened. Watchers are never idle for so long.

--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -39,6 +39,9 @@
 # A watch fails if it isn't answered within this time after its wait. A connection that went silent
 # never answers; a node must be back in touch 3 s later.
 WATCH_MARGIN_S = 1.0
+# A connection that was idle for longer isn't used again: it may have gone silent unnoticed, and a
+# read on it would take READ_TIMEOUT_S to fail.
+MAX_IDLE_S = 1.0
 # Counts the times that the store returned from a copy.
 _ERA_HEADER = b"store-era"
 # More digits than any counter has; a longer number would not fit a frame between nodes.
@@ -56,6 +59,7 @@
         self._address = address
         self._loop = loop
         self._connection: HttpConnection | None = None
+        self._answered_s = 0.0
 
     async def read_all(self) -> Listing:
         """Return the configuration and all entries of upstreams.
@@ -155,11 +159,14 @@
         if isinstance(result, ExchangeFailed):
             self.close()
             raise self._unreachable_error(result.reason)
+        self._answered_s = self._loop.time()
         if not connection.is_reusable:
             self.close()
         return result
 
     async def _connect(self) -> HttpConnection:
+        if self._connection is not None and self._loop.time() - self._answered_s > MAX_IDLE_S:
+            self.close()
         if self._connection is not None and self._connection.can_send:
             return self._connection
         connecting = self._loop.create_connection(lambda: HttpConnection(None), *self._address)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -11,11 +11,13 @@
 from cottonlink.platform._store_client import StoreClient
 from emulator.platform_store import StoreCopy
 from emulator.platform_target import configuration, route_resource
+from soak.proxy import FaultyProxy
 from tests.platform_fixtures import FleetCase, Vm
 
 READS = route_resource("reads", "shop.example", "/reads/", "browse")
 OFFERS = route_resource("offers", "shop.example", "/offers/", "browse")
 
+CLIENT = "cottonlink.platform._store_client"
 DIRECTORY = "cottonlink.overload._upstream_directory"
 # Longer than any test runs, for periods that must not end while it checks.
 LONG_MS = 600_000.0
@@ -218,6 +220,19 @@
         self.addCleanup(client.close)
         return client
 
+    async def test_connection_that_went_silent_while_idle_is_not_used(self) -> None:
+        """A node that stopped hearing watchers lost 1.2 s with a read on such a connection."""
+        proxy = FaultyProxy(parse_address(self.store.address))
+        port = await proxy.start("127.0.0.1", 0)
+        self.addCleanup(proxy.stop)
+        client = StoreClient(("127.0.0.1", port), asyncio.get_running_loop())
+        self.addCleanup(client.close)
+        await client.read_all()
+        proxy.silence()
+        with mock.patch(f"{CLIENT}.MAX_IDLE_S", 0.0):
+            listing = await client.read_all()
+        self.assertTrue(listing.items)
+
     async def test_pages_of_two_eras_are_not_mixed(self) -> None:
         """A listing must not hold entries that the store lost while it was being read."""
         copy = self.store.take_copy()
