Order what one start of an upstream wrote by its sequence

Cause: within an era the order of the store was taken for the order in which an upstream wrote. A store that applies a write some seconds late can put a ready entry behind the report of draining, or behind the removal, and the leaving target was used again. Class: the order of arrival taken for the order of events. Change: an entry that its upstream wrote before the known one (same start, lower sequence) neither ends a drain nor brings back a removed target: after a removal it is held until it has outlived one that nobody writes. Both are handed on to peers as they are known. A test was wrong and is replaced: test_order_of_the_store_holds_within_an_era used a ready entry of the same start with a lower sequence, as if the sequence could begin anew by itself. The test keeps its demand for entries that tell no start, and a new one demands the opposite for those that do. No trace shows such a write on a site; it is repaired on suspicion.

--- a/src/cottonlink/overload/_upstream_directory.py
+++ b/src/cottonlink/overload/_upstream_directory.py
@@ -10,9 +10,10 @@
 written last. A store that returns from a copy numbers its entries anew, so an entry that it still
 holds unchanged keeps its place in that order.
 
-A copy may also hold an upstream as ready that is known to be leaving. What an upstream itself has
-written is ordered by its own sequence, whichever era the store is in. An upstream that has left is
-unused until it writes its entry again, or until the entry has outlived one that nobody writes.
+A copy may also hold an upstream as ready that is known to be leaving, and so may a store that
+applies a write late. What an upstream itself has written is ordered by its own sequence. An
+upstream that has left is unused until it writes its entry again, or until the entry has outlived
+one that nobody writes.
 """
 
 from __future__ import annotations
@@ -51,7 +52,7 @@
 
 @frozen
 class _Hold:
-    """An entry that came back with a copy after its upstream had left, and isn't used."""
+    """An entry that came back after its upstream had left, and isn't used."""
 
     entry: Any
     position: StorePosition
@@ -112,22 +113,43 @@
         return has_changed
 
     def is_outdated(self, entry_id: str, entry: Any, position: StorePosition) -> bool:
-        """Return whether a later era holds an upstream as ready that has begun to drain since.
+        """Return whether an upstream wrote that it is ready before it began to drain.
 
-        Within an era the order of the store holds.
+        A store that returned from a copy may hold such an entry, and one that applies a write late.
+        In the second case an entry without the start of its upstream may also be of a later start,
+        whose sequence began anew.
         """
         known = self._records.get(entry_id)
         return (
             known is not None
-            and position.era > known.position.era
-            and _is_same_incarnation(known.entry, entry)
+            and position > known.position
+            and known.entry is not None
             and known.entry.is_draining
+            and entry is not None
             and not entry.is_draining
-            and known.entry.sequence is not None
-            and entry.sequence is not None
-            and entry.sequence < known.entry.sequence
+            and (position.era > known.position.era or entry.started_at_ms is not None)
+            and _is_written_before(entry, known.entry)
         )
 
+    def hold_if_late(
+        self, entry_id: str, entry: Any, position: StorePosition, now_ms: float
+    ) -> bool:
+        """Hold an entry that its upstream wrote before its entry was removed.
+
+        Return whether it did. The store may apply a write late.
+        """
+        departure = self._departures.get(entry_id)
+        if (
+            departure is None
+            or not _is_written_before(entry, departure.entry)
+            or entry.started_at_ms is None
+        ):
+            return False
+        hold = self._holds.get(entry_id)
+        if hold is None or position > hold.position:
+            self._holds[entry_id] = _Hold(entry, position, now_ms)
+        return True
+
     def remove(self, entry_id: str, now_ms: float) -> bool:
         """Remove an entry that is gone from the store; return whether it was removed at once.
 
@@ -155,7 +177,7 @@
         for entry_id, (entry, position) in entries.items():
             if is_new_era and self._has_left(entry_id, entry):
                 self._holds[entry_id] = _Hold(entry, position, now_ms)
-            else:
+            elif not self.hold_if_late(entry_id, entry, position, now_ms):
                 has_changed |= self.put(entry_id, entry, position)
         for entry_id in [*self._records, *self._holds]:
             if entry_id not in entries:
@@ -241,6 +263,16 @@
     return entry.started_at_ms == other.started_at_ms
 
 
+def _is_written_before(entry: Any, other: Any) -> bool:
+    """Return whether an upstream wrote ``entry`` before ``other``, as far as they tell."""
+    return (
+        _is_same_incarnation(entry, other)
+        and entry.sequence is not None
+        and other.sequence is not None
+        and entry.sequence < other.sequence
+    )
+
+
 def _is_newer(record: _Record, other: _Record) -> bool:
     start_ms, other_start_ms = record.entry.started_at_ms, other.entry.started_at_ms
     if start_ms is not None and other_start_ms is not None and start_ms != other_start_ms:
--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/_store_contents.py
@@ -90,9 +90,14 @@
                 continue
             if self._store.is_configuration(item.key):
                 item = self._apply_configuration(item)
+            elif self._store.is_upstream(item.key) and item.value is not None:
+                upstream = self._decode_upstream(item)
+                kept_item = self._keep_departure(item, upstream)
+                has_changed |= self._put_entry(item, upstream, now_ms)
+                item = kept_item
+            elif self._store.is_upstream(item.key):
+                has_changed |= self._directory.remove(item.key, now_ms)
             self._items[item.key] = item
-            if self._store.is_upstream(item.key):
-                has_changed |= self._apply_entry(item, now_ms)
         if has_changed:
             self._publish()
 
@@ -135,10 +140,11 @@
         self._log.event("entry_outdated", key=item.key, sequence=upstream.sequence)
         return evolve(item, value=known.value)
 
-    def _apply_entry(self, item: StoreItem, now_ms: float) -> bool:
-        if item.value is None:
-            return self._directory.remove(item.key, now_ms)
-        return self._directory.put(item.key, self._decode_upstream(item), item.position)
+    def _put_entry(self, item: StoreItem, upstream: Upstream | None, now_ms: float) -> bool:
+        if self._directory.hold_if_late(item.key, upstream, item.position, now_ms):
+            self._log.event("upstreams_held", ids=[item.key])
+            return False
+        return self._directory.put(item.key, upstream, item.position)
 
     def _apply_configuration(self, item: StoreItem) -> StoreItem:
         """Apply a configuration; return ``item`` with the newest value that is known.
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -7,8 +7,8 @@
 import unittest
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.overload import StorePosition, make_upstream_directory
-from cottonlink.path import Listing, Upstream
+from cottonlink.overload import StorePosition
+from cottonlink.path import Listing
 from cottonlink.platform._store_client import WATCH_MARGIN_S, WATCH_WAIT_MS
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
@@ -123,39 +123,61 @@
             self.assertEqual(vm.follower.call_count, calls[vm.settings.node])
 
 
-def make_entry(*, is_draining: bool, sequence: int | None, started_at_ms: int = 1) -> Upstream:
-    """Return an entry of one upstream."""
-    address = ("127.0.0.9", 80)
-    return Upstream("one", "reads", address, "a", 1, is_draining, 0.0, started_at_ms, sequence)
-
-
-class TestLateWrites(unittest.TestCase):
+class TestLateWrites(FleetCase):
     """Entries that the store applies in another order than their target wrote them."""
 
-    def setUp(self) -> None:
-        self.directory = make_upstream_directory()
-        self.directory.put("one", make_entry(is_draining=False, sequence=7), StorePosition(1, 3))
-        self.directory.put("one", make_entry(is_draining=True, sequence=9), StorePosition(1, 4))
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.leaving = await self.add_vm("browse", "i-1")
+        self.other = await self.add_vm("browse", "i-2")
+        await self.store.put("op/config", configuration(4, READS))
+        await self.wait_until_version(4)
+        await self.write(state="draining", sequence=90)
+        await self.wait_until(lambda: not self.is_used(self.leaving))
+
+    async def write(self, **changes: object) -> None:
+        """Let the store apply an entry of the leaving target, and wait until nodes have read it."""
+        await self.store.put("servers/i-1", self.leaving.target.entry(**changes))
+        await self.wait_for_nodes()
+
+    async def wait_for_nodes(self) -> None:
+        """Wait until both nodes have read all changes so far."""
+        version = 1 + self.other.node.state.configuration_version
+        await self.store.put("op/config", configuration(version, READS))
+        await self.wait_until(
+            lambda: all(vm.node.state.configuration_version == version for vm in self.vms)
+        )
+
+    def is_used(self, vm: Vm) -> bool:
+        """Return whether a node may call the leaving target."""
+        upstreams = vm.node.state.load_balancer.upstreams()
+        return any(u.upstream_id == "i-1" and not u.is_draining for u in upstreams)
 
-    def is_used(self) -> bool:
-        """Return whether the upstream may be called."""
-        return any(not entry.is_draining for entry in self.directory.entries())
+    def is_told_as_ready(self, vm: Vm) -> bool:
+        """Return whether a node tells a peer that starts that the target is ready."""
+        return any(
+            key == "servers/i-1" and b'"ready"' in value
+            for key, _, value in vm.follower.snapshot().items
+        )
 
-    def test_ready_entry_that_was_written_late_does_not_end_the_drain(self) -> None:
+    async def test_ready_entry_that_was_written_late_does_not_end_the_drain(self) -> None:
         """A store that applies a write late put a leaving target back among those to use."""
-        self.directory.put("one", make_entry(is_draining=False, sequence=8), StorePosition(1, 5))
-        self.assertFalse(self.is_used())
-        self.directory.put("one", make_entry(is_draining=False, sequence=10), StorePosition(1, 6))
-        self.assertTrue(self.is_used())
-
-    def test_ready_entry_that_was_written_late_does_not_undo_the_removal(self) -> None:
+        await self.write(state="ready", sequence=89)
+        for vm in self.vms:
+            self.assertFalse(self.is_used(vm))
+            self.assertFalse(self.is_told_as_ready(vm))
+        await self.write(state="ready", sequence=91)
+        self.assertTrue(all(self.is_used(vm) for vm in self.vms))
+
+    async def test_ready_entry_that_was_written_late_does_not_undo_the_removal(self) -> None:
         """The same write may be applied after the target's entry was removed."""
-        self.directory.remove("one", 100.0)
-        self.directory.put("one", make_entry(is_draining=False, sequence=8), StorePosition(1, 6))
-        self.assertFalse(self.is_used())
-        restarted = make_entry(is_draining=False, sequence=1, started_at_ms=2)
-        self.directory.put("one", restarted, StorePosition(1, 7))
-        self.assertTrue(self.is_used())
+        await self.store.remove("servers/i-1")
+        await self.write(state="ready", sequence=89)
+        for vm in self.vms:
+            self.assertFalse(self.is_used(vm))
+            self.assertFalse(self.is_told_as_ready(vm))
+        await self.write(state="ready", sequence=1, born=1_700_000_009_000)
+        self.assertTrue(all(self.is_used(vm) for vm in self.vms))
 
 
 async def refuse(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -582,11 +582,26 @@
         self.assertEqual(self.directory.entries(), [later])
 
     def test_order_of_the_store_holds_within_an_era(self) -> None:
-        """Guards against an upstream that stays unused because its sequence began anew."""
+        """Guards against an upstream that stays unused because its sequence began anew.
+
+        It does so with each start, which entries without the time of the start don't show.
+        """
+        ready = evolve(self.ready, started_at_ms=None)
+        draining = evolve(self.draining, started_at_ms=None)
+        self.list_entry(ready, StorePosition(1, 6), 0)
+        self.directory.put("one", draining, StorePosition(1, 8))
+        self.list_entry(ready, StorePosition(2, 5), 1_000)
+        self.directory.put("one", ready, StorePosition(2, 6))
+        self.assertEqual(self.directory.entries(), [ready])
+
+    def test_entry_of_the_same_start_that_was_written_earlier_is_not_used(self) -> None:
+        """Guards against calls to a draining upstream by a write that the store applies late."""
         self.directory.put("one", self.draining, StorePosition(1, 8))
         self.list_entry(self.ready, StorePosition(2, 5), 1_000)
         self.directory.put("one", self.ready, StorePosition(2, 6))
-        self.assertEqual(self.directory.entries(), [self.ready])
+        self.assertEqual(self.directory.entries(), [self.draining])
+        self.directory.put("one", evolve(self.ready, sequence=10), StorePosition(2, 7))
+        self.assertFalse(self.directory.entries()[0].is_draining)
 
     def test_sequences_of_two_incarnations_are_not_compared(self) -> None:
         """Guards against a restarted upstream that stays unused, as its sequence begins anew."""
