Use no target that has said in a response that it leaves

Callers saw: requests at a target that had announced that it leaves (DRAIN). Cause: the store was the only source of that knowledge; the header was passed on to callers and otherwise ignored. Class: one source for a belief, while others have it. Change: the node next to the target and the one that received the request learn it from any response, refusals included. Frames travel under the type code of quarantine reports, which the former build reads as an empty report. Both exchanges share path/_peer_notices.py.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -14,6 +14,12 @@
     make_crash_registry,
     report_of_crash,
 )
+from cottonlink.overload._leaving_targets import (
+    LeavingTarget,
+    LeavingTargets,
+    leaving_target,
+    make_leaving_targets,
+)
 from cottonlink.overload._load_balancer import LoadBalancer, make_load_balancer
 from cottonlink.overload._quarantine import (
     Quarantine,
@@ -52,6 +58,8 @@
     "CrashRegistry",
     "Job",
     "LearnedQuarantine",
+    "LeavingTarget",
+    "LeavingTargets",
     "LimitChange",
     "LoadBalancer",
     "Quarantine",
@@ -70,7 +78,9 @@
     "UpstreamDirectory",
     "WatcherElection",
     "allowed_wait_ms",
+    "leaving_target",
     "make_crash_registry",
+    "make_leaving_targets",
     "make_load_balancer",
     "make_quarantine",
     "make_recent_answers",
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -15,7 +15,7 @@
 from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.overload import CrashNotice, QuarantineReport, ReportedLevel
+from cottonlink.overload import CrashNotice, LeavingTarget, QuarantineReport, ReportedLevel
 from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 
 # Largest frame that is accepted; it has room for the largest body of a caller and its headers.
@@ -93,6 +93,13 @@
     report: QuarantineReport
 
 
+@frozen
+class TargetsLeavingFrame:
+    """Reports targets that have said in a response that they leave."""
+
+    targets: tuple[LeavingTarget, ...]
+
+
 @frozen
 class StoreChangesFrame:
     """Changes of the store after one revision up to another, as (key, revision, value) each.
@@ -155,6 +162,8 @@
     _STORE_CHANGES,
 ) = range(10)
 _SNAPSHOT_REQUEST, _STORE_SNAPSHOT = range(10, 12)
+# Fields of a report of requests that crash targets, after their levels.
+_QUARANTINE_LATER_FIELDS = 3
 
 
 @singledispatch
@@ -223,6 +232,14 @@
     return msgpack.packb((_QUARANTINE, levels, ages_ms, crashes, report.cleared))
 
 
+@encode.register
+def _(frame: TargetsLeavingFrame) -> bytes:
+    # Earlier builds end a connection at an unknown type code. They read this frame as a report of
+    # no requests, and ignore its last field.
+    targets = tuple((target.upstream_id, target.started_at_ms) for target in frame.targets)
+    return msgpack.packb((_QUARANTINE, (), (), (), (), targets))
+
+
 @encode.register
 def _(frame: StoreChangesFrame) -> bytes:
     items = _add_era(frame.items, frame.era)
@@ -328,11 +345,14 @@
     )
 
 
-def _decode_quarantine(fields: tuple) -> QuarantineFrame:
+def _decode_quarantine(fields: tuple) -> QuarantineFrame | TargetsLeavingFrame:
     levels, *later_fields = fields[1:]
+    if len(later_fields) > _QUARANTINE_LATER_FIELDS:
+        targets = later_fields[_QUARANTINE_LATER_FIELDS]
+        return TargetsLeavingFrame(tuple(LeavingTarget(*target) for target in targets))
     if not later_fields:
         return QuarantineFrame(QuarantineReport(tuple(ReportedLevel(*pair) for pair in levels)))
-    ages_ms, crashes, cleared = later_fields[:3]
+    ages_ms, crashes, cleared = later_fields
     return QuarantineFrame(
         QuarantineReport(
             tuple(
--- a/src/cottonlink/path/_header_codec.py
+++ b/src/cottonlink/path/_header_codec.py
@@ -30,5 +30,8 @@
     def is_wrong_upstream(self, answer: HttpResponse) -> bool:
         """Return whether the response comes from another upstream than the intended one."""
 
+    def is_leaving(self, headers: Headers) -> bool:
+        """Return whether the headers of a response say that its target leaves."""
+
     def retry_after(self, delay_ms: float) -> Headers:
         """Return the headers that tell a caller to retry after ``delay_ms``."""
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
@@ -35,10 +36,14 @@
 
 
 class Ingress:
-    """Serves the requests that callers send to this node."""
+    """Serves the requests that callers send to this node.
 
-    def __init__(self, state: NodeState) -> None:
+    ``on_target_leaving`` is called when a response of an upstream says that it leaves.
+    """
+
+    def __init__(self, state: NodeState, on_target_leaving: Callable[[Upstream], None]) -> None:
         self._state = state
+        self._on_target_leaving = on_target_leaving
         self._calls: set[IngressCall] = set()
         self._final_responses = FinalResponses(state, self._finish)
 
@@ -185,6 +190,8 @@
         report = None if isinstance(outcome, OutcomeUnknown) else outcome.report
         if report is not None:
             self._apply_report(call, upstream, report)
+        if isinstance(outcome, Answered) and self._state.header_codec.is_leaving(outcome.headers):
+            self._on_target_leaving(upstream)
         self._handle(outcome, call, upstream)
 
     def _apply_report(self, call: IngressCall, upstream: Upstream, report: TargetReport) -> None:
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
+from attrs import evolve
+
 from cottonlink.overload import (
     LimitChange,
     make_crash_registry,
+    make_leaving_targets,
     make_load_balancer,
     make_quarantine,
     make_retry_budget,
@@ -25,15 +28,18 @@
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
+    TargetsLeavingFrame,
 )
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers, parse_address
 from cottonlink.path._ingress import Ingress
+from cottonlink.path._leaving_exchange import LeavingExchange
 from cottonlink.path._listeners import Listeners
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import CallerLimits, Configuration, Load, Request, Upstream
 from cottonlink.path._peer_links import Address, PeerLinkListener, PeerLinks
+from cottonlink.path._peer_notices import PeerNotices
 from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._quarantine_exchange import QuarantineExchange
 from cottonlink.path._settings import NodeSettings
@@ -47,8 +53,8 @@
 SWEEP_INTERVAL_S = 0.1
 # Callers' connections are checked for time-outs in every nth sweep.
 SWEEPS_PER_CALLER_SWEEP = 5
-# What is in quarantine is told to other nodes in every nth sweep.
-SWEEPS_PER_QUARANTINE_SPREAD = 10
+# What is in quarantine, and which targets leave, is told to other nodes in every nth sweep.
+SWEEPS_PER_SPREAD = 10
 # Retry-After while shutting down: short, since another node can serve the caller at once.
 LEAVING_RETRY_AFTER_MS = 50.0
 # A node that depends on a snapshot requests it from one peer at a time; a reply takes a few round
@@ -110,16 +116,27 @@
             traffic_split=make_traffic_split(rng),
             crash_registry=crash_registry,
             crash_guard=CrashGuard(crash_registry, log, self.now_ms),
+            leaving_targets=make_leaving_targets(),
         )
         self.dispatcher = TargetDispatcher(
-            self._pool, header_codec, self.state.crash_guard, self._on_target_crashed, log, loop
+            self._pool,
+            header_codec,
+            self.state.crash_guard,
+            self._on_target_crashed,
+            self._on_own_target_leaving,
+            log,
+            loop,
         )
         self.state.dispatcher = self.dispatcher
         self.state.peer_links = PeerLinks(self, loop)
-        self._ingress = Ingress(self.state)
         self._caller_connections: set[CallerConnection] = set()
         self._peer_connections: set[PeerConnection] = set()
-        self._quarantine_exchange = QuarantineExchange(self.state, self._peer_connections)
+        peers = PeerNotices(self.state, self._peer_connections)
+        self._quarantine_exchange = QuarantineExchange(self.state, peers)
+        self._leaving_exchange = LeavingExchange(self.state, peers, self._use_upstreams)
+        self._ingress = Ingress(self.state, self._leaving_exchange.learn_from_response)
+        # As registered in the store.
+        self._upstreams: list[Upstream] = []
         self._listeners = Listeners(loop)
         self._status_server: StatusServer | None = None
         self._shutdown: Shutdown | None = None
@@ -196,7 +213,13 @@
 
     def apply_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Replace the set of known upstreams."""
-        upstreams = list(upstreams)
+        self._upstreams = list(upstreams)
+        self._use_upstreams()
+
+    def _use_upstreams(self) -> None:
+        """Use the upstreams that are registered, but those that have said that they leave."""
+        is_leaving = self.state.leaving_targets.is_leaving
+        upstreams = [evolve(u, is_draining=True) if is_leaving(u) else u for u in self._upstreams]
         self.state.load_balancer.update(upstreams, self.now_ms())
         self.dispatcher.route_classifier.set_service_count(len({u.service for u in upstreams}))
         vm_ips = {upstream.vm_ip for upstream in upstreams}
@@ -283,6 +306,7 @@
             connection.send_leaving(takes_calls=self._shutdown.takes_calls)
         self._request_snapshot(connection)
         self._quarantine_exchange.greet_connection(connection)
+        self._leaving_exchange.greet_connection(connection)
 
     def on_peer_disconnected(self, connection: PeerConnection) -> None:
         self._peer_connections.discard(connection)
@@ -294,6 +318,8 @@
             self.store_view.apply_snapshot(frame)
         elif isinstance(frame, QuarantineFrame):
             self._quarantine_exchange.receive(frame)
+        elif isinstance(frame, TargetsLeavingFrame):
+            self._leaving_exchange.receive(frame)
 
     # Implements PeerLinkListener.
     def on_link_leaving(self, address: Address, *, takes_calls: bool) -> None:
@@ -310,6 +336,7 @@
             if upstream.vm_ip == address[0]:
                 load_balancer.mark_reachable(upstream.upstream_id)
         self._quarantine_exchange.greet_link(address)
+        self._leaving_exchange.greet_link(address)
 
     def on_link_load(self, address: Address, load: Load) -> None:
         now_ms = self.now_ms()
@@ -360,6 +387,11 @@
     def _on_target_crashed(self, fingerprints: list[str]) -> None:
         self._quarantine_exchange.report_own_crash(fingerprints)
 
+    def _on_own_target_leaving(self, upstream_id: str) -> None:
+        own = self._own_upstream
+        if own is not None and own.upstream_id == upstream_id:
+            self._leaving_exchange.learn_from_response(own)
+
     def _update_own_upstream(self, own: list[Upstream]) -> None:
         previous = self._own_upstream
         if not own:
@@ -395,8 +427,9 @@
         if self._peer_connections and self._snapshot_request() is not None:
             self._request_snapshot(self.state.rng.choice(list(self._peer_connections)))
         self._sweep_count += 1
-        if self._sweep_count % SWEEPS_PER_QUARANTINE_SPREAD == 0:
+        if self._sweep_count % SWEEPS_PER_SPREAD == 0:
             self._quarantine_exchange.spread()
+            self._leaving_exchange.spread()
         if self._sweep_count % SWEEPS_PER_CALLER_SWEEP == 0:
             now_ms = self.now_ms()
             limits = self.caller_limits()
--- a/src/cottonlink/path/_quarantine_exchange.py
+++ b/src/cottonlink/path/_quarantine_exchange.py
@@ -5,34 +5,24 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from cottonlink.overload import (
-    CountedCrash,
-    LearnedQuarantine,
-    QuarantineReport,
-    report_of_crash,
-)
-from cottonlink.path._frames import QuarantineFrame, encode
+from cottonlink.overload import CountedCrash, LearnedQuarantine, report_of_crash
+from cottonlink.path._frames import QuarantineFrame
 from cottonlink.path._peer_links import Address
+from cottonlink.path._peer_notices import PeerNotices
 from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
 
-# Nodes that are told of requests in quarantine each time. With two a second, a node that missed a
-# report hears of it within a second or two in a fleet of any size.
-FANOUT = 2
 # Fingerprints in one log line about a crash.
 LOGGED_FINGERPRINTS = 16
 
 
 class QuarantineExchange:
-    """Exchanges reports with the peers of one node.
+    """Exchanges reports with the peers of one node."""
 
-    ``peer_connections`` holds the connections that other nodes have opened.
-    """
-
-    def __init__(self, state: NodeState, peer_connections: set[PeerConnection]) -> None:
+    def __init__(self, state: NodeState, peers: PeerNotices) -> None:
         self._state = state
         self._registry = state.crash_registry
-        self._peer_connections = peer_connections
+        self._peers = peers
 
     def report_own_crash(self, fingerprints: list[str]) -> None:
         """Count a crash of the node's target, and tell all peers."""
@@ -45,7 +35,7 @@
             quarantined=sum(decision.refused for decision in crash.decisions),
             levels=levels[:LOGGED_FINGERPRINTS],
         )
-        self._send_to_all_peers(report_of_crash(crash))
+        self._peers.send_to_all(QuarantineFrame(report_of_crash(crash)))
 
     def receive(self, frame: QuarantineFrame) -> None:
         """Apply a peer's report."""
@@ -56,7 +46,7 @@
         """Tell the node at ``address``, to which a connection was opened."""
         frame = self._summary_frame()
         if frame is not None:
-            self._state.peer_links.link(address).send(frame)
+            self._peers.send_to_link(address, frame)
 
     def greet_connection(self, connection: PeerConnection) -> None:
         """Tell a node that has connected."""
@@ -71,15 +61,10 @@
         """
         cleared = self._registry.take_cleared()
         if cleared is not None:
-            self._send_to_all_peers(cleared)
+            self._peers.send_to_all(QuarantineFrame(cleared))
         frame = self._summary_frame()
-        if frame is None:
-            return
-        state = self._state
-        own_ip = state.target_address[0]
-        vm_ips = sorted({u.vm_ip for u in state.load_balancer.upstreams()} - {own_ip})
-        for vm_ip in state.rng.sample(vm_ips, min(FANOUT, len(vm_ips))):
-            state.peer_links.link((vm_ip, state.peer_port)).send_or_open(frame)
+        if frame is not None:
+            self._peers.send_to_some(frame)
 
     def _now_ms(self) -> int:
         return round(self._state.now_ms())
@@ -88,13 +73,6 @@
         summary = self._registry.summary(self._now_ms())
         return None if summary is None else QuarantineFrame(summary)
 
-    def _send_to_all_peers(self, report: QuarantineReport) -> None:
-        data = encode(QuarantineFrame(report))
-        for link in self._state.peer_links.all():
-            link.send_encoded(data)
-        for connection in self._peer_connections:
-            connection.send_encoded(data)
-
     @singledispatchmethod
     def _log_learned(self, learned: Any) -> None:
         raise TypeError(f"expected a crash or a quarantine, got {type(learned).__name__}")
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -11,6 +11,7 @@
 
 from cottonlink.overload import (
     CrashRegistry,
+    LeavingTargets,
     LoadBalancer,
     RetryBudget,
     RouteThrottle,
@@ -45,6 +46,7 @@
     traffic_split: TrafficSplit
     crash_registry: CrashRegistry
     crash_guard: CrashGuard
+    leaving_targets: LeavingTargets
     dispatcher: TargetDispatcher = field(init=False)
     peer_links: PeerLinks = field(init=False)
     configuration: Configuration | None = None
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -89,7 +89,11 @@
 
 
 class TargetDispatcher:
-    """Queues and runs the calls of one target, and reports their outcomes with its load."""
+    """Queues and runs the calls of one target, and reports their outcomes with its load.
+
+    ``on_crash`` gets the fingerprints of the requests that may have crashed the target, and
+    ``on_leaving`` the id under which the target was called when it said that it leaves.
+    """
 
     def __init__(
         self,
@@ -97,6 +101,7 @@
         header_codec: HeaderCodec,
         crash_guard: CrashGuard,
         on_crash: Callable[[list[str]], None],
+        on_leaving: Callable[[str], None],
         log: EventLog,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
@@ -104,6 +109,7 @@
         self._header_codec = header_codec
         self._crash_guard = crash_guard
         self._on_crash = on_crash
+        self._on_leaving = on_leaving
         self._log = log
         self._loop = loop
         self._queue = make_target_queue(DEFAULT_SLOTS)
@@ -295,6 +301,8 @@
     def _classify(self, call: _Call, response: HttpResponse) -> Outcome:
         if self._header_codec.is_wrong_upstream(response):
             return NotRun("wrong_upstream", reached_target=True)
+        if self._header_codec.is_leaving(response.headers):
+            self._on_leaving(call.frame.upstream_id)
         if self._header_codec.is_not_run(response):
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
--- a/src/cottonlink/platform/_headers.py
+++ b/src/cottonlink/platform/_headers.py
@@ -11,6 +11,7 @@
 EXPECTED_UPSTREAM = b"X-Expected-Instance"
 CALLER_SERVICE = b"X-Caller-Service"
 NOT_EXECUTED = b"x-not-executed"
+LEAVING = b"server-leaving"
 
 _PLATFORM_HEADERS = frozenset(
     name.lower() for name in (ATTEMPT_ID, REMAINING_MS, EXPECTED_UPSTREAM, CALLER_SERVICE)
@@ -88,6 +89,10 @@
         """Return whether another upstream than the intended one listens at the address."""
         return answer.status == _MISDIRECTED_REQUEST
 
+    def is_leaving(self, headers: Headers) -> bool:
+        """Return whether the headers of a response say that its target leaves."""
+        return any(name.lower() == LEAVING and value == b"1" for name, value in headers)
+
     def retry_after(self, delay_ms: float) -> Headers:
         """Return the Retry-After header; the platform's callers accept fractions of a second."""
         return ((b"Retry-After", b"%.3f" % (delay_ms / 1000.0)),)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -5,10 +5,21 @@
 import asyncio
 import time
 import unittest
+from unittest import mock
+
+import msgpack
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.overload import StorePosition
+from cottonlink.overload import (
+    LeavingTarget,
+    QuarantineReport,
+    StorePosition,
+    make_leaving_targets,
+)
+from cottonlink.overload._leaving_targets import LEAVING_TARGET_LIMIT
 from cottonlink.path import Listing
+from cottonlink.path._frames import FrameReader, QuarantineFrame, TargetsLeavingFrame, encode
+from cottonlink.path._peer_notices import PeerNotices
 from cottonlink.platform._store_client import WATCH_MARGIN_S, WATCH_WAIT_MS
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
@@ -249,6 +260,13 @@
             await self.wait_until(lambda node=node: bool(node.state.leaving_targets.all()))
         await self.assert_unused(*self.vms)
 
+    async def test_node_that_missed_the_notice_hears_of_it_again(self) -> None:
+        """A notice can be lost on a connection that is silent or not open yet."""
+        with mock.patch.object(PeerNotices, "send_to_all"):
+            await self.leave()
+        for vm in (self.second, self.caller):
+            await self.wait_until(lambda vm=vm: bool(vm.node.state.leaving_targets.all()))
+
     async def test_next_incarnation_of_a_leaving_target_is_used(self) -> None:
         """The word of a target holds for one start of it, not for its id or its address."""
         await self.leave()
@@ -263,6 +281,33 @@
         self.assertTrue(self.first.target.runs)
 
 
+class TestNotices(unittest.TestCase):
+    """What nodes tell each other of leaving targets, and keep of it."""
+
+    targets = (LeavingTarget("i-1", 1_700_000_000_000), LeavingTarget("i-2", None))
+
+    def test_notice_is_read_as_it_was_sent(self) -> None:
+        """Starts under one id must stay apart on their way."""
+        (frame,) = FrameReader().feed(encode(TargetsLeavingFrame(self.targets)))
+        self.assertEqual(frame.targets, self.targets)
+
+    def test_former_build_reads_an_empty_report(self) -> None:
+        """The former build ends a connection at an unknown type code or with too few fields."""
+        code, levels, ages_ms, crashes, cleared, *_ = msgpack.unpackb(
+            encode(TargetsLeavingFrame(self.targets))
+        )
+        (report,) = FrameReader().feed(msgpack.packb((code, levels, ages_ms, crashes, cleared)))
+        self.assertEqual(report, QuarantineFrame(QuarantineReport()))
+
+    def test_number_of_remembered_targets_is_limited(self) -> None:
+        """A fleet whose targets come and go for years must not fill the memory of a node."""
+        known = make_leaving_targets()
+        targets = [LeavingTarget(f"i-{n}", n) for n in range(LEAVING_TARGET_LIMIT + 5)]
+        self.assertEqual(known.learn(targets, 0.0), targets)
+        self.assertEqual(known.learn(targets[-5:], 1.0), [])
+        self.assertEqual(known.all(), tuple(targets[5:]))
+
+
 del FleetCase, StoreCase
 
 
