Soak: targets leave by a response only, and without a report

Cause: in the soak a target that left always reported it to the store first, and nothing checked what nodes are told by responses. So neither a removal without a report nor the header of the users' pages was ever played. Change: faults remove_target (the entry is removed without a report) and leave_unregistered (only responses tell); a leaving target says so in all its responses; a check of DRAIN that binds each node by the responses it passed on, in touch or not, unless it restarted or stood still since. A suspended process counts as frozen in the record of disturbances.

--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -17,11 +17,13 @@
 class Kind(enum.Enum):
     """What a disturbance of a VM affects.
 
-    ``UNPLANNED`` is one of the node's process or of its connections, ``PLANNED`` a stop with
-    SIGTERM until the next start, ``STORE_PATH`` one of the node's connections to the store.
+    ``UNPLANNED`` is one of the node's process or of its connections, ``FREEZE`` one in which the
+    process stands still, ``PLANNED`` a stop with SIGTERM until the next start, ``STORE_PATH`` one
+    of the node's connections to the store.
     """
 
     UNPLANNED = enum.auto()
+    FREEZE = enum.auto()
     PLANNED = enum.auto()
     STORE_PATH = enum.auto()
 
@@ -80,10 +82,16 @@
     def is_disrupted(self, vm: int, start_s: float, end_s: float) -> bool:
         """Return whether an unplanned disturbance of the VM ends after ``CONTACT_S`` before."""
         return any(
-            span.kind is Kind.UNPLANNED and span.overlaps(start_s - CONTACT_S, end_s)
+            span.kind in (Kind.UNPLANNED, Kind.FREEZE) and span.overlaps(start_s - CONTACT_S, end_s)
             for span in [*self._by_vm[vm], *self.stalls]
         )
 
+    def is_frozen(self, vm: int, start_s: float, end_s: float) -> bool:
+        """Return whether the process of a VM stood still at some moment between the two times."""
+        return any(
+            span.kind is Kind.FREEZE and span.overlaps(start_s, end_s) for span in self._by_vm[vm]
+        )
+
     @contextmanager
     def _record(self, spans: list[Span], kind: Kind) -> Iterator[None]:
         span = Span(kind, self.now_s())
--- a/soak/drain_checks.py
+++ b/soak/drain_checks.py
@@ -1,4 +1,4 @@
-"""Checks that no request reaches a target long after the store knows that it drains."""
+"""Checks that no request reaches a target long after the store or a response said it leaves."""
 
 from __future__ import annotations
 
@@ -42,3 +42,44 @@
                 text = f"reached i-{run.vm} {late_s + DRAIN_S:.2f} s after it began to drain"
                 problems.append(Violation("DRAIN", request, text))
     return problems
+
+
+def find_runs_after_notice(
+    requests: Sequence[ObservedRequest],
+    runs: Mapping[str, Sequence[Run]],
+    disturbances: Disturbances,
+) -> list[Violation]:
+    """Return requests that reached a target too late after a response said that it leaves.
+
+    Each node is bound by the responses that it has passed on, in touch or not, until it restarts
+    or stands still.
+    """
+    told_s: dict[tuple[int, int, int, int], float] = {}
+    for request in requests:
+        target = _answering_target(request, runs)
+        first, last = request.incarnations
+        if request.headers.get("server-leaving") == "1" and target is not None and first == last:
+            key = (request.vm, last, *target)
+            told_s[key] = min(request.ended_s, told_s.get(key, request.ended_s))
+    problems = []
+    for request in requests:
+        for run in runs.get(request.request_id, ()):
+            key = (request.vm, request.incarnations[0], run.vm, run.started_at_ms)
+            since_s = told_s.get(key)
+            if since_s is None or request.sent_s - since_s <= DRAIN_S:
+                continue
+            if not disturbances.is_frozen(request.vm, since_s, run.arrived_s):
+                late_s = request.sent_s - since_s
+                text = f"sent {late_s:.2f} s after a response, reached i-{run.vm}, which had left"
+                problems.append(Violation("DRAIN", request, text))
+    return problems
+
+
+def _answering_target(
+    request: ObservedRequest, runs: Mapping[str, Sequence[Run]]
+) -> tuple[int, int] | None:
+    """Return the VM and the start of the target that answered a request."""
+    for run in runs.get(request.request_id, ()):
+        if request.seal.startswith(f"i-{run.vm}."):
+            return run.vm, run.started_at_ms
+    return None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -55,7 +55,7 @@
 
 async def pause(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Suspend the node's process with SIGSTOP for ``for_s``."""
-    with fleet.disturbances.of_vm(vm.number, Kind.UNPLANNED):
+    with fleet.disturbances.of_vm(vm.number, Kind.FREEZE):
         vm.signal_node(signal.SIGSTOP)
         await asyncio.sleep(for_s)
         vm.signal_node(signal.SIGCONT)
@@ -168,6 +168,22 @@
 async def drain_target(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
     """Let the target report that it drains, serve on for ``DRAIN_S`` and more, and start anew."""
     await fleet.register(vm, state="draining")
+    await _leave(fleet, vm, for_s)
+
+
+async def remove_target(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+    """Let the target remove its entry without a report, serve on, and start anew."""
+    await fleet.writers.unregister(vm.target)
+    await _leave(fleet, vm, for_s)
+
+
+async def leave_unregistered(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+    """Let only the target's responses say that it leaves; it serves on and starts anew."""
+    await _leave(fleet, vm, for_s)
+
+
+async def _leave(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+    vm.target.is_leaving = True
     await asyncio.sleep(DRAIN_S + for_s)
     await vm.stop_target()
     await fleet.restart_target(vm, 0.0)
@@ -191,6 +207,8 @@
         crash_target,
         lose_answers,
         drain_target,
+        remove_target,
+        leave_unregistered,
     )
 }
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -134,6 +134,7 @@
         async with self._restart_lock:
             if vm.target.is_running:
                 return
+            vm.target.is_leaving = False
             await vm.target.start()
         self._last_start_ms += 1
         self._started_at_ms[vm.target.upstream_id] = self._last_start_ms
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 from soak.configuration_checks import CONFIG_APPLY_S, ConfigurationCheck
 from soak.configuration_series import ConfigurationSeries
 from soak.disturbances import CONTACT_S
-from soak.drain_checks import DRAIN_S, find_late_runs
+from soak.drain_checks import DRAIN_S, find_late_runs, find_runs_after_notice
 from soak.faults import FAULT_ACTIONS, PlannedFault, inject, plan_faults
 from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, CRASH_PATH, READS_ROUTE, ROOT, SoakFleet
 from soak.loss_checks import find_closed_unanswered, find_losses
@@ -159,6 +159,7 @@
             *find_violations(requests, runs),
             *configurations.find_violations(requests, runs),
             *find_late_runs(requests, runs, fleet.writers.entry_writes, fleet.disturbances),
+            *find_runs_after_notice(requests, runs, fleet.disturbances),
             *find_losses(requests, runs, fleet.vms, fleet.disturbances),
             *find_closed_unanswered(requests, runs, fleet.vms, fleet.disturbances),
         ]
--- a/soak/store_writers.py
+++ b/soak/store_writers.py
@@ -36,7 +36,10 @@
 
 @frozen
 class EntryWrite:
-    """A target's entry with the time at which the store acknowledged it."""
+    """A target's entry with the time at which the store acknowledged it.
+
+    ``is_draining`` is also set for the removal of an entry.
+    """
 
     upstream_id: str
     started_at_ms: int
@@ -103,17 +106,27 @@
         self._entries[target.upstream_id] = {**former, **changes}
         await self._write_entry(target.upstream_id)
 
+    async def unregister(self, target: PlatformTarget) -> None:
+        """Remove a running target's entry, which isn't written again until it registers."""
+        entry = self._entries.pop(target.upstream_id)
+        await self._wait_for_store()
+        await self.store.remove(f"servers/{target.upstream_id}")
+        write = EntryWrite(target.upstream_id, entry["born"], True, self.now_s())
+        self.entry_writes.append(write)
+
     async def keep_registered(self, target: PlatformTarget) -> None:
         """Write a running target's entry at each heartbeat, which changes it if it was lost."""
         await asyncio.sleep(self.rng.uniform(0, HEARTBEAT_S))
         while True:
-            if target.is_running:
+            if target.is_running and target.upstream_id in self._entries:
                 await self._write_entry(target.upstream_id)
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _write_entry(self, upstream_id: str) -> None:
         await self._wait_for_store()
-        entry = self._entries[upstream_id]
+        entry = self._entries.get(upstream_id)
+        if entry is None:
+            return
         key = f"servers/{upstream_id}"
         stored = self.store.value(key)
         if stored is None or _content(json.loads(stored)) != _content(entry):
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -13,7 +13,7 @@
 from soak.checks import find_violations
 from soak.configuration_checks import ConfigurationCheck
 from soak.disturbances import Disturbances, Kind
-from soak.drain_checks import find_late_runs
+from soak.drain_checks import find_late_runs, find_runs_after_notice
 from soak.lag import LagMeter
 from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest, expected_body
@@ -208,6 +208,41 @@
         self.assertEqual(self.find(arrived_s=94.6), 1)
 
 
+class TestRunsAfterNotice(unittest.TestCase):
+    """Guards against a soak that misses a request at a target that has said that it leaves."""
+
+    def setUp(self) -> None:
+        self.disturbances = Disturbances(Clock(200.0))
+        self.told = make_request(vm=1, sent_s=90.0, headers={"server-leaving": "1"}, ended_s=90.1)
+
+    def find(self, sent_s: float, *, started_at_ms: int = 1, **changes: object) -> int:
+        later = make_request(sent_s=sent_s, **{"request_id": "r2", "vm": 1, **changes})
+        runs = {
+            "r1": [make_run(arrived_s=90.05)],
+            "r2": [make_run(arrived_s=sent_s + 0.01, started_at_ms=started_at_ms)],
+        }
+        found = find_runs_after_notice([self.told, later], runs, self.disturbances)
+        return len(found)
+
+    def test_request_sent_later_than_drain_s(self) -> None:
+        self.assertEqual(self.find(92.2), 1)
+        self.assertEqual(self.find(92.0), 0)
+
+    def test_node_out_of_touch_is_bound(self) -> None:
+        disturb(self.disturbances, 1, Kind.STORE_PATH, 80.0, 95.0)
+        disturb(self.disturbances, None, Kind.STORE_PATH, 80.0, 95.0)
+        self.assertEqual(self.find(92.2), 1)
+
+    def test_restart_or_freeze_of_the_node_excuses(self) -> None:
+        self.assertEqual(self.find(92.2, incarnations=(2, 2)), 0)
+        disturb(self.disturbances, 1, Kind.FREEZE, 91.0, 91.5)
+        self.assertEqual(self.find(92.2), 0)
+
+    def test_other_nodes_and_other_starts_of_the_target_are_not_bound(self) -> None:
+        self.assertEqual(self.find(92.2, vm=2), 0)
+        self.assertEqual(self.find(92.2, started_at_ms=2), 0)
+
+
 class TestLoss(unittest.TestCase):
     """Guards against a soak that misses a request that is lost when its node stops."""
 
