Move the target next to a node into a module of its own

Change: OwnTarget holds the pool, the dispatcher and the registration, and implements TargetListener.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -38,6 +38,7 @@
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import CallerLimits, Configuration, Load, Request, Upstream
+from cottonlink.path._own_target import OwnTarget
 from cottonlink.path._peer_links import Address, PeerLinkListener, PeerLinks
 from cottonlink.path._peer_notices import PeerNotices
 from cottonlink.path._peer_server import PeerConnection
@@ -46,8 +47,6 @@
 from cottonlink.path._shutdown import Shutdown, report_connection_end
 from cottonlink.path._state import NodeState
 from cottonlink.path._status_server import StatusServer
-from cottonlink.path._target_dispatcher import TargetDispatcher
-from cottonlink.path._target_pool import TargetPool
 
 # Interval of the periodic check of links, pooled connections and a shutdown in progress.
 SWEEP_INTERVAL_S = 0.1
@@ -98,7 +97,6 @@
         crash_registry = make_crash_registry(
             f"{settings.node}-{rng.getrandbits(32):08x}", make_quarantine()
         )
-        self._pool = TargetPool(target_address, header_codec.id_header, loop)
         self.state = NodeState(
             loop=loop,
             rng=rng,
@@ -118,22 +116,16 @@
             crash_guard=CrashGuard(crash_registry, log, self.now_ms),
             leaving_targets=make_leaving_targets(),
         )
-        self.dispatcher = TargetDispatcher(
-            self._pool,
-            header_codec,
-            self.state.crash_guard,
-            self._on_target_crashed,
-            self._on_own_target_leaving,
-            log,
-            loop,
-        )
-        self.state.dispatcher = self.dispatcher
         self.state.peer_links = PeerLinks(self, loop)
         self._caller_connections: set[CallerConnection] = set()
         self._peer_connections: set[PeerConnection] = set()
         peers = PeerNotices(self.state, self._peer_connections)
         self._quarantine_exchange = QuarantineExchange(self.state, peers)
         self._leaving_exchange = LeavingExchange(self.state, peers, self._use_upstreams)
+        self._target = OwnTarget(
+            self.state, self._quarantine_exchange, self._leaving_exchange, loop
+        )
+        self.dispatcher = self.state.dispatcher = self._target.dispatcher
         self._ingress = Ingress(self.state, self._leaving_exchange.learn_from_response)
         # As registered in the store.
         self._upstreams: list[Upstream] = []
@@ -144,7 +136,6 @@
         self._is_closed = False
         self.store_view: StoreView | None = None
         self._snapshot_requested_at_ms = float("-inf")
-        self._own_upstream: Upstream | None = None
 
     async def start(self) -> None:
         """Open the listeners."""
@@ -187,7 +178,7 @@
             link.close()
         for connection in [*self._caller_connections, *self._peer_connections]:
             connection.close()
-        self._pool.drop_idle()
+        self._target.pool.drop_idle()
         self._is_closed = True
 
     # Called with what operators and targets publish.
@@ -203,7 +194,7 @@
         self.state.configuration = configuration
         limit = configuration.connection_limits.get(self._settings.service)
         if limit is not None:
-            self._pool.limit = max(1, int(limit * self._settings.connection_share))
+            self._target.pool.limit = max(1, int(limit * self._settings.connection_share))
         self.state.log.event(
             "configuration_applied",
             version=configuration.version,
@@ -226,7 +217,8 @@
         self.state.retry_budget.set_node_count(len(vm_ips))
         self.state.peer_links.keep_only({(ip, self.state.peer_port) for ip in vm_ips})
         own = [u for u in upstreams if u.address == self.state.target_address]
-        self._update_own_upstream(own)
+        takes_calls = self._shutdown is None or self._shutdown.takes_calls
+        self._target.update(own, takes_calls=takes_calls)
         self.state.log.event("upstreams_changed", count=len(upstreams))
 
     def broadcast_changes(self, frame: StoreChangesFrame) -> None:
@@ -384,36 +376,6 @@
             return SnapshotRequestFrame()
         return self.store_view.snapshot_request()
 
-    def _on_target_crashed(self, fingerprints: list[str]) -> None:
-        self._quarantine_exchange.report_own_crash(fingerprints)
-
-    def _on_own_target_leaving(self, upstream_id: str) -> None:
-        own = self._own_upstream
-        if own is not None and own.upstream_id == upstream_id:
-            self._leaving_exchange.learn_from_response(own)
-
-    def _update_own_upstream(self, own: list[Upstream]) -> None:
-        previous = self._own_upstream
-        if not own:
-            # Without a registration nobody may send the target new work, whether it left or hasn't
-            # registered yet.
-            if previous is not None:
-                self.dispatcher.close("target_leaving")
-                self.state.log.event("target_gone", upstream=previous.upstream_id)
-            self._own_upstream = None
-            return
-        newest = max(own, key=lambda upstream: upstream.started_at_ms or 0)
-        if previous is not None and newest.started_at_ms != previous.started_at_ms:
-            self._pool.drop_idle()
-            self.dispatcher.detect_restart()
-        self._own_upstream = newest
-        self.dispatcher.resize(newest.slots)
-        if newest.is_draining:
-            self.dispatcher.close("target_leaving")
-            self.state.log.event("target_draining", upstream=newest.upstream_id)
-        elif self._shutdown is None or self._shutdown.takes_calls:
-            self.dispatcher.reopen()
-
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.state.configuration is not None and self._shutdown is None
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
@@ -423,7 +385,7 @@
             return
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.state.peer_links.sweep()
-        self._pool.sweep()
+        self._target.pool.sweep()
         if self._peer_connections and self._snapshot_request() is not None:
             self._request_snapshot(self.state.rng.choice(list(self._peer_connections)))
         self._sweep_count += 1
--- /dev/null
+++ b/src/cottonlink/path/_own_target.py
@@ -0,0 +1,66 @@
+"""The target next to a node: its connections and calls, and what it says of itself."""
+
+from __future__ import annotations
+
+import asyncio
+
+from cottonlink.path._leaving_exchange import LeavingExchange
+from cottonlink.path._model import Upstream
+from cottonlink.path._quarantine_exchange import QuarantineExchange
+from cottonlink.path._state import NodeState
+from cottonlink.path._target_dispatcher import TargetDispatcher
+from cottonlink.path._target_pool import TargetPool
+
+
+class OwnTarget:
+    """Follows the registration of the target, and tells other nodes of what happens to it."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        quarantine_exchange: QuarantineExchange,
+        leaving_exchange: LeavingExchange,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._state = state
+        self._quarantine_exchange = quarantine_exchange
+        self._leaving_exchange = leaving_exchange
+        self.pool = TargetPool(state.target_address, state.header_codec.id_header, loop)
+        self.dispatcher = TargetDispatcher(
+            self.pool, state.header_codec, state.crash_guard, self, state.log, loop
+        )
+        self._upstream: Upstream | None = None
+
+    # Implements TargetListener.
+    def on_target_crashed(self, fingerprints: list[str]) -> None:
+        self._quarantine_exchange.report_own_crash(fingerprints)
+
+    def on_target_leaving(self, upstream_id: str) -> None:
+        if self._upstream is not None and self._upstream.upstream_id == upstream_id:
+            self._leaving_exchange.learn_from_response(self._upstream)
+
+    def update(self, registered: list[Upstream], *, takes_calls: bool) -> None:
+        """Apply the registrations at the target's address.
+
+        ``takes_calls`` tells whether the node accepts calls for the target.
+        """
+        previous = self._upstream
+        if not registered:
+            # Without a registration nobody may send the target new work, whether it left or hasn't
+            # registered yet.
+            if previous is not None:
+                self.dispatcher.close("target_leaving")
+                self._state.log.event("target_gone", upstream=previous.upstream_id)
+            self._upstream = None
+            return
+        newest = max(registered, key=lambda upstream: upstream.started_at_ms or 0)
+        if previous is not None and newest.started_at_ms != previous.started_at_ms:
+            self.pool.drop_idle()
+            self.dispatcher.detect_restart()
+        self._upstream = newest
+        self.dispatcher.resize(newest.slots)
+        if newest.is_draining:
+            self.dispatcher.close("target_leaving")
+            self._state.log.event("target_draining", upstream=newest.upstream_id)
+        elif takes_calls:
+            self.dispatcher.reopen()
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -6,7 +6,7 @@
 import itertools
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 from attrs import define, frozen
 
@@ -88,28 +88,32 @@
         return self._fingerprints
 
 
-class TargetDispatcher:
-    """Queues and runs the calls of one target, and reports their outcomes with its load.
+class TargetListener(Protocol):
+    """Learns what happens to a target, and what it says of itself in responses."""
+
+    def on_target_crashed(self, fingerprints: list[str]) -> None:
+        """The target has crashed; the requests with ``fingerprints`` may have caused it."""
+
+    def on_target_leaving(self, upstream_id: str) -> None:
+        """The target has said that it leaves; ``upstream_id`` is the id that it was called by."""
 
-    ``on_crash`` gets the fingerprints of the requests that may have crashed the target, and
-    ``on_leaving`` the id under which the target was called when it said that it leaves.
-    """
+
+class TargetDispatcher:
+    """Queues and runs the calls of one target, and reports their outcomes with its load."""
 
     def __init__(
         self,
         pool: TargetPool,
         header_codec: HeaderCodec,
         crash_guard: CrashGuard,
-        on_crash: Callable[[list[str]], None],
-        on_leaving: Callable[[str], None],
+        listener: TargetListener,
         log: EventLog,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
         self._crash_guard = crash_guard
-        self._on_crash = on_crash
-        self._on_leaving = on_leaving
+        self._listener = listener
         self._log = log
         self._loop = loop
         self._queue = make_target_queue(DEFAULT_SLOTS)
@@ -302,7 +306,7 @@
         if self._header_codec.is_wrong_upstream(response):
             return NotRun("wrong_upstream", reached_target=True)
         if self._header_codec.is_leaving(response.headers):
-            self._on_leaving(call.frame.upstream_id)
+            self._listener.on_target_leaving(call.frame.upstream_id)
         if self._header_codec.is_not_run(response):
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
@@ -367,7 +371,7 @@
         fingerprints = self._crash_guard.suspects(frames) - self._counted_fingerprints
         if fingerprints:
             self._counted_fingerprints |= fingerprints
-            self._on_crash(sorted(fingerprints))
+            self._listener.on_target_crashed(sorted(fingerprints))
 
     def _release(self, call: _Call, *, is_sample: bool) -> None:
         """Free the slot of a call and run queued calls.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -135,7 +135,7 @@
     async def test_crash_counts_if_the_target_is_back_before_it_is_checked(self) -> None:
         """A node that is too slow to see a crashed target down learns of it from the new entry."""
         for number, vm in enumerate(self.vms):
-            vm.node._pool.check_target = lambda on_reachable, on_failure: on_reachable()
+            vm.node._target.pool.check_target = lambda on_reachable, on_failure: on_reachable()
             if isinstance(await self.run_at(vm), OutcomeUnknown):
                 await vm.target.start()
                 entry = vm.target.entry(born=1_800_000_000_000 + number)
@@ -146,7 +146,7 @@
     async def test_crash_counts_if_the_target_accepts_a_check_just_before_it(self) -> None:
         """A check that began for an earlier lost connection must not hide a crash."""
         vm = self.vms[0]
-        pool = vm.node._pool
+        pool = vm.node._target.pool
         check_target = pool.check_target
         first_check = []
 
