Log the limit that a target names in its responses

Change: the adapter decodes the header; the node next to the target logs when a limit is named, changes by a tenth or ends (target_limit_changed), logs values that mean nothing once (target_limit_invalid), and serves a gauge while one is named. Nothing acts on it yet.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -33,6 +33,11 @@
 from cottonlink.overload._route_throttle import LimitChange, RouteThrottle, make_route_throttle
 from cottonlink.overload._running_requests import RunningRequests, make_running_requests
 from cottonlink.overload._store_position import UNKNOWN_ERA, StorePosition
+from cottonlink.overload._target_limit import (
+    TargetLimit,
+    TargetLimitChange,
+    make_target_limit,
+)
 from cottonlink.overload._target_queue import (
     NESTED_CALL_TIER,
     NEW_REQUEST_TIER,
@@ -73,6 +78,8 @@
     "RouteThrottle",
     "RunningRequests",
     "StorePosition",
+    "TargetLimit",
+    "TargetLimitChange",
     "TargetQueue",
     "TrafficSplit",
     "UpstreamDirectory",
@@ -88,6 +95,7 @@
     "make_route_classifier",
     "make_route_throttle",
     "make_running_requests",
+    "make_target_limit",
     "make_target_queue",
     "make_traffic_split",
     "make_upstream_directory",
--- a/src/cottonlink/path/_header_codec.py
+++ b/src/cottonlink/path/_header_codec.py
@@ -33,5 +33,11 @@
     def is_leaving(self, headers: Headers) -> bool:
         """Return whether the headers of a response say that its target leaves."""
 
+    def limit_per_s(self, headers: Headers) -> float | None:
+        """Return the requests per second that a target takes, or None if a response names no limit.
+
+        Raises CottonlinkError if the limit is no number of at least 0, or too large to mean one.
+        """
+
     def retry_after(self, delay_ms: float) -> Headers:
         """Return the headers that tell a caller to retry after ``delay_ms``."""
--- a/src/cottonlink/path/_metrics.py
+++ b/src/cottonlink/path/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms of the call path, in the Prometheus text format."""
+"""Counters, gauges and latency histograms of the call path, in the Prometheus text format."""
 
 from __future__ import annotations
 
@@ -13,10 +13,11 @@
 
 
 class PathMetrics:
-    """Counters by name and reason, and one latency histogram per name."""
+    """Counters by name and reason, gauges by name, and one latency histogram per name."""
 
     def __init__(self) -> None:
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, float] = {}
         self._histograms: dict[str, HdrHistogram] = {}
         self._sums_ms: Counter[str] = Counter()
 
@@ -24,6 +25,13 @@
         """Increment a counter."""
         self._counters[name, label] += 1
 
+    def set_gauge(self, name: str, value: float | None) -> None:
+        """Set a gauge; with None it is no longer reported."""
+        if value is None:
+            self._gauges.pop(name, None)
+        else:
+            self._gauges[name] = value
+
     def record_latency(self, name: str, latency_ms: float) -> None:
         """Record a latency in the histogram ``name``."""
         histogram = self._histograms.get(name)
@@ -43,6 +51,8 @@
                 if counter == name:
                     labels = f'{{reason="{label}"}}' if label else ""
                     lines.append(f"cottonlink_{name}_total{labels} {value}")
+        for name, value in sorted(self._gauges.items()):
+            lines += [f"# TYPE cottonlink_{name} gauge", f"cottonlink_{name} {value}"]
         for name, histogram in sorted(self._histograms.items()):
             metric = f"cottonlink_{name}_latency_ms"
             lines.append(f"# TYPE {metric} summary")
--- a/src/cottonlink/path/_own_target.py
+++ b/src/cottonlink/path/_own_target.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from cottonlink.overload import TargetLimitChange
 from cottonlink.path._leaving_exchange import LeavingExchange
 from cottonlink.path._model import Upstream
 from cottonlink.path._quarantine_exchange import QuarantineExchange
@@ -30,6 +31,8 @@
             self.pool, state.header_codec, state.crash_guard, self, state.log, loop
         )
         self._upstream: Upstream | None = None
+        # What the latest line on an invalid limit said, as each response may name the same.
+        self._invalid_limit = ""
 
     # Implements TargetListener.
     def on_target_crashed(self, fingerprints: list[str]) -> None:
@@ -39,6 +42,24 @@
         if self._upstream is not None and self._upstream.upstream_id == upstream_id:
             self._leaving_exchange.learn_from_response(self._upstream)
 
+    def on_target_limit(self, change: TargetLimitChange) -> None:
+        state = self._state
+        state.metrics.set_gauge("target_limit_per_s", change.limit_per_s)
+        state.log.event(
+            "target_limit_changed",
+            upstream=self._upstream and self._upstream.upstream_id,
+            limit_per_s=change.limit_per_s,
+            previous_per_s=change.previous_per_s,
+            named_for_ms=round(change.named_for_ms),
+            held_back=change.held_back,
+        )
+
+    def on_target_limit_invalid(self, detail: str) -> None:
+        if detail != self._invalid_limit:
+            self._invalid_limit = detail
+            upstream_id = self._upstream and self._upstream.upstream_id
+            self._state.log.event("target_limit_invalid", upstream=upstream_id, detail=detail)
+
     def update(self, registered: list[Upstream], *, takes_calls: bool) -> None:
         """Apply the registrations at the target's address.
 
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -10,14 +10,17 @@
 
 from attrs import define, frozen
 
+from cottonlink.errors import CottonlinkError
 from cottonlink.overload import (
     Job,
     Refusal,
     RouteClassifier,
     RunningRequests,
+    TargetLimitChange,
     allowed_wait_ms,
     make_route_classifier,
     make_running_requests,
+    make_target_limit,
     make_target_queue,
 )
 from cottonlink.path._crash_guard import CrashGuard, call_fingerprints
@@ -97,6 +100,12 @@
     def on_target_leaving(self, upstream_id: str) -> None:
         """The target has said that it leaves; ``upstream_id`` is the id that it was called by."""
 
+    def on_target_limit(self, change: TargetLimitChange) -> None:
+        """The target has named a limit on its requests, changed it or stopped naming it."""
+
+    def on_target_limit_invalid(self, detail: str) -> None:
+        """A response of the target named a limit that means nothing."""
+
 
 class TargetDispatcher:
     """Queues and runs the calls of one target, and reports their outcomes with its load."""
@@ -117,6 +126,7 @@
         self._log = log
         self._loop = loop
         self._queue = make_target_queue(DEFAULT_SLOTS)
+        self._limit = make_target_limit()
         self.running_requests: RunningRequests = make_running_requests()
         self._calls: dict[Any, _Call] = {}
         self._call_numbers = itertools.count(1)
@@ -201,7 +211,11 @@
         return max(self._queue.pressure(now_ms), downstream)
 
     def detect_restart(self) -> None:
-        """Take recent runs that ended without a response for those that the crash ended."""
+        """Take recent runs that ended without a response for those that the crash ended.
+
+        The limit that the former incarnation of the target named has ended with it.
+        """
+        self._report_limit(self._limit.reset(self._now_ms()))
         self._detect_crash(RESTART_WINDOW_MS)
 
     def resize(self, slots: int) -> None:
@@ -307,6 +321,7 @@
             return NotRun("wrong_upstream", reached_target=True)
         if self._header_codec.is_leaving(response.headers):
             self._listener.on_target_leaving(call.frame.upstream_id)
+        self._read_limit(response)
         if self._header_codec.is_not_run(response):
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
@@ -317,6 +332,18 @@
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
 
+    def _read_limit(self, response: HttpResponse) -> None:
+        try:
+            limit_per_s = self._header_codec.limit_per_s(response.headers)
+        except CottonlinkError as error:
+            self._listener.on_target_limit_invalid(error.detail)
+            return
+        self._report_limit(self._limit.observe(limit_per_s, self._now_ms()))
+
+    def _report_limit(self, change: TargetLimitChange | None) -> None:
+        if change is not None:
+            self._listener.on_target_limit(change)
+
     def _on_exchange_failed(self, frame: CallFrame, failure: ExchangeFailed) -> Outcome:
         if not failure.was_sent:
             return NotRun("target_connections")
--- a/src/cottonlink/platform/_headers.py
+++ b/src/cottonlink/platform/_headers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+
+from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import CallFrame, Headers, HttpResponse, Request
 
 # Identifies one attempt of a caller, not the caller's request over all its attempts.
@@ -12,11 +15,15 @@
 CALLER_SERVICE = b"X-Caller-Service"
 NOT_EXECUTED = b"x-not-executed"
 LEAVING = b"server-leaving"
+# Requests per second from all nodes together, with a decimal point if need be.
+LIMIT = b"server-limit"
 
 _PLATFORM_HEADERS = frozenset(
     name.lower() for name in (ATTEMPT_ID, REMAINING_MS, EXPECTED_UPSTREAM, CALLER_SERVICE)
 )
 _MISDIRECTED_REQUEST = 421
+# No target takes more requests than this in a second.
+_MAX_LIMIT_PER_S = 1_000_000.0
 # Remaining times are capped at a day: a longer one limits nothing and would not fit into a frame.
 _MAX_REMAINING_MS = 86_400_000
 
@@ -93,6 +100,30 @@
         """Return whether the headers of a response say that its target leaves."""
         return any(name.lower() == LEAVING and value == b"1" for name, value in headers)
 
+    def limit_per_s(self, headers: Headers) -> float | None:
+        """Return the requests per second that a target takes, or None if a response names no limit.
+
+        Raises CottonlinkError if the limit is no number of at least 0, or too large to mean one.
+        """
+        for name, value in headers:
+            if name.lower() == LIMIT:
+                return _decode_limit(value)
+        return None
+
     def retry_after(self, delay_ms: float) -> Headers:
         """Return the Retry-After header; the platform's callers accept fractions of a second."""
         return ((b"Retry-After", b"%.3f" % (delay_ms / 1000.0)),)
+
+
+def _decode_limit(value: bytes) -> float:
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        limit_per_s = math.nan
+    if not 0 <= limit_per_s <= _MAX_LIMIT_PER_S:
+        raise CottonlinkError(
+            "target_limit_invalid",
+            f"expected 0 to {_MAX_LIMIT_PER_S:g} requests per second, got {value[:40]!r}",
+            step=Step.RUN,
+        )
+    return limit_per_s
