--- a/emulator/platform_target.py
+++ b/emulator/platform_target.py
@@ -22,7 +22,8 @@
 
     ``behaviour``, if set, answers requests in place of the default, which waits while
     ``answer_gate`` is not set. ``loses_answers`` has no effect here; a behaviour may check it.
-    While ``is_leaving`` is set, responses say that the target leaves.
+    While ``is_leaving`` is set, responses say that the target leaves, and ``named_limit`` is the
+    number of requests per second that they name, as sent.
     """
 
     service: str
@@ -34,6 +35,7 @@
     runs: list[ReceivedRequest] = field(factory=list)
     loses_answers: bool = False
     is_leaving: bool = False
+    named_limit: str | None = None
     answer_gate: asyncio.Event = field(factory=asyncio.Event)
     _server: HttpStandIn | None = None
     _numbers: itertools.count = field(factory=itertools.count)
@@ -80,7 +82,10 @@
 
     def state_headers(self) -> tuple[tuple[str, str], ...]:
         """Return the headers by which all its responses tell of the target's state."""
-        return (("Server-Leaving", "1"),) if self.is_leaving else ()
+        headers = (("Server-Leaving", "1"),) if self.is_leaving else ()
+        if self.named_limit is not None:
+            headers += (("Server-Limit", self.named_limit),)
+        return headers
 
     async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bytes | None:
         expected = request.header("x-expected-instance")
