Keep the rate that a target names in its responses

Callers saw: targets in need got 205 and 266 requests in 4 s, where they had asked for 23.7 and 33.9 a second and 147 and 208 are allowed (LIMIT). Cause: nodes passed the header on and didn't act on it; a bound on concurrent calls, 158 here, never binds at such a rate. Class: what a target says of itself isn't part of the decisions about it. Change: the node next to the target keeps the limit with a token bucket in front of the queue. What can't start in time is refused at once as rate_limited, unrun, with the time at which there is room; senders place calls of that importance elsewhere until then, without spending the retry budget or the bound on placements. The estimated wait of a nested call counts only those of its own rank and above, as the queue starts them in that order.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -20,7 +20,7 @@
     leaving_target,
     make_leaving_targets,
 )
-from cottonlink.overload._load_balancer import LoadBalancer, make_load_balancer
+from cottonlink.overload._load_balancer import LoadBalancer, Patience, make_load_balancer
 from cottonlink.overload._quarantine import (
     Quarantine,
     QuarantineDecision,
@@ -41,6 +41,7 @@
 from cottonlink.overload._target_queue import (
     NESTED_CALL_TIER,
     NEW_REQUEST_TIER,
+    RATE_LIMITED,
     Job,
     Refusal,
     TargetQueue,
@@ -57,6 +58,7 @@
 __all__ = [
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
+    "RATE_LIMITED",
     "UNKNOWN_ERA",
     "CountedCrash",
     "CrashNotice",
@@ -67,6 +69,7 @@
     "LeavingTargets",
     "LimitChange",
     "LoadBalancer",
+    "Patience",
     "Quarantine",
     "QuarantineDecision",
     "QuarantineReport",
--- a/src/cottonlink/overload/_load_balancer.py
+++ b/src/cottonlink/overload/_load_balancer.py
@@ -11,7 +11,7 @@
 from collections.abc import Collection, Iterable
 from typing import Any
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 # Cost of an upstream in another data centre, on the scale of (latency / objective) squared: it is
 # chosen once the latency of local upstreams exceeds about half of the objective.
@@ -38,16 +38,37 @@
 NODE_SHUTDOWN_MS = 6_000.0
 # Time from the last call that a node accepts to the start of its successor.
 NODE_RESTART_MS = 1_000.0
+# A target that limits its rate and has refused calls is tried again after this time at the latest,
+# so that the end of its need is noticed.
+MAX_FULL_MS = 1_000.0
 # Each node sends its first call to a new upstream after a random delay of up to this.
 FIRST_CALL_JITTER_MS = 2_500.0
 
 
+@frozen
+class Patience:
+    """How long a call may wait at a target, and its importance there as in a ``Job``."""
+
+    tier: int
+    rank: int
+    max_wait_ms: float
+
+
+@frozen
+class Fullness:
+    """There is no room for calls of some importance until a moment, recorded ``for_ms`` before."""
+
+    until_ms: float
+    for_ms: float
+
+
 @define(eq=False)
 class UpstreamState:
     """What one node knows of one upstream.
 
     ``upstream`` is a ``path.Upstream`` and ``load`` the latest ``path.Load`` that its node
-    reported. ``latency_ms`` holds the moving average of the latency by route.
+    reported. ``latency_ms`` holds the moving average of the latency by route, and
+    ``full`` the calls for which there is no room, by importance (tier and rank).
     """
 
     upstream: Any
@@ -65,6 +86,17 @@
     leaving_until_ms: float = 0.0
     consecutive_unreachable_count: int = 0
     latency_ms: dict[str, float] = Factory(dict)
+    full: dict[tuple[int, int], Fullness] = Factory(dict)
+
+    def full_for_ms(self, patience: Patience, now_ms: float) -> float:
+        """Return the time until there is room for a call, 0 if it may wait for that long.
+
+        Where there is no room for calls of some importance, there is none for less important ones.
+        """
+        importance = (patience.tier, patience.rank)
+        times_ms = [f.until_ms - now_ms for key, f in self.full.items() if key <= importance]
+        wait_ms = max(times_ms, default=0.0)
+        return wait_ms if wait_ms > patience.max_wait_ms else 0.0
 
     def utilization(self, now_ms: float) -> float:
         """Return the running and queued calls as a share of the target's limit."""
@@ -114,18 +146,22 @@
         exclude: Collection[str],
         is_repeatable: bool,
         now_ms: float,
+        patience: Patience | None = None,
     ) -> Any | None:
         """Return the ``path.Upstream`` for a call, or None if none of ``service`` is available.
 
-        ``exclude`` holds ids of upstreams that must not be chosen. A repeatable call goes to an
-        upstream that this node hasn't called yet, once that one's first call is due; any other call
-        goes to the upstream with the lowest cost in a random sample.
+        ``exclude`` holds ids of upstreams that must not be chosen. With ``patience``, nor are those
+        that have no room for the call in the time for which it may wait. A repeatable call goes to
+        an upstream that this node hasn't called yet, once that one's first call is due; any other
+        call goes to the upstream with the lowest cost in a random sample.
         """
         states = [
             state
             for state in self._by_service.get(service, ())
             if state.unavailable_until_ms <= now_ms and state.upstream.upstream_id not in exclude
         ]
+        if patience is not None:
+            states = [s for s in states if not s.full_for_ms(patience, now_ms)]
         if not states:
             return None
         # Upstreams of nodes that shut down are used only if there are no others.
@@ -142,6 +178,35 @@
         best = min(states, key=lambda s: self._cost(s, route, objective_ms, typical_ms, now_ms))
         return best.upstream
 
+    def full_for_ms(self, service: str, patience: Patience, now_ms: float) -> float | None:
+        """Return when a target of ``service`` has room for a call, None if none is known as full.
+
+        The time is in ms from now.
+        """
+        waits_ms = [
+            state.full_for_ms(patience, now_ms)
+            for state in self._by_service.get(service, ())
+            if state.unavailable_until_ms <= now_ms
+        ]
+        return min((wait_ms for wait_ms in waits_ms if wait_ms > 0.0), default=None)
+
+    def mark_full(
+        self, upstream_id: str, patience: Patience, wait_ms: float, now_ms: float
+    ) -> None:
+        """Record that a target that limits its rate has no room for a call until ``wait_ms``.
+
+        The time doubles if the target refuses again right after it: others went first meanwhile.
+        """
+        state = self._states.get(upstream_id)
+        if state is None:
+            return
+        importance = (patience.tier, patience.rank)
+        previous = state.full.get(importance)
+        if previous is not None and now_ms < previous.until_ms + previous.for_ms:
+            wait_ms = max(wait_ms, 2.0 * previous.for_ms)
+        wait_ms = min(wait_ms, MAX_FULL_MS)
+        state.full[importance] = Fullness(now_ms + wait_ms, wait_ms)
+
     def record_send(self, upstream_id: str) -> None:
         """Record that a call was sent to an upstream."""
         state = self._states.get(upstream_id)
--- a/src/cottonlink/overload/_target_queue.py
+++ b/src/cottonlink/overload/_target_queue.py
@@ -5,16 +5,23 @@
 waste all work already done for its request. New requests wait only briefly, by importance, and are
 refused at once if the expected wait is longer than they may wait. A share of the target is reserved
 for new requests, so that nested calls can't starve them.
+
+While the target names a limit on its rate, jobs start only as fast as that allows. Slots are mostly
+free then, so the share of new requests is one of the starts instead.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
+from collections import Counter
 from typing import Any
 
 from attrs import define, frozen
 
+from cottonlink.overload._target_limit import TargetLimit, make_target_limit
+
 # Share of the slots that is used: targets slow down close to their last slot, and need room for
 # health checks and for connections that hold a slot while they open.
 USABLE_SLOT_SHARE = 0.94
@@ -22,6 +29,8 @@
 RESERVED_NEW_REQUEST_SHARE = 0.2
 # Share of the limit left free for more important requests, times the rank of the new request.
 RESERVE_PER_RANK = 0.03
+# Weight of a start in the moving average of the share of new requests among them.
+START_SHARE_WEIGHT = 0.1
 # Weight of a new service time in its moving average.
 SERVICE_TIME_WEIGHT = 0.05
 # Expected service time until one has been measured.
@@ -42,6 +51,9 @@
 NESTED_CALL_TIER = 0
 NEW_REQUEST_TIER = 1
 
+# Reason of a refusal because the target limits its rate.
+RATE_LIMITED = "rate_limited"
+
 
 @frozen(eq=False)
 class Job:
@@ -76,13 +88,17 @@
 class TargetQueue:
     """Admission control of one target: its running jobs and a bounded priority queue."""
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, rate_limit: TargetLimit) -> None:
+        self._rate_limit = rate_limit
+        self._is_rate_limited = False
+        self._new_start_share = 0.0
         self._running: dict[Any, tuple[Job, float]] = {}
         self._running_new_count = 0
         self._queued: dict[Any, _QueuedJob] = {}
         self._heaps: tuple[list, list] = ([], [])
         self._queued_nested_count = 0
-        self._queued_new_counts: dict[int, int] = {}
+        # By tier and rank.
+        self._queued_counts: Counter[tuple[int, int]] = Counter()
         self._sequence = itertools.count()
         self.service_ms = INITIAL_SERVICE_MS
         self._pressure = 0.0
@@ -100,6 +116,16 @@
         """Number of jobs that wait for a slot."""
         return len(self._queued)
 
+    def capacity(self, now_ms: float) -> int:
+        """Return the number of jobs that the target runs at a time, at most.
+
+        While it limits its rate, that follows from the rate and the time that a job takes.
+        """
+        rate_per_s = self._rate_limit.rate_per_s(now_ms)
+        if rate_per_s == math.inf:
+            return self.limit
+        return max(1, min(self.limit, round(rate_per_s * self.service_ms / 1000.0)))
+
     def resize(self, slots: int) -> None:
         """Set the number of slots, the jobs that the target can run at the same time."""
         self.limit = max(1, int(slots * USABLE_SLOT_SHARE))
@@ -110,25 +136,29 @@
         Only ``job`` itself, or the least important job of a full queue, is refused. A job that
         neither starts nor is refused is queued.
         """
-        self._update_pressure(now_ms)
-        if self._has_free_slot(job) and not self._must_wait_behind_queue(job):
+        self._advance(now_ms)
+        self._rate_limit.record_arrival(now_ms)
+        may_start = self._has_free_slot(job) and not self._must_wait_behind_queue(job)
+        if may_start and self._rate_limit.take(now_ms):
             self._start(job, now_ms)
             return True, ()
-        wait_ms = self._estimated_wait_ms(job)
+        if self._is_rate_limited:
+            self._rate_limit.count_held_back()
+        wait_ms = self._estimated_wait_ms(job, now_ms)
         if wait_ms > job.max_wait_ms:
-            return False, (Refusal(job, "queue_wait", wait_ms),)
+            return False, (Refusal(job, self._wait_reason("queue_wait"), wait_ms),)
         queued_job = _QueuedJob(job, now_ms + job.max_wait_ms)
         self._queued[job.key] = queued_job
         self._adjust_queued_count(job, 1)
         heapq.heappush(self._heaps[job.tier], (job.rank, next(self._sequence), queued_job))
-        return False, self._evict()
+        return False, self._evict(now_ms)
 
     def finish(self, key: Any, now_ms: float, *, is_sample: bool = True) -> list[Job]:
         """Free the slot of a job that has left the target; return the jobs that start now.
 
         ``is_sample`` is whether the job's time at the target counts as a measured service time.
         """
-        self._update_pressure(now_ms)
+        self._advance(now_ms)
         entry = self._running.pop(key, None)
         if entry is not None:
             job, started_ms = entry
@@ -137,6 +167,11 @@
                 self.service_ms += SERVICE_TIME_WEIGHT * (now_ms - started_ms - self.service_ms)
         return self._start_queued(now_ms)
 
+    def start_due(self, now_ms: float) -> list[Job]:
+        """Start and return the queued jobs that the limit on the rate has held back until now."""
+        self._advance(now_ms)
+        return self._start_queued(now_ms)
+
     def withdraw(self, key: Any) -> bool:
         """Remove a job from the queue; return whether it was queued."""
         queued_job = self._queued.pop(key, None)
@@ -149,32 +184,36 @@
     def expire(self, now_ms: float) -> list[Refusal]:
         """Refuse and return the queued jobs whose maximum wait has passed."""
         expired = [w.job for w in self._queued.values() if w.expires_at_ms <= now_ms]
-        return [self._refuse(job, "queue_timeout") for job in expired]
+        reason = self._wait_reason("queue_timeout")
+        return [self._refuse(job, reason, now_ms) for job in expired]
 
-    def clear(self, reason: str) -> list[Refusal]:
+    def clear(self, reason: str, now_ms: float) -> list[Refusal]:
         """Refuse and return all queued jobs."""
-        return [self._refuse(w.job, reason) for w in list(self._queued.values())]
+        return [self._refuse(w.job, reason, now_ms) for w in list(self._queued.values())]
 
     def pressure(self, now_ms: float) -> float:
         """Return the moving average of running and queued jobs, as a multiple of the limit."""
-        self._update_pressure(now_ms)
+        self._advance(now_ms)
         return self._pressure
 
-    def _update_pressure(self, now_ms: float) -> None:
+    def _advance(self, now_ms: float) -> None:
+        self._is_rate_limited = self._rate_limit.rate_per_s(now_ms) < math.inf
         load = (len(self._running) + len(self._queued)) / self.limit
         keep = 0.5 ** ((now_ms - self._pressure_at_ms) / PRESSURE_HALF_LIFE_MS)
         self._pressure = load + keep * (self._pressure - load)
         self._pressure_at_ms = now_ms
 
-    def _refuse(self, job: Job, reason: str) -> Refusal:
+    def _wait_reason(self, reason: str) -> str:
+        return RATE_LIMITED if self._is_rate_limited else reason
+
+    def _refuse(self, job: Job, reason: str, now_ms: float) -> Refusal:
         self.withdraw(job.key)
-        return Refusal(job, reason, self._estimated_wait_ms(job))
+        return Refusal(job, reason, self._estimated_wait_ms(job, now_ms))
 
     def _adjust_queued_count(self, job: Job, change: int) -> None:
+        self._queued_counts[job.tier, job.rank] += change
         if job.tier == NESTED_CALL_TIER:
             self._queued_nested_count += change
-        else:
-            self._queued_new_counts[job.rank] = self._queued_new_counts.get(job.rank, 0) + change
 
     def _has_free_slot(self, job: Job) -> bool:
         usable_slots = self.limit
@@ -191,30 +230,36 @@
         return head is not None and head.job.rank <= job.rank
 
     def _is_new_request_share_free(self) -> bool:
+        if self._is_rate_limited:
+            return self._new_start_share < RESERVED_NEW_REQUEST_SHARE
         return self._running_new_count < RESERVED_NEW_REQUEST_SHARE * self.limit
 
-    def _estimated_wait_ms(self, job: Job) -> float:
+    def _estimated_wait_ms(self, job: Job, now_ms: float) -> float:
         # New requests within their reserved share start before queued nested calls.
         is_share_free = job.tier == NEW_REQUEST_TIER and self._is_new_request_share_free()
-        ahead = 0 if is_share_free else self._queued_nested_count
-        if job.tier == NEW_REQUEST_TIER:
-            ahead += sum(n for rank, n in self._queued_new_counts.items() if rank <= job.rank)
-        return (ahead + 1) * self.service_ms / self.limit
+        tiers = (NEW_REQUEST_TIER,) if is_share_free else (NESTED_CALL_TIER, job.tier)
+        ahead = sum(
+            count
+            for (tier, rank), count in self._queued_counts.items()
+            if tier in tiers and (tier < job.tier or rank <= job.rank)
+        )
+        slot_wait_ms = (ahead + 1) * self.service_ms / self.limit
+        return max(slot_wait_ms, self._rate_limit.wait_ms(ahead + 1, now_ms))
 
     def _start_queued(self, now_ms: float) -> list[Job]:
         started: list[Job] = []
-        while (job := self._next_job()) is not None:
+        while (job := self._next_job(now_ms)) is not None:
             self.withdraw(job.key)
             self._start(job, now_ms)
             started.append(job)
         return started
 
-    def _next_job(self) -> Job | None:
+    def _next_job(self, now_ms: float) -> Job | None:
         nested, new = self._head(NESTED_CALL_TIER), self._head(NEW_REQUEST_TIER)
         first, second = (new, nested) if self._is_new_request_share_free() else (nested, new)
         for queued_job in (first, second):
             if queued_job is not None and self._has_free_slot(queued_job.job):
-                return queued_job.job
+                return queued_job.job if self._rate_limit.take(now_ms) else None
         return None
 
     def _head(self, tier: int) -> _QueuedJob | None:
@@ -225,18 +270,20 @@
 
     def _start(self, job: Job, now_ms: float) -> None:
         self._running[job.key] = (job, now_ms)
-        self._running_new_count += job.tier == NEW_REQUEST_TIER
+        is_new = job.tier == NEW_REQUEST_TIER
+        self._running_new_count += is_new
+        self._new_start_share += START_SHARE_WEIGHT * (is_new - self._new_start_share)
 
-    def _evict(self) -> tuple[Refusal, ...]:
+    def _evict(self, now_ms: float) -> tuple[Refusal, ...]:
         if len(self._queued) <= MAX_QUEUED_PER_SLOT * self.limit:
             return ()
         worst = max(self._queued.values(), key=lambda w: (w.job.tier, w.job.rank, w.expires_at_ms))
-        return (self._refuse(worst.job, "queue_full"),)
+        return (self._refuse(worst.job, "queue_full", now_ms),)
 
 
-def make_target_queue(slots: int) -> TargetQueue:
-    """Return an empty queue for a target with ``slots`` slots."""
-    return TargetQueue(slots)
+def make_target_queue(slots: int, rate_limit: TargetLimit | None = None) -> TargetQueue:
+    """Return an empty queue for a target with ``slots`` slots, and with no limit if None."""
+    return TargetQueue(slots, make_target_limit() if rate_limit is None else rate_limit)
 
 
 def allowed_wait_ms(tier: int, rank: int, objective_ms: float, remaining_ms: float) -> float:
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -6,7 +6,13 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from cottonlink.overload import NESTED_CALL_TIER, NEW_REQUEST_TIER
+from cottonlink.overload import (
+    NESTED_CALL_TIER,
+    NEW_REQUEST_TIER,
+    RATE_LIMITED,
+    Patience,
+    allowed_wait_ms,
+)
 from cottonlink.path._exchange import Exchange
 from cottonlink.path._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path._frames import CallFrame
@@ -120,7 +126,7 @@
             return
         upstream = self._choose(call)
         if upstream is None:
-            self._final_responses.give_up(call, refusal)
+            self._final_responses.give_up(call, self._refusal_if_full(call) or refusal)
             return
         now_ms = state.now_ms()
         call.tried_upstream_ids.add(upstream.upstream_id)
@@ -139,7 +145,20 @@
             call.tried_upstream_ids,
             route.is_repeatable,
             self._state.now_ms(),
+            self._patience(call),
+        )
+
+    def _patience(self, call: IngressCall) -> Patience:
+        remaining_ms = max(0.0, call.deadline_ms - self._state.now_ms())
+        wait_ms = allowed_wait_ms(call.tier, call.rank, call.route.objective_ms, remaining_ms)
+        return Patience(call.tier, call.rank, wait_ms)
+
+    def _refusal_if_full(self, call: IngressCall) -> NotRun | None:
+        """Return the refusal of a call if targets have no room for it as they limit their rate."""
+        wait_ms = self._state.load_balancer.full_for_ms(
+            call.service, self._patience(call), self._state.now_ms()
         )
+        return None if wait_ms is None else NotRun(RATE_LIMITED, wait_ms)
 
     def _send(self, call: IngressCall, upstream: Upstream) -> bool:
         """Send a call to the node next to ``upstream``; return False if it is unreachable."""
@@ -190,6 +209,8 @@
         report = None if isinstance(outcome, OutcomeUnknown) else outcome.report
         if report is not None:
             self._apply_report(call, upstream, report)
+            if not _is_rate_limited(outcome):
+                self._record_pressure(call, report)
         if isinstance(outcome, Answered) and self._state.header_codec.is_leaving(outcome.headers):
             self._on_target_leaving(upstream)
         self._handle(outcome, call, upstream)
@@ -200,6 +221,9 @@
         if report.is_nested is not None:
             state.nested_routes[call.route.name] = report.is_nested
         state.calling_services[call.service] = report.makes_calls
+
+    def _record_pressure(self, call: IngressCall, report: TargetReport) -> None:
+        state = self._state
         if call.is_call:
             state.dispatcher.record_nested_call_pressure(report.pressure)
         else:
@@ -241,6 +265,10 @@
             state.load_balancer.record_failure(upstream.upstream_id, now_ms)
         else:
             state.load_balancer.record_inconclusive(upstream.upstream_id)
+        if _is_rate_limited(outcome):
+            state.load_balancer.mark_full(
+                upstream.upstream_id, self._patience(call), outcome.retry_after_ms, now_ms
+            )
         if outcome.reason in _UNREACHABLE_REASONS:
             state.load_balancer.mark_unreachable(upstream.upstream_id, now_ms)
         if call.is_done:
@@ -259,12 +287,15 @@
             may_place_again = (
                 call.refused_placements < MAX_REFUSED_PLACEMENTS
                 or outcome.reason in _UNREACHABLE_REASONS
+                or _is_rate_limited(outcome)
             )
             if may_place_again and now_ms < call.deadline_ms:
                 # No target received the request, so this doesn't use the retry budget.
                 state.metrics.count("placements_refused", outcome.reason)
                 self._place(call, outcome)
                 return
+        if _is_rate_limited(outcome) and outcome.report is not None:
+            self._record_pressure(call, outcome.report)
         self._final_responses.give_up(call, outcome)
 
     @_handle.register
@@ -347,6 +378,14 @@
         self._calls.discard(call)
 
 
+def _is_rate_limited(outcome: Outcome) -> bool:
+    """Return whether a target had no room for a call because it limits its rate.
+
+    Others may have room, so this says nothing about the load of the service.
+    """
+    return isinstance(outcome, NotRun) and outcome.reason == RATE_LIMITED
+
+
 _NO_UPSTREAM = NotRun("no_upstream")
 _UNREACHABLE_REASONS = frozenset(
     (
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -12,6 +12,7 @@
 
 from cottonlink.errors import CottonlinkError
 from cottonlink.overload import (
+    NESTED_CALL_TIER,
     Job,
     Refusal,
     RouteClassifier,
@@ -57,7 +58,7 @@
 # Half-life of the moving average of the pressure at the targets that this one calls: it sets the
 # weight of a new report, and how fast the average decays without one.
 PRESSURE_HALF_LIFE_MS = 60.0
-# Interval of the check for queued jobs that have waited too long.
+# Interval of the check for queued jobs that have waited too long, or for the target's limit.
 EXPIRY_INTERVAL_S = 0.02
 
 
@@ -125,8 +126,8 @@
         self._listener = listener
         self._log = log
         self._loop = loop
-        self._queue = make_target_queue(DEFAULT_SLOTS)
         self._limit = make_target_limit()
+        self._queue = make_target_queue(DEFAULT_SLOTS, self._limit)
         self.running_requests: RunningRequests = make_running_requests()
         self._calls: dict[Any, _Call] = {}
         self._call_numbers = itertools.count(1)
@@ -158,6 +159,7 @@
         if refusal is not None:
             on_outcome(refusal)
             return
+        self._report_limit(self._limit.lapse(now_ms))
         wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.remaining_ms)
         job = Job(key, frame.tier, frame.rank, wait_ms)
         self._calls[key] = call
@@ -191,7 +193,8 @@
     def load(self) -> Load:
         """Return the current load of the target."""
         queue = self._queue
-        return Load(queue.running_count, queue.queued_count, queue.limit, queue.service_ms)
+        capacity = queue.capacity(self._now_ms())
+        return Load(queue.running_count, queue.queued_count, capacity, queue.service_ms)
 
     def record_nested_call(self) -> None:
         """Count a call that is, or may be, nested in a request running at the target."""
@@ -225,7 +228,7 @@
     def close(self, reason: str) -> None:
         """Refuse new and queued calls with ``reason``; running calls continue."""
         self._closed_reason = reason
-        self._deliver_refusals(self._queue.clear(reason))
+        self._deliver_refusals(self._queue.clear(reason, self._now_ms()))
 
     def reopen(self) -> None:
         """Accept calls again."""
@@ -240,7 +243,12 @@
         callback, call.on_outcome = call.on_outcome, None
         if callback is not None:
             is_nested = self.route_classifier.is_nested(call.frame.route)
-            report = TargetReport(self.load(), is_nested, self._makes_calls, self._pressure())
+            pressure = self._pressure()
+            if call.frame.tier == NESTED_CALL_TIER:
+                # Refusing new requests where they come in is better than running them in part. New
+                # requests for this target itself are refused here, by their importance.
+                pressure = max(pressure, self._limit.pressure(self._now_ms()))
+            report = TargetReport(self.load(), is_nested, self._makes_calls, pressure)
             callback(with_report(outcome, report))
 
     @property
@@ -257,7 +265,10 @@
 
     def _expire(self) -> None:
         self._expiry_timer = None
-        self._deliver_refusals(self._queue.expire(self._now_ms()))
+        now_ms = self._now_ms()
+        self._report_limit(self._limit.lapse(now_ms))
+        self._deliver_refusals(self._queue.expire(now_ms))
+        self._run_all(self._queue.start_due(now_ms))
         if self._queue.queued_count:
             self._expiry_timer = self._loop.call_later(EXPIRY_INTERVAL_S, self._expire)
 
@@ -409,7 +420,10 @@
             return
         self.running_requests.remove(call.number, call.sent_deadline_ms)
         now_ms = self._now_ms()
-        for job in self._queue.finish(call.key, now_ms, is_sample=is_sample):
-            next_call = self._calls.get(job.key)
-            if next_call is not None:
-                self._run(next_call)
+        self._run_all(self._queue.finish(call.key, now_ms, is_sample=is_sample))
+
+    def _run_all(self, jobs: list[Job]) -> None:
+        for job in jobs:
+            call = self._calls.get(job.key)
+            if call is not None:
+                self._run(call)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -399,7 +399,7 @@
         queue = make_target_queue(10)
         for number in range(300):
             queue.offer(Job(number, NESTED_CALL_TIER, 0, 10**9), 0)
-        queue.clear("gone")
+        queue.clear("gone", 1_000)
         for number in range(9):
             queue.finish(number, 1_000)
         self.assertLess(queue.pressure(2_000), 0.1)
