--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "decision_rates",
     "decision_rates_once",
     "retry_budgets",
+    "target_limit",
     "at_most_once",
     "control_cost",
     "decisions_surge",
