Don't defer removals because one call of a node has failed

Cause: two nodes had a watch from the outage that failed 2.7 s after its end. They took that for another outage and deferred the removal that their watchers sent, on for as long as their own calls failed, since for 2.3 s from the next frame. In touch again 3 s after the outage, they may take 2 s: too close to the bound. Class: a local failure taken for a global one, against better evidence. Change: as long as watchers report answers of the store, a failed call of the node itself defers nothing. Measured: test_removal_takes_effect_on_a_node_whose_own_call_fails_late failed before and passes; 55 tests pass.

--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -346,12 +346,12 @@
         self._node.apply_upstreams(upstreams)
 
     def _on_store_lost(self, error: CottonlinkError) -> None:
-        is_first_failure = not self._is_store_lost
-        if is_first_failure:
+        if not self._is_store_lost:
             self._is_store_lost = True
             self._log.event("store_lost", code=error.code, detail=error.detail, peer=error.peer)
-        # A node that is cut off alone still hears what is removed, and must not defer it for good.
-        if is_first_failure or not self._watcher_election.hears_watcher(self._now_ms()):
+        # While watchers reach the store, entries don't expire because of an outage, and what is
+        # removed must not be deferred by a node whose own connection has failed.
+        if not self._watcher_election.hears_watcher(self._now_ms()):
             self._contents.store_lost()
 
     def _on_store_regained(self) -> None:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -217,6 +217,22 @@
         self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
         self.node.apply_upstreams.assert_called_once_with([])
 
+    async def test_removal_takes_effect_on_a_node_whose_own_call_fails_late(self) -> None:
+        """A call that began in an outage fails seconds after it, while watchers reach the store.
+
+        The node took that for another outage and deferred the removal of a target that had left.
+        """
+        self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
+        self.follower._must_read = True
+        await self.follower._step()
+        self.clock.now_s += 10.0
+        self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=1))
+        self.follower._must_read = True
+        await self.lose_store()
+        self.node.apply_upstreams.reset_mock()
+        self.follower.apply_changes(StoreChangesFrame(1, 2, (("upstream", 2, None),), era=1))
+        self.node.apply_upstreams.assert_called_once_with([])
+
     async def test_entry_that_expired_in_an_outage_is_kept_on_a_listening_node(self) -> None:
         """A watcher's first changes after an outage must not drop upstreams that are alive."""
         self.store.items = (StoreItem("upstream", StorePosition(1, 1), b"{}"),)
