Tell a restarted node the limit of its target before calls reach it

Cause: only the node next to a target knows its limit. After a restart of that node, calls of all others run without one until the first response, which is a whole run away. Class: state that one process holds, while others have seen it. Change: nodes remember the limits in responses that they pass on, for 10 s, and tell the node next to the target when they connect to it, before their calls. A response there counts more than what a peer remembers, and a limit of another start of the target is ignored. The frame travels under the type code of quarantine reports, which the former build reads as empty. LeavingTarget is now TargetStart, as both use it.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -15,9 +15,7 @@
     report_of_crash,
 )
 from cottonlink.overload._leaving_targets import (
-    LeavingTarget,
     LeavingTargets,
-    leaving_target,
     make_leaving_targets,
 )
 from cottonlink.overload._load_balancer import LoadBalancer, Patience, make_load_balancer
@@ -34,6 +32,7 @@
 from cottonlink.overload._running_requests import RunningRequests, make_running_requests
 from cottonlink.overload._store_position import UNKNOWN_ERA, StorePosition
 from cottonlink.overload._target_limit import (
+    LIMIT_LAPSE_MS,
     TargetLimit,
     TargetLimitChange,
     make_target_limit,
@@ -48,6 +47,7 @@
     allowed_wait_ms,
     make_target_queue,
 )
+from cottonlink.overload._target_start import TargetStart, target_start
 from cottonlink.overload._traffic_split import TrafficSplit, make_traffic_split
 from cottonlink.overload._upstream_directory import UpstreamDirectory, make_upstream_directory
 from cottonlink.overload._watcher_election import (
@@ -56,6 +56,7 @@
 )
 
 __all__ = [
+    "LIMIT_LAPSE_MS",
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
     "RATE_LIMITED",
@@ -65,7 +66,6 @@
     "CrashRegistry",
     "Job",
     "LearnedQuarantine",
-    "LeavingTarget",
     "LeavingTargets",
     "LimitChange",
     "LoadBalancer",
@@ -84,11 +84,11 @@
     "TargetLimit",
     "TargetLimitChange",
     "TargetQueue",
+    "TargetStart",
     "TrafficSplit",
     "UpstreamDirectory",
     "WatcherElection",
     "allowed_wait_ms",
-    "leaving_target",
     "make_crash_registry",
     "make_leaving_targets",
     "make_load_balancer",
@@ -105,4 +105,5 @@
     "make_watcher_election",
     "report_of_crash",
     "request_fingerprint",
+    "target_start",
 ]
--- a/src/cottonlink/overload/_leaving_targets.py
+++ b/src/cottonlink/overload/_leaving_targets.py
@@ -10,27 +10,19 @@
 from collections.abc import Iterable
 from typing import Any
 
-from attrs import frozen
+from cottonlink.overload._target_start import TargetStart, target_start
 
 # Leaving targets that are remembered. The oldest are forgotten first.
 LEAVING_TARGET_LIMIT = 4_096
 
 
-@frozen
-class LeavingTarget:
-    """One start of a target, by its id and the Unix time of the start; None if it isn't known."""
-
-    upstream_id: str
-    started_at_ms: int | None
-
-
 class LeavingTargets:
     """The leaving targets that one node knows of."""
 
     def __init__(self) -> None:
-        self._times_ms: dict[LeavingTarget, float] = {}
+        self._times_ms: dict[TargetStart, float] = {}
 
-    def learn(self, targets: Iterable[LeavingTarget], now_ms: float) -> list[LeavingTarget]:
+    def learn(self, targets: Iterable[TargetStart], now_ms: float) -> list[TargetStart]:
         """Remember ``targets``; return those that were not known."""
         new = [target for target in targets if target not in self._times_ms]
         for target in new:
@@ -41,22 +33,17 @@
 
     def is_leaving(self, upstream: Any) -> bool:
         """Return whether a ``path.Upstream`` is of a start that has said that it leaves."""
-        return leaving_target(upstream) in self._times_ms
+        return target_start(upstream) in self._times_ms
 
-    def all(self) -> tuple[LeavingTarget, ...]:
+    def all(self) -> tuple[TargetStart, ...]:
         """Return all known leaving targets, the latest last."""
         return tuple(self._times_ms)
 
-    def learned_since(self, time_ms: float) -> tuple[LeavingTarget, ...]:
+    def learned_since(self, time_ms: float) -> tuple[TargetStart, ...]:
         """Return the leaving targets that became known after a time."""
         return tuple(t for t, learned_ms in self._times_ms.items() if learned_ms > time_ms)
 
 
-def leaving_target(upstream: Any) -> LeavingTarget:
-    """Return the start of a target that a ``path.Upstream`` registers."""
-    return LeavingTarget(upstream.upstream_id, upstream.started_at_ms)
-
-
 def make_leaving_targets() -> LeavingTargets:
     """Return a record that holds no targets yet."""
     return LeavingTargets()
--- a/src/cottonlink/overload/_target_limit.py
+++ b/src/cottonlink/overload/_target_limit.py
@@ -13,7 +13,7 @@
 from attrs import frozen
 
 # A limit that no response has named for this time has ended.
-LAPSE_MS = 10_000.0
+LIMIT_LAPSE_MS = 10_000.0
 # Burst size of the token bucket in seconds at the limit, so that arrivals needn't be evenly spaced.
 BURST_S = 0.25
 # Lowest rate: some calls must reach the target to show that its need is over.
@@ -54,6 +54,7 @@
         self._arrivals_per_s = 0.0
         self._arrived_at_ms = 0.0
         self._reported_per_s: float | None = None
+        self._observed_at_ms = float("-inf")
         self._named_since_ms = 0.0
         self._named_at_ms = 0.0
         self._held_back = 0
@@ -61,6 +62,7 @@
     def observe(self, limit_per_s: float | None, now_ms: float) -> TargetLimitChange | None:
         """Apply the limit that a response names, or None; return the change to report, if any."""
         self._refill(now_ms)
+        self._observed_at_ms = now_ms
         if limit_per_s is not None:
             self._named_at_ms = now_ms
             self._last_limit_per_s = limit_per_s
@@ -69,6 +71,18 @@
         self._limit_per_s = limit_per_s
         return self._report(now_ms)
 
+    def adopt(self, limit_per_s: float, age_ms: float, now_ms: float) -> TargetLimitChange | None:
+        """Apply a limit that another node was told of ``age_ms`` ago, unless a response came since.
+
+        Return the change to report, if any.
+        """
+        named_at_ms = now_ms - age_ms
+        if named_at_ms <= self._observed_at_ms or age_ms >= LIMIT_LAPSE_MS:
+            return None
+        change = self.observe(limit_per_s, now_ms)
+        self._observed_at_ms = self._named_at_ms = named_at_ms
+        return change
+
     def reset(self, now_ms: float) -> TargetLimitChange | None:
         """Forget the limit, as for a new start of the target; return the change to report."""
         change = self.observe(None, now_ms)
@@ -76,8 +90,8 @@
         return change
 
     def lapse(self, now_ms: float) -> TargetLimitChange | None:
-        """End a limit that wasn't named for ``LAPSE_MS``; return the change to report, if any."""
-        if self._limit_per_s is None or now_ms - self._named_at_ms < LAPSE_MS:
+        """End a limit that wasn't named for ``LIMIT_LAPSE_MS``; return the change to report."""
+        if self._limit_per_s is None or now_ms - self._named_at_ms < LIMIT_LAPSE_MS:
             return None
         return self.observe(None, now_ms)
 
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -15,7 +15,7 @@
 from attrs import frozen
 
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.overload import CrashNotice, LeavingTarget, QuarantineReport, ReportedLevel
+from cottonlink.overload import CrashNotice, QuarantineReport, ReportedLevel, TargetStart
 from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 
 # Largest frame that is accepted; it has room for the largest body of a caller and its headers.
@@ -97,7 +97,16 @@
 class TargetsLeavingFrame:
     """Reports targets that have said in a response that they leave."""
 
-    targets: tuple[LeavingTarget, ...]
+    targets: tuple[TargetStart, ...]
+
+
+@frozen
+class TargetLimitFrame:
+    """Tells a node of a limit that a response of its target named ``age_ms`` ago."""
+
+    start: TargetStart
+    limit_per_s: float
+    age_ms: int
 
 
 @frozen
@@ -240,6 +249,14 @@
     return msgpack.packb((_QUARANTINE, (), (), (), (), targets))
 
 
+@encode.register
+def _(frame: TargetLimitFrame) -> bytes:
+    # As for leaving targets, of which this frame reports none.
+    start = (frame.start.upstream_id, frame.start.started_at_ms)
+    limit = (start, frame.limit_per_s, frame.age_ms)
+    return msgpack.packb((_QUARANTINE, (), (), (), (), (), limit))
+
+
 @encode.register
 def _(frame: StoreChangesFrame) -> bytes:
     items = _add_era(frame.items, frame.era)
@@ -345,11 +362,16 @@
     )
 
 
-def _decode_quarantine(fields: tuple) -> QuarantineFrame | TargetsLeavingFrame:
+def _decode_quarantine(
+    fields: tuple,
+) -> QuarantineFrame | TargetsLeavingFrame | TargetLimitFrame:
     levels, *later_fields = fields[1:]
-    if len(later_fields) > _QUARANTINE_LATER_FIELDS:
-        targets = later_fields[_QUARANTINE_LATER_FIELDS]
-        return TargetsLeavingFrame(tuple(LeavingTarget(*target) for target in targets))
+    notices = later_fields[_QUARANTINE_LATER_FIELDS:]
+    if len(notices) > 1:
+        start, limit_per_s, age_ms = notices[1]
+        return TargetLimitFrame(TargetStart(*start), float(limit_per_s), int(age_ms))
+    if notices:
+        return TargetsLeavingFrame(tuple(TargetStart(*target) for target in notices[0]))
     if not later_fields:
         return QuarantineFrame(QuarantineReport(tuple(ReportedLevel(*pair) for pair in levels)))
     ages_ms, crashes, cleared = later_fields
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -16,7 +16,7 @@
 from cottonlink.path._exchange import Exchange
 from cottonlink.path._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path._frames import CallFrame
-from cottonlink.path._http import end_to_end_headers
+from cottonlink.path._http import Headers, end_to_end_headers
 from cottonlink.path._ingress_call import IngressCall
 from cottonlink.path._model import (
     Answered,
@@ -44,12 +44,12 @@
 class Ingress:
     """Serves the requests that callers send to this node.
 
-    ``on_target_leaving`` is called when a response of an upstream says that it leaves.
+    ``on_response`` is called with the headers of each response of an upstream.
     """
 
-    def __init__(self, state: NodeState, on_target_leaving: Callable[[Upstream], None]) -> None:
+    def __init__(self, state: NodeState, on_response: Callable[[Upstream, Headers], None]) -> None:
         self._state = state
-        self._on_target_leaving = on_target_leaving
+        self._on_response = on_response
         self._calls: set[IngressCall] = set()
         self._final_responses = FinalResponses(state, self._finish)
 
@@ -211,8 +211,8 @@
             self._apply_report(call, upstream, report)
             if not _is_rate_limited(outcome):
                 self._record_pressure(call, report)
-        if isinstance(outcome, Answered) and self._state.header_codec.is_leaving(outcome.headers):
-            self._on_target_leaving(upstream)
+        if isinstance(outcome, Answered):
+            self._on_response(upstream, outcome.headers)
         self._handle(outcome, call, upstream)
 
     def _apply_report(self, call: IngressCall, upstream: Upstream, report: TargetReport) -> None:
--- a/src/cottonlink/path/_leaving_exchange.py
+++ b/src/cottonlink/path/_leaving_exchange.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from cottonlink.overload import LeavingTarget, leaving_target
+from cottonlink.overload import TargetStart, target_start
 from cottonlink.path._frames import TargetsLeavingFrame
 from cottonlink.path._model import Upstream
 from cottonlink.path._peer_links import Address
@@ -35,7 +35,7 @@
 
     def learn_from_response(self, upstream: Upstream) -> None:
         """Record that a response of ``upstream`` said that it leaves, and tell all peers."""
-        new = self._learn((leaving_target(upstream),), "response")
+        new = self._learn((target_start(upstream),), "response")
         if new:
             self._peers.send_to_all(TargetsLeavingFrame(tuple(new)))
 
@@ -58,7 +58,7 @@
         if targets := self._targets.learned_since(self._state.now_ms() - REPEAT_MS):
             self._peers.send_to_some(_make_frame(targets))
 
-    def _learn(self, targets: tuple[LeavingTarget, ...], source: str) -> list[LeavingTarget]:
+    def _learn(self, targets: tuple[TargetStart, ...], source: str) -> list[TargetStart]:
         new = self._targets.learn(targets, self._state.now_ms())
         for target in new:
             self._state.metrics.count("targets_leaving", source)
@@ -73,5 +73,5 @@
         return new
 
 
-def _make_frame(targets: tuple[LeavingTarget, ...]) -> TargetsLeavingFrame:
+def _make_frame(targets: tuple[TargetStart, ...]) -> TargetsLeavingFrame:
     return TargetsLeavingFrame(targets[-FRAME_TARGET_LIMIT:])
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -28,12 +28,14 @@
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
+    TargetLimitFrame,
     TargetsLeavingFrame,
 )
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers, parse_address
 from cottonlink.path._ingress import Ingress
 from cottonlink.path._leaving_exchange import LeavingExchange
+from cottonlink.path._limit_exchange import LimitExchange
 from cottonlink.path._listeners import Listeners
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
@@ -126,7 +128,8 @@
             self.state, self._quarantine_exchange, self._leaving_exchange, loop
         )
         self.dispatcher = self.state.dispatcher = self._target.dispatcher
-        self._ingress = Ingress(self.state, self._leaving_exchange.learn_from_response)
+        self._limit_exchange = LimitExchange(self.state, peers, self._target)
+        self._ingress = Ingress(self.state, self._on_response)
         # As registered in the store.
         self._upstreams: list[Upstream] = []
         self._listeners = Listeners(loop)
@@ -312,6 +315,8 @@
             self._quarantine_exchange.receive(frame)
         elif isinstance(frame, TargetsLeavingFrame):
             self._leaving_exchange.receive(frame)
+        elif isinstance(frame, TargetLimitFrame):
+            self._limit_exchange.receive(frame)
 
     # Implements PeerLinkListener.
     def on_link_leaving(self, address: Address, *, takes_calls: bool) -> None:
@@ -329,6 +334,7 @@
                 load_balancer.mark_reachable(upstream.upstream_id)
         self._quarantine_exchange.greet_link(address)
         self._leaving_exchange.greet_link(address)
+        self._limit_exchange.greet_link(address)
 
     def on_link_load(self, address: Address, load: Load) -> None:
         now_ms = self.now_ms()
@@ -348,6 +354,11 @@
         self.state.metrics.count("peer_links", state)
         self.state.log.event(f"peer_{state}", peer=f"{address[0]}:{address[1]}", detail=detail)
 
+    def _on_response(self, upstream: Upstream, headers: Headers) -> None:
+        if self.state.header_codec.is_leaving(headers):
+            self._leaving_exchange.learn_from_response(upstream)
+        self._limit_exchange.learn_from_response(upstream, headers)
+
     def _on_route_limit_changed(self, change: LimitChange) -> None:
         self.state.log.event(
             "route_limit_changed",
--- a/src/cottonlink/path/_own_target.py
+++ b/src/cottonlink/path/_own_target.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from cottonlink.overload import TargetLimitChange
+from cottonlink.overload import TargetLimitChange, TargetStart, target_start
 from cottonlink.path._leaving_exchange import LeavingExchange
 from cottonlink.path._model import Upstream
 from cottonlink.path._quarantine_exchange import QuarantineExchange
@@ -31,6 +31,8 @@
             self.pool, state.header_codec, state.crash_guard, self, state.log, loop
         )
         self._upstream: Upstream | None = None
+        # The start for which a peer told of a limit before the target's registration was known.
+        self._limited_start: TargetStart | None = None
         # What the latest line on an invalid limit said, as each response may name the same.
         self._invalid_limit = ""
 
@@ -60,6 +62,14 @@
             upstream_id = self._upstream and self._upstream.upstream_id
             self._state.log.event("target_limit_invalid", upstream=upstream_id, detail=detail)
 
+    def adopt_limit(self, start: TargetStart, limit_per_s: float, age_ms: float) -> None:
+        """Apply a limit that a response of the target named at another node."""
+        if self._upstream is None:
+            self._limited_start = start
+        elif target_start(self._upstream) != start:
+            return
+        self.dispatcher.adopt_limit(limit_per_s, age_ms)
+
     def update(self, registered: list[Upstream], *, takes_calls: bool) -> None:
         """Apply the registrations at the target's address.
 
@@ -78,6 +88,9 @@
         if previous is not None and newest.started_at_ms != previous.started_at_ms:
             self.pool.drop_idle()
             self.dispatcher.detect_restart()
+        elif previous is None and self._limited_start not in (None, target_start(newest)):
+            self.dispatcher.forget_limit()
+        self._limited_start = None
         self._upstream = newest
         self.dispatcher.resize(newest.slots)
         if newest.is_draining:
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -214,11 +214,8 @@
         return max(self._queue.pressure(now_ms), downstream)
 
     def detect_restart(self) -> None:
-        """Take recent runs that ended without a response for those that the crash ended.
-
-        The limit that the former incarnation of the target named has ended with it.
-        """
-        self._report_limit(self._limit.reset(self._now_ms()))
+        """Take recent runs that ended without a response for those that the crash ended."""
+        self.forget_limit()
         self._detect_crash(RESTART_WINDOW_MS)
 
     def resize(self, slots: int) -> None:
@@ -343,6 +340,14 @@
         headers = end_to_end_headers(response.headers, frozenset())
         return Answered(response.status, headers, response.body)
 
+    def adopt_limit(self, limit_per_s: float, age_ms: float) -> None:
+        """Apply a limit that another node was told of, unless a response came here since."""
+        self._report_limit(self._limit.adopt(limit_per_s, age_ms, self._now_ms()))
+
+    def forget_limit(self) -> None:
+        """End the limit that a former incarnation of the target has named."""
+        self._report_limit(self._limit.reset(self._now_ms()))
+
     def _read_limit(self, response: HttpResponse) -> None:
         try:
             limit_per_s = self._header_codec.limit_per_s(response.headers)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -11,9 +11,9 @@
 
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.overload import (
-    LeavingTarget,
     QuarantineReport,
     StorePosition,
+    TargetStart,
     make_leaving_targets,
 )
 from cottonlink.overload._leaving_targets import LEAVING_TARGET_LIMIT
@@ -284,7 +284,7 @@
 class TestNotices(unittest.TestCase):
     """What nodes tell each other of leaving targets, and keep of it."""
 
-    targets = (LeavingTarget("i-1", 1_700_000_000_000), LeavingTarget("i-2", None))
+    targets = (TargetStart("i-1", 1_700_000_000_000), TargetStart("i-2", None))
 
     def test_notice_is_read_as_it_was_sent(self) -> None:
         """Starts under one id must stay apart on their way."""
@@ -302,7 +302,7 @@
     def test_number_of_remembered_targets_is_limited(self) -> None:
         """A fleet whose targets come and go for years must not fill the memory of a node."""
         known = make_leaving_targets()
-        targets = [LeavingTarget(f"i-{n}", n) for n in range(LEAVING_TARGET_LIMIT + 5)]
+        targets = [TargetStart(f"i-{n}", n) for n in range(LEAVING_TARGET_LIMIT + 5)]
         self.assertEqual(known.learn(targets, 0.0), targets)
         self.assertEqual(known.learn(targets[-5:], 1.0), [])
         self.assertEqual(known.all(), tuple(targets[5:]))
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -8,6 +8,8 @@
 import unittest
 from collections import Counter
 
+import msgpack
+
 from cottonlink.errors import CottonlinkError
 from cottonlink.overload import (
     NESTED_CALL_TIER,
@@ -15,14 +17,17 @@
     RATE_LIMITED,
     Job,
     Patience,
+    QuarantineReport,
     Refusal,
+    TargetStart,
     make_load_balancer,
     make_target_limit,
     make_target_queue,
 )
 from cottonlink.overload._load_balancer import MAX_FULL_MS
-from cottonlink.overload._target_limit import BURST_S, LAPSE_MS, RECOVERY_MS
+from cottonlink.overload._target_limit import BURST_S, LIMIT_LAPSE_MS, RECOVERY_MS
 from cottonlink.path import Upstream
+from cottonlink.path._frames import FrameReader, QuarantineFrame, TargetLimitFrame, encode
 from cottonlink.platform._headers import PlatformHeaderCodec
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
@@ -231,8 +236,8 @@
     def test_limit_that_no_response_names_any_more_lapses(self) -> None:
         """A target that answers nothing must not be left with its last limit for good."""
         self.limit.observe(0.0, self.now_ms)
-        self.assertIsNone(self.limit.lapse(self.now_ms + LAPSE_MS - 1.0))
-        change = self.limit.lapse(self.now_ms + LAPSE_MS)
+        self.assertIsNone(self.limit.lapse(self.now_ms + LIMIT_LAPSE_MS - 1.0))
+        change = self.limit.lapse(self.now_ms + LIMIT_LAPSE_MS)
         self.assertEqual((change.limit_per_s, change.previous_per_s), (None, 0.0))
 
     def test_use_returns_by_degrees_after_the_end(self) -> None:
@@ -262,6 +267,35 @@
         self.assertIsNone(self.limit.observe(None, self.now_ms))
 
 
+class TestPassedOnLimit(unittest.TestCase):
+    """A limit that comes back to the node next to its target from a peer."""
+
+    def test_limit_of_a_peer_is_older_than_an_own_response(self) -> None:
+        """What the target has said since must not be undone by what a peer remembers."""
+        limit = make_target_limit()
+        self.assertIsNotNone(limit.adopt(5.0, 300.0, 1_000.0))
+        self.assertEqual(limit.rate_per_s(1_000.0), 5.0)
+        limit.observe(9.0, 2_000.0)
+        self.assertIsNone(limit.adopt(5.0, 100.0, 2_050.0))
+        self.assertIsNone(limit.adopt(5.0, LIMIT_LAPSE_MS, 60_000.0))
+        self.assertEqual(limit.rate_per_s(2_050.0), 9.0)
+
+    def test_limit_of_a_peer_lapses_with_its_age(self) -> None:
+        """A limit that is handed around must not live longer than one that was heard."""
+        limit = make_target_limit()
+        limit.adopt(5.0, 4_000.0, 1_000.0)
+        self.assertIsNone(limit.lapse(1_000.0 + LIMIT_LAPSE_MS - 4_001.0))
+        self.assertIsNotNone(limit.lapse(1_000.0 + LIMIT_LAPSE_MS - 4_000.0))
+
+    def test_frame_is_read_as_it_was_sent(self) -> None:
+        """The former build reads it as a report of no requests that crash targets."""
+        frame = TargetLimitFrame(TargetStart("i-1", 7), 0.5, 120)
+        self.assertEqual(list(FrameReader().feed(encode(frame))), [frame])
+        former_fields = msgpack.unpackb(encode(frame))[:5]
+        (report,) = FrameReader().feed(msgpack.packb(former_fields))
+        self.assertEqual(report, QuarantineFrame(QuarantineReport()))
+
+
 class TestNamedValues(unittest.TestCase):
     """The values that responses name."""
 
