Soak: targets name limits on their rate

Cause: no target of the soak named a limit, and nothing checked one, so LIMIT was never played beside other faults. Change: fault limit_rate, from 1.8 to 15 requests a second for 7 s and more, where targets get about 60; a check from what targets see and which responses callers got: from 3 s after the first response, in any 4 s, at most 1.5 times the limit and 5.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,9 +10,10 @@
 
 from attrs import frozen
 
-from soak.disturbances import Kind
+from soak.disturbances import CONTACT_S, Kind
 from soak.fleet import SoakFleet
 from soak.lag import STALL_S
+from soak.limit_checks import WINDOW_S
 from soak.vm import SoakVm
 
 MAX_DURATION_S = 2.5
@@ -20,6 +21,8 @@
 VMS_PER_FAULT_SET = 8
 # A target that has reported that it drains serves for this time and a little longer.
 DRAIN_S = 2.0
+# Limit that a target names, for each second that the fault lasts.
+LIMIT_PER_S = 6.0
 # How long the store is away before it returns from a copy, as shares of the age of the copy.
 AWAY_SHARES = (0.0, 0.15, 0.6)
 FaultAction = Callable[[SoakFleet, SoakVm, float], Awaitable[None]]
@@ -189,6 +192,13 @@
     await fleet.restart_target(vm, 0.0)
 
 
+async def limit_rate(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+    """Let the target name a limit on its requests, far below what it gets otherwise."""
+    vm.name_limit(LIMIT_PER_S * for_s, fleet.started_at_ms(vm.target))
+    await asyncio.sleep(CONTACT_S + WINDOW_S + for_s)
+    vm.end_limit()
+
+
 FAULT_ACTIONS: dict[str, FaultAction] = {
     action.__name__: action
     for action in (
@@ -209,6 +219,7 @@
         drain_target,
         remove_target,
         leave_unregistered,
+        limit_rate,
     )
 }
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -140,6 +140,10 @@
         self._started_at_ms[vm.target.upstream_id] = self._last_start_ms
         await self.register(vm, state="ready", born=self._last_start_ms)
 
+    def started_at_ms(self, target: PlatformTarget) -> int:
+        """Return the Unix time at which a target was started last."""
+        return self._started_at_ms.get(target.upstream_id, FIRST_START_MS)
+
     def era_at(self, time_s: float) -> int:
         """Return the era of the store at a past time."""
         return 1 + sum(returned_s <= time_s for returned_s in self.returned_s)
@@ -161,7 +165,7 @@
         self, target: PlatformTarget, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> bytes | None:
         (vm,) = (vm for vm in self.vms if vm.target is target)
-        started_at_ms = self._started_at_ms.get(target.upstream_id, FIRST_START_MS)
+        started_at_ms = self.started_at_ms(target)
         request_id = request.header("x-attempt-id")
         now_s = self.now_s()
         run = Run(request_id, vm.number, target.service, started_at_ms, now_s)
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 from soak.drain_checks import DRAIN_S, find_late_runs, find_runs_after_notice
 from soak.faults import FAULT_ACTIONS, PlannedFault, inject, plan_faults
 from soak.fleet import ADDED_ROUTE, BOOKINGS_ROUTE, CRASH_PATH, READS_ROUTE, ROOT, SoakFleet
+from soak.limit_checks import find_excess
 from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest
 from soak.runs import group_by_request
@@ -155,11 +156,13 @@
         fleet, requests = self.fleet, self.callers.observed
         runs = group_by_request(fleet.runs)
         configurations = ConfigurationCheck(fleet.writers.configurations, fleet.disturbances)
+        limits = [limit for vm in fleet.vms for limit in vm.limits]
         violations = [
             *find_violations(requests, runs),
             *configurations.find_violations(requests, runs),
             *find_late_runs(requests, runs, fleet.writers.entry_writes, fleet.disturbances),
             *find_runs_after_notice(requests, runs, fleet.disturbances),
+            *find_excess(requests, runs, limits, fleet.disturbances),
             *find_losses(requests, runs, fleet.vms, fleet.disturbances),
             *find_closed_unanswered(requests, runs, fleet.vms, fleet.disturbances),
         ]
--- a/soak/vm.py
+++ b/soak/vm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import os
 import signal
 import sys
@@ -29,6 +30,17 @@
     status: int | None = None
 
 
+@define
+class NamedLimit:
+    """A limit in requests per second that one start of a target names in its responses."""
+
+    vm: int
+    started_at_ms: int
+    limit_per_s: float
+    start_s: float
+    end_s: float = math.inf
+
+
 @define(eq=False)
 class SoakVm:
     """A VM: the node's process, its target, and the proxies for peers and for the store.
@@ -50,6 +62,7 @@
     # Counts the starts of the process.
     incarnation: int = 0
     stops: list[Stop] = field(factory=list)
+    limits: list[NamedLimit] = field(factory=list)
     # When its target stopped, in a crash or after it had drained.
     target_stops_s: list[float] = field(factory=list)
 
@@ -91,7 +104,19 @@
         stop.exited_s, stop.status = self.now_s(), self.process.returncode
         return stop
 
+    def name_limit(self, limit_per_s: float, started_at_ms: int) -> None:
+        """Let the target name a limit in its responses until ``end_limit``."""
+        self.target.named_limit = f"{limit_per_s:.2f}"
+        self.limits.append(NamedLimit(self.number, started_at_ms, limit_per_s, self.now_s()))
+
+    def end_limit(self) -> None:
+        """Let the target name no limit."""
+        self.target.named_limit = None
+        if self.limits:
+            self.limits[-1].end_s = min(self.limits[-1].end_s, self.now_s())
+
     async def stop_target(self) -> None:
         """Stop the target; what it was running ends without an answer."""
+        self.end_limit()
         self.target_stops_s.append(self.now_s())
         await self.target.stop()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -15,11 +15,12 @@
 from soak.disturbances import Disturbances, Kind
 from soak.drain_checks import find_late_runs, find_runs_after_notice
 from soak.lag import LagMeter
+from soak.limit_checks import find_excess
 from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest, expected_body
 from soak.runs import Run
 from soak.store_writers import EntryWrite, PublishedConfiguration, StoreWriters
-from soak.vm import Stop
+from soak.vm import NamedLimit, Stop
 
 
 class Clock:
@@ -243,6 +244,44 @@
         self.assertEqual(self.find(92.2, started_at_ms=2), 0)
 
 
+class TestExcess(unittest.TestCase):
+    """Guards against a soak that misses requests above the limit of a target."""
+
+    def setUp(self) -> None:
+        self.disturbances = Disturbances(Clock(200.0))
+        self.limit = NamedLimit(0, 1, 10.0, 80.0)
+        self.told = make_request(
+            vm=1, sent_s=80.5, request_id="told", headers={"server-limit": "10.00"}, ended_s=80.6
+        )
+
+    def find(self, count: int, *, since_s: float = 90.0, vm: int = 1, **changes: object) -> int:
+        requests, runs = [self.told], {}
+        for number in range(count):
+            sent_s = since_s + number * 3.9 / count
+            requests.append(make_request(sent_s=sent_s, request_id=f"r{number}", vm=vm, **changes))
+            runs[f"r{number}"] = [make_run(arrived_s=sent_s + 0.001)]
+        return len(find_excess(requests, runs, [self.limit], self.disturbances))
+
+    def test_more_than_one_and_a_half_times_the_limit(self) -> None:
+        self.assertEqual(self.find(66), 1)
+        self.assertEqual(self.find(65), 0)
+
+    def test_requests_before_the_nodes_are_in_touch_do_not_count(self) -> None:
+        self.assertEqual(self.find(66, since_s=79.0), 0)
+
+    def test_nodes_that_were_not_told_do_not_count(self) -> None:
+        self.assertEqual(self.find(66, vm=2), 0)
+        self.assertEqual(self.find(66, incarnations=(2, 2)), 0)
+
+    def test_disturbed_nodes_do_not_count(self) -> None:
+        disturb(self.disturbances, 1, Kind.FREEZE, 91.0, 92.0)
+        self.assertEqual(self.find(66), 0)
+
+    def test_limit_that_has_ended_does_not_count(self) -> None:
+        self.limit.end_s = 91.0
+        self.assertEqual(self.find(66), 0)
+
+
 class TestLoss(unittest.TestCase):
     """Guards against a soak that misses a request that is lost when its node stops."""
 
