Bound what a response holds besides its body

Cause: the parser collects a header line, a head or trailers until they are complete, whatever comes; interim responses and framing aren't counted at all. Class: input that is held until it is complete, without a bound on when that is. Change: the bytes of a response besides its body may be 64 KiB, and as many as those of the body in addition (framing of chunks). Input is parsed in pieces of 16 KiB and checked after each, so the loop parses little beyond the bound. A response that breaks it ends its connection at once, with the reason answer_head_too_large, as a broken answer of that target. Input behind a complete response isn't parsed any more. A response with 40 KB of headers and 320 KB in chunks of 16 bytes is read whole.

--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -11,6 +11,12 @@
 from cottonlink.path._http import Headers
 from cottonlink.path._sockets import enable_dead_peer_detection
 
+# Bytes of a response besides its body: interim responses, the head, the framing of chunks and the
+# trailers. The framing may be as large as the body in addition.
+OVERHEAD_LIMIT_BYTES = 65_536
+# Input is parsed in pieces of this size, and the bounds are checked after each.
+PARSED_BYTES = 16_384
+
 
 @frozen
 class HttpResponse:
@@ -67,6 +73,8 @@
         self._is_complete = False
         self._has_body_framing = False
         self._is_head_complete = False
+        self._received_bytes = 0
+        self._body_bytes = 0
         self.is_open = False
         self.is_reusable = True
         self.idle_since_ms = 0.0
@@ -129,17 +137,34 @@
             self.is_reusable = False
             self._transport.abort()
             return
+        for start in range(0, len(data), PARSED_BYTES):
+            piece = data[start : start + PARSED_BYTES]
+            if not self._parse(piece):
+                return
+            if self._is_complete:
+                if start + len(piece) < len(data):
+                    self.is_reusable = False
+                self._deliver()
+                return
+
+    def _parse(self, data: bytes) -> bool:
+        """Parse the next bytes of a response; return False if it has failed."""
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail("bad_answer")
+            return False
         except httptools.HttpParserError:
             if not self._is_complete:
                 self._fail("bad_answer")
-                return
+                return False
             self.is_reusable = False
-        if self._is_complete and self._exchange is not None:
-            self._deliver()
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if not self._is_complete and overhead_bytes > OVERHEAD_LIMIT_BYTES + self._body_bytes:
+            self._fail("answer_head_too_large")
+            return False
+        return True
 
     def eof_received(self) -> bool:
         exchange = self._exchange
@@ -179,6 +204,7 @@
             self.is_reusable = False
 
     def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
         if not self._is_complete:
             self._body.append(body)
 
@@ -206,6 +232,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers, self._body = [], []
         self._is_complete = self._has_body_framing = self._is_head_complete = False
+        self._received_bytes = self._body_bytes = 0
 
     def _belongs_to_another_request(self) -> bool:
         expected = self._exchange.expected_id
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,105 @@
+"""Bytes without end that are no answer, from targets and the store; no request, from callers."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Iterator
+from itertools import repeat
+from unittest import mock
+
+from cottonlink.path._http_client import ExchangeFailed, HttpConnection
+
+PIECE_BYTES = 64 * 1024
+# Far above any bound; what is fed without an end of the connection counts as unbounded.
+FED_LIMIT_BYTES = 8 * 1024 * 1024
+HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def endless(start: bytes, unit: bytes) -> Iterator[bytes]:
+    """Yield ``start`` and then ``unit`` for ever, in pieces as they are read from a socket."""
+    yield start
+    yield from repeat(unit * (PIECE_BYTES // len(unit)))
+
+
+# Endless input without a body; nothing of it may be held or read on.
+ENDLESS_HEADS = {
+    "one header line": (HEAD + b"X-Long: ", b"a"),
+    "header lines": (HEAD, b"a: b\r\n"),
+    "large header lines": (HEAD, b"a: " + b"b" * 1000 + b"\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
+    "one trailer line": (CHUNKED + b"0\r\nX-Long: ", b"a"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"5;", b"a"),
+    "chunks of a byte": (CHUNKED, b"1\r\na\r\n"),
+    "status line": (b"HTTP/1.1 200 ", b"a"),
+    "bytes that are no response": (b"", b"a"),
+    "line ends": (b"", b"\r\n"),
+}
+HEAD_BOUND_BYTES = 256 * 1024
+
+
+class ConnectionCase(unittest.TestCase):
+    """A connection to a target, whose transport is a stand-in."""
+
+    def setUp(self) -> None:
+        self.results: list[object] = []
+        self.connection = HttpConnection(b"x-attempt-id")
+        self.transport = mock.Mock(spec=asyncio.Transport)
+        self.transport.is_closing.return_value = False
+        self.transport.get_extra_info.return_value = None
+        self.transport.get_write_buffer_size.return_value = 0
+        self.connection.connection_made(self.transport)
+        self.connection.send(b"GET / HTTP/1.1\r\n\r\n", self.results.append, expected_id=b"a1")
+
+    def feed(self, pieces: Iterator[bytes]) -> int:
+        """Feed pieces until the connection is aborted; return the number of bytes."""
+        fed_bytes = 0
+        for piece in pieces:
+            self.connection.data_received(piece)
+            fed_bytes += len(piece)
+            if self.transport.abort.called or fed_bytes > FED_LIMIT_BYTES:
+                return fed_bytes
+        return fed_bytes
+
+
+class TestEndlessResponses(ConnectionCase):
+    """Guards against a node that grows without bound, or reads on until the deadline."""
+
+    def test_head_without_end_ends_the_connection(self) -> None:
+        """Heads, trailers, interim responses and framing are held until they are complete."""
+        for name, (start, unit) in ENDLESS_HEADS.items():
+            with self.subTest(name=name):
+                self.setUp()
+                self.assertLessEqual(self.feed(endless(start, unit)), HEAD_BOUND_BYTES)
+                (result,) = self.results
+                self.assertIsInstance(result, ExchangeFailed)
+                self.assertFalse(self.connection.is_reusable)
+
+    def test_large_heads_and_small_chunks_are_read(self) -> None:
+        """A bound that real responses reach would fail requests that were served."""
+        headers = b"".join(b"X-Header-%d: %s\r\n" % (n, b"v" * 400) for n in range(100))
+        chunks = b"10\r\n0123456789abcdef\r\n" * 20_000
+        data = HEAD + headers + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+        for start in range(0, len(data), PIECE_BYTES):
+            self.connection.data_received(data[start : start + PIECE_BYTES])
+        (result,) = self.results
+        self.assertEqual((result.status, len(result.body)), (200, 320_000))
+        self.assertTrue(self.connection.is_reusable)
+
+    def test_input_behind_a_response_is_not_parsed_on(self) -> None:
+        """A flood behind a complete response belongs to no request, and must not cost anything."""
+        data = HEAD + b"Content-Length: 2\r\n\r\nok" + b"HTTP/1.1 200 OK\r\n" * 100_000
+        self.connection.data_received(data)
+        (result,) = self.results
+        self.assertEqual(result.body, b"ok")
+        self.assertFalse(self.connection.is_reusable)
+
+
+del ConnectionCase
+
+
+if __name__ == "__main__":
+    unittest.main()
