Bound what a node holds of response bodies

Cause: bodies are collected whole, of any length and in any number, also when peers or callers read slowly. Change: a body may have 32 MiB, announced or received; beyond that its connection ends at once (answer_body_too_large). While a node holds 48 MiB of bodies, arriving ones and those that peers and callers haven't taken, connections with a body above 256 KiB aren't read until others have left. The one that began first is read on, so that all come to an end. Measured: three kinds of endless bodies were read on past 64 MB before and end within the bound; 20 bodies at a time stay within the bounds.

--- a/src/cottonlink/path/__init__.py
+++ b/src/cottonlink/path/__init__.py
@@ -1,6 +1,7 @@
 """The call path: one event loop that carries calls between callers, nodes and targets."""
 
 from cottonlink.overload import UNKNOWN_ERA, StorePosition
+from cottonlink.path._body_budget import make_body_budget
 from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers
@@ -44,5 +45,6 @@
     "Upstream",
     "WeightedService",
     "load_node_settings",
+    "make_body_budget",
     "make_event_log",
 ]
--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -264,6 +264,11 @@
         if self._transport is not None:
             self._abort("aborted")
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of written bytes that the kernel hasn't taken."""
+        return self._transport.get_write_buffer_size()
+
     def describe_end(self, cause: str = "") -> ConnectionEnd:
         """Return how the connection ended, or would end now for ``cause``."""
         cause = cause or self._end_cause or "peer_closed"
--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -8,6 +8,7 @@
 import httptools
 from attrs import define, frozen
 
+from cottonlink.path._body_budget import RESPONSE_BODY_LIMIT_BYTES, BodyBudget
 from cottonlink.path._http import Headers
 from cottonlink.path._sockets import enable_dead_peer_detection
 
@@ -16,6 +17,8 @@
 OVERHEAD_LIMIT_BYTES = 65_536
 # Input is parsed in pieces of this size, and the bounds are checked after each.
 PARSED_BYTES = 16_384
+# Digits of a Content-Length that are read; more mean a length above any bound.
+_LENGTH_DIGITS = 18
 
 
 @frozen
@@ -61,9 +64,13 @@
     """
 
     def __init__(
-        self, id_header: bytes | None, on_closed: Callable[[HttpConnection], None] | None = None
+        self,
+        id_header: bytes | None,
+        body_budget: BodyBudget,
+        on_closed: Callable[[HttpConnection], None] | None = None,
     ) -> None:
         self._id_header = id_header
+        self._body_budget = body_budget
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._exchange: _Exchange | None = None
@@ -75,6 +82,7 @@
         self._is_head_complete = False
         self._received_bytes = 0
         self._body_bytes = 0
+        self._announced_bytes = 0
         self.is_open = False
         self.is_reusable = True
         self.idle_since_ms = 0.0
@@ -119,18 +127,26 @@
 
     def abort(self) -> None:
         """Close at once; an exchange in progress gets no result."""
-        self._exchange = None
+        self._end_exchange(is_sent_on=False)
         self.is_reusable = False
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Close after written data has been sent; an exchange in progress gets no result."""
-        self._exchange = None
+        self._end_exchange(is_sent_on=False)
         self.is_reusable = False
         if self._transport is not None:
             self._transport.close()
 
+    # Implements BodyReader.
+    def pause_reading(self) -> None:
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         if self._exchange is None:
             # Bytes that no request asked for: what follows can't be matched to a request reliably.
@@ -164,6 +180,10 @@
         if not self._is_complete and overhead_bytes > OVERHEAD_LIMIT_BYTES + self._body_bytes:
             self._fail("answer_head_too_large")
             return False
+        announced_bytes = 0 if self._exchange.is_head else self._announced_bytes
+        if max(self._body_bytes, announced_bytes) > RESPONSE_BODY_LIMIT_BYTES:
+            self._fail("answer_body_too_large")
+            return False
         return True
 
     def eof_received(self) -> bool:
@@ -191,6 +211,8 @@
         lower = name.lower()
         if lower in (b"content-length", b"transfer-encoding"):
             self._has_body_framing = True
+            if lower == b"content-length" and value.isdigit():
+                self._announced_bytes = int(value[:_LENGTH_DIGITS])
         elif lower == b"keep-alive":
             self.idle_timeout_ms = _keep_alive_timeout_ms(value)
 
@@ -207,6 +229,7 @@
         self._body_bytes += len(body)
         if not self._is_complete:
             self._body.append(body)
+            self._body_budget.take(self, len(body))
 
     def on_message_complete(self) -> None:
         if self._is_complete:
@@ -218,6 +241,7 @@
                 self.is_reusable = False
             self._headers, self._body = [], []
             self._has_body_framing = self._is_head_complete = False
+            self._body_budget.release(self, is_sent_on=False)
             return
         self._is_complete = True
         if not self._parser.should_keep_alive():
@@ -232,7 +256,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers, self._body = [], []
         self._is_complete = self._has_body_framing = self._is_head_complete = False
-        self._received_bytes = self._body_bytes = 0
+        self._received_bytes = self._body_bytes = self._announced_bytes = 0
 
     def _belongs_to_another_request(self) -> bool:
         expected = self._exchange.expected_id
@@ -244,17 +268,24 @@
         return 200 <= self._parser.get_status_code() < 300
 
     def _deliver(self) -> None:
-        exchange, self._exchange = self._exchange, None
+        exchange = self._end_exchange(is_sent_on=True)
         if self._transport.get_write_buffer_size() > 0:
             # The response came before the request was sent: the server still expects its rest.
             self.is_reusable = False
         response = HttpResponse(
             self._parser.get_status_code(), tuple(self._headers), b"".join(self._body)
         )
+        self._body = []
         exchange.on_result(response)
 
-    def _fail(self, reason: str, *, is_connection_lost: bool = False) -> None:
+    def _end_exchange(self, *, is_sent_on: bool) -> _Exchange | None:
+        """Return the exchange in progress, which ends; the connection is read on."""
         exchange, self._exchange = self._exchange, None
+        self._body_budget.release(self, is_sent_on=is_sent_on)
+        return exchange
+
+    def _fail(self, reason: str, *, is_connection_lost: bool = False) -> None:
+        exchange = self._end_exchange(is_sent_on=False)
         self.is_reusable = False
         if self._transport is not None and self.is_open:
             self._transport.abort()
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -387,6 +387,12 @@
             return SnapshotRequestFrame()
         return self.store_view.snapshot_request()
 
+    def _update_body_budget(self) -> None:
+        budget = self._target.body_budget
+        if budget.held_bytes:
+            connections = [*self._caller_connections, *self._peer_connections]
+            budget.set_unsent(sum(connection.buffered_bytes for connection in connections))
+
     def _readiness(self) -> tuple[int, bytes]:
         is_ready = self.state.configuration is not None and self._shutdown is None
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
@@ -397,6 +403,7 @@
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.state.peer_links.sweep()
         self._target.pool.sweep()
+        self._update_body_budget()
         if self._peer_connections and self._snapshot_request() is not None:
             self._request_snapshot(self.state.rng.choice(list(self._peer_connections)))
         self._sweep_count += 1
--- a/src/cottonlink/path/_own_target.py
+++ b/src/cottonlink/path/_own_target.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from cottonlink.overload import TargetLimitChange, TargetStart, target_start
+from cottonlink.path._body_budget import make_body_budget
 from cottonlink.path._leaving_exchange import LeavingExchange
 from cottonlink.path._model import Upstream
 from cottonlink.path._quarantine_exchange import QuarantineExchange
@@ -26,7 +27,10 @@
         self._state = state
         self._quarantine_exchange = quarantine_exchange
         self._leaving_exchange = leaving_exchange
-        self.pool = TargetPool(state.target_address, state.header_codec.id_header, loop)
+        self.body_budget = make_body_budget()
+        self.pool = TargetPool(
+            state.target_address, state.header_codec.id_header, self.body_budget, loop
+        )
         self.dispatcher = TargetDispatcher(
             self.pool, state.header_codec, state.crash_guard, self, state.log, loop
         )
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -104,6 +104,11 @@
             self._is_ending = True
             self._transport.write_eof()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of written bytes that the kernel hasn't taken."""
+        return self._transport.get_write_buffer_size()
+
     def unsent_bytes(self) -> int:
         """Return the number of written bytes that the peer hasn't acknowledged."""
         return unsent_bytes(self._transport)
--- a/src/cottonlink/path/_target_pool.py
+++ b/src/cottonlink/path/_target_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from cottonlink.path._body_budget import BodyBudget
 from cottonlink.path._http_client import HttpConnection
 
 # Idle time-out assumed for a target that announces none.
@@ -21,10 +22,15 @@
     """Keeps connections to the target at ``address``, at most ``limit`` of them."""
 
     def __init__(
-        self, address: tuple[str, int], id_header: bytes, loop: asyncio.AbstractEventLoop
+        self,
+        address: tuple[str, int],
+        id_header: bytes,
+        body_budget: BodyBudget,
+        loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._address = address
         self._id_header = id_header
+        self._body_budget = body_budget
         self._loop = loop
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
@@ -109,7 +115,7 @@
         self, on_ready: Callable[[HttpConnection], None], on_failure: Callable[[str], None]
     ) -> None:
         def make_connection() -> HttpConnection:
-            return HttpConnection(self._id_header, self._open.discard)
+            return HttpConnection(self._id_header, self._body_budget, self._open.discard)
 
         try:
             connecting = self._loop.create_connection(make_connection, *self._address)
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -21,6 +21,7 @@
     StoreItem,
     StorePosition,
     Upstream,
+    make_body_budget,
 )
 from cottonlink.platform._records import (
     CONFIGURATION_KEY,
@@ -60,6 +61,7 @@
         self._loop = loop
         self._connection: HttpConnection | None = None
         self._answered_s = 0.0
+        self._body_budget = make_body_budget()
 
     async def read_all(self) -> Listing:
         """Return the configuration and all entries of upstreams.
@@ -169,7 +171,9 @@
             self.close()
         if self._connection is not None and self._connection.can_send:
             return self._connection
-        connecting = self._loop.create_connection(lambda: HttpConnection(None), *self._address)
+        connecting = self._loop.create_connection(
+            lambda: HttpConnection(None, self._body_budget), *self._address
+        )
         _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         self._connection = connection
         return connection
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -8,11 +8,17 @@
 from itertools import repeat
 from unittest import mock
 
+from cottonlink.path._body_budget import (
+    HELD_LIMIT_BYTES,
+    RESPONSE_BODY_LIMIT_BYTES,
+    SHORT_BODY_BYTES,
+    make_body_budget,
+)
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection
 
 PIECE_BYTES = 64 * 1024
 # Far above any bound; what is fed without an end of the connection counts as unbounded.
-FED_LIMIT_BYTES = 8 * 1024 * 1024
+FED_LIMIT_BYTES = 64 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -39,6 +45,12 @@
     "line ends": (b"", b"\r\n"),
 }
 HEAD_BOUND_BYTES = 256 * 1024
+# Endless bodies; a node holds up to its bound of them.
+ENDLESS_BODIES = {
+    "chunks": (CHUNKED, b"400\r\n" + b"a" * 1024 + b"\r\n"),
+    "one chunk": (CHUNKED + b"ffffffffff\r\n", b"a"),
+    "until the end of the connection": (HEAD + b"\r\n", b"a"),
+}
 
 
 class ConnectionCase(unittest.TestCase):
@@ -46,7 +58,8 @@
 
     def setUp(self) -> None:
         self.results: list[object] = []
-        self.connection = HttpConnection(b"x-attempt-id")
+        self.budget = make_body_budget()
+        self.connection = HttpConnection(b"x-attempt-id", self.budget)
         self.transport = mock.Mock(spec=asyncio.Transport)
         self.transport.is_closing.return_value = False
         self.transport.get_extra_info.return_value = None
@@ -78,6 +91,24 @@
                 self.assertIsInstance(result, ExchangeFailed)
                 self.assertFalse(self.connection.is_reusable)
 
+    def test_body_without_end_ends_the_connection(self) -> None:
+        """Bodies are held until they are complete."""
+        for name, (start, unit) in ENDLESS_BODIES.items():
+            with self.subTest(name=name):
+                self.setUp()
+                allowed_bytes = 1.1 * RESPONSE_BODY_LIMIT_BYTES
+                self.assertLessEqual(self.feed(endless(start, unit)), allowed_bytes)
+                self.assertEqual(self.results[0].reason, "answer_body_too_large")
+                self.assertEqual(self.budget.held_bytes, 0)
+
+    def test_body_that_is_announced_as_too_long_is_not_read(self) -> None:
+        """A length above the bound tells at once that the response can't be returned."""
+        for length in (RESPONSE_BODY_LIMIT_BYTES + 1, 10**15):
+            with self.subTest(length=length):
+                self.setUp()
+                self.feed(iter((HEAD + b"Content-Length: %d\r\n\r\n" % length,)))
+                self.assertEqual(self.results[0].reason, "answer_body_too_large")
+
     def test_large_heads_and_small_chunks_are_read(self) -> None:
         """A bound that real responses reach would fail requests that were served."""
         headers = b"".join(b"X-Header-%d: %s\r\n" % (n, b"v" * 400) for n in range(100))
@@ -98,6 +129,64 @@
         self.assertFalse(self.connection.is_reusable)
 
 
+class Reader:
+    """A connection on which a response arrives."""
+
+    def __init__(self) -> None:
+        self.is_paused = False
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
+
+class TestHeldBodies(unittest.TestCase):
+    """Guards against a node that grows with the number of bodies, or with slow readers of them."""
+
+    def setUp(self) -> None:
+        self.budget = make_body_budget()
+        self.readers = [Reader() for _ in range(20)]
+
+    def receive(self, readers: list[Reader], count: int = 1024 * 1024) -> None:
+        """Let a part of its body arrive on each connection that is read."""
+        for reader in readers:
+            if not reader.is_paused:
+                self.budget.take(reader, count)
+
+    def test_bodies_that_arrive_together_wait_for_each_other(self) -> None:
+        """One is always read on, so that all of them come to an end."""
+        for _ in range(16):
+            self.receive(self.readers)
+        last_parts_bytes = len(self.readers) * 1024 * 1024
+        allowed_bytes = HELD_LIMIT_BYTES + RESPONSE_BODY_LIMIT_BYTES + last_parts_bytes
+        self.assertLess(self.budget.held_bytes, allowed_bytes)
+        self.assertFalse(self.readers[0].is_paused)
+        while self.readers:
+            self.assertFalse(self.readers[0].is_paused)
+            self.budget.release(self.readers.pop(0), is_sent_on=False)
+        self.assertEqual(self.budget.held_bytes, 0)
+
+    def test_targets_wait_while_responses_are_read_slowly(self) -> None:
+        """What a peer or a caller hasn't taken counts, and reading goes on once it has."""
+        for reader in self.readers[:3]:
+            self.budget.take(reader, RESPONSE_BODY_LIMIT_BYTES)
+            self.budget.release(reader, is_sent_on=True)
+        waiting = self.readers[3]
+        self.receive([waiting])
+        self.assertTrue(waiting.is_paused)
+        self.budget.set_unsent(HELD_LIMIT_BYTES // 4)
+        self.assertFalse(waiting.is_paused)
+
+    def test_short_bodies_are_always_read(self) -> None:
+        """One flood, or one slow reader, must not hold up other requests."""
+        self.budget.set_unsent(2 * HELD_LIMIT_BYTES)
+        for reader in self.readers:
+            self.budget.take(reader, SHORT_BODY_BYTES)
+        self.assertFalse(any(reader.is_paused for reader in self.readers))
+
+
 del ConnectionCase
 
 
