End runs whose response never ends

Callers saw: nothing at once; a target that sends a byte now and then kept a slot and a connection for good. Cause: a run that may not be repeated isn't cancelled when its caller has given up, and nothing else bounds the time of a response. Class: a wait without a bound in time. Change: a run that has not ended 2 s after its deadline is ended and its connection closed (run_overdue). The target stops work at the deadline, and its caller has had a response.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -54,7 +54,8 @@
 SWEEP_INTERVAL_S = 0.1
 # Callers' connections are checked for time-outs in every nth sweep.
 SWEEPS_PER_CALLER_SWEEP = 5
-# What is in quarantine, and which targets leave, is told to other nodes in every nth sweep.
+# What is in quarantine, and which targets leave, is told to other nodes in every nth sweep, and
+# runs that are overdue are ended.
 SWEEPS_PER_SPREAD = 10
 # Retry-After while shutting down: short, since another node can serve the caller at once.
 LEAVING_RETRY_AFTER_MS = 50.0
@@ -410,6 +411,7 @@
         if self._sweep_count % SWEEPS_PER_SPREAD == 0:
             self._quarantine_exchange.spread()
             self._leaving_exchange.spread()
+            self.dispatcher.end_overdue()
         if self._sweep_count % SWEEPS_PER_CALLER_SWEEP == 0:
             now_ms = self.now_ms()
             limits = self.caller_limits()
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -58,6 +58,8 @@
 # Half-life of the moving average of the pressure at the targets that this one calls: it sets the
 # weight of a new report, and how fast the average decays without one.
 PRESSURE_HALF_LIFE_MS = 60.0
+# Time after its deadline for which a run may still end by itself: the target stops and responds.
+OVERDUE_MS = 2_000.0
 # Interval of the check for queued jobs that have waited too long, or for the target's limit.
 EXPIRY_INTERVAL_S = 0.02
 
@@ -190,6 +192,21 @@
                 self._record_unanswered_run(call.frame)
                 self._release(call, is_sample=False)
 
+    def end_overdue(self) -> None:
+        """End runs whose deadline is long over. To be called periodically.
+
+        Their callers have had a response by then, but a target may send on without end.
+        """
+        now_ms = self._now_ms()
+        for call in list(self._calls.values()):
+            if call.connection is None or now_ms - call.sent_deadline_ms < OVERDUE_MS:
+                continue
+            self._log.event("run_overdue", request_id=call.frame.request_id)
+            call.connection.abort()
+            self._record_unanswered_run(call.frame)
+            self._deliver(call, OutcomeUnknown("target_overdue"))
+            self._release(call, is_sample=False)
+
     def load(self) -> Load:
         """Return the current load of the target."""
         queue = self._queue
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -15,6 +15,9 @@
     make_body_budget,
 )
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection
+from emulator.http_stand_in import ReceivedRequest
+from emulator.platform_target import PlatformTarget, configuration, route_resource
+from tests.platform_fixtures import FleetCase
 
 PIECE_BYTES = 64 * 1024
 # Far above any bound; what is fed without an end of the connection counts as unbounded.
@@ -187,7 +190,33 @@
         self.assertFalse(any(reader.is_paused for reader in self.readers))
 
 
-del ConnectionCase
+class TestSlowResponses(FleetCase):
+    """Responses that never end because they come too slowly."""
+
+    async def test_response_that_trickles_past_the_deadline_frees_its_slot(self) -> None:
+        """A run that may not be repeated isn't cancelled, so nothing ended it."""
+        booking = await self.add_vm("booking", "i-1")
+        route = route_resource("bookings", "shop.example", "/bookings/", "booking", kind="unsafe")
+        await self.store.put("op/config", configuration(4, route))
+        await self.wait_until_version(4)
+        booking.target.behaviour = trickle
+        with mock.patch("cottonlink.path._target_dispatcher.OVERDUE_MS", 200.0):
+            response = await self.call(booking, "/bookings/1", method="POST", remaining_ms=300)
+            self.assertEqual(response.status, 504)
+            await self.wait_until(lambda: booking.node.dispatcher.is_idle)
+
+
+async def trickle(
+    _target: PlatformTarget, _request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a header line byte by byte, until the connection is closed."""
+    writer.write(HEAD + b"X-Slow: ")
+    while not writer.transport.is_closing():
+        writer.write(b"a")
+        await asyncio.sleep(0.05)
+
+
+del ConnectionCase, FleetCase
 
 
 if __name__ == "__main__":
