Bound what a request holds besides its head and body

Callers saw: nothing; a caller that sends trailers or framing without end makes a node grow and parse for as long as it likes. Cause: only the head and the body of a request were bounded. Class: as for responses. Change: the bytes behind the head that aren't body may be 64 KiB more than the limit on the head, and as many as the body in addition; beyond that the request is rejected with 431. Input is parsed in pieces of 16 KiB as for responses, with shared bounds. Ruled out: peers, whose frames are bounded at 80 MB by the unpacker; the store, whose client has the bounds of responses.

--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/_caller_connection.py
@@ -10,7 +10,7 @@
 
 from cottonlink.path._connection_end import ConnectionEnd, Linger, unsent_bytes
 from cottonlink.path._exchange import CallerHandler, Exchange
-from cottonlink.path._http import response_bytes
+from cottonlink.path._http import OVERHEAD_LIMIT_BYTES, PARSED_BYTES, response_bytes
 from cottonlink.path._model import CallerLimits, Request
 from cottonlink.path._sockets import (
     CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
@@ -34,6 +34,8 @@
     headers: list[tuple[bytes, bytes]] = field(factory=list)
     body: list[bytes] = field(factory=list)
     body_bytes: int = 0
+    # Of all pieces of input that hold a part of the message behind its head.
+    received_bytes: int = 0
     is_head_complete: bool = False
 
 
@@ -97,6 +99,10 @@
         self._pause_or_resume_reading()
 
     def data_received(self, data: bytes) -> None:
+        for start in range(0, len(data), PARSED_BYTES):
+            self._parse(data[start : start + PARSED_BYTES])
+
+    def _parse(self, data: bytes) -> None:
         if self._is_closing or self._is_rejecting:
             self._discarded_bytes += len(data)
             return
@@ -113,8 +119,13 @@
         if message is not None and not message.is_head_complete:
             if self._head_bytes > limits.header_bytes:
                 self._reject(431)
-        else:
-            self._head_bytes = 0
+            return
+        self._head_bytes = 0
+        if message is not None:
+            message.received_bytes += len(data)
+            overhead_bytes = message.received_bytes - message.body_bytes
+            if overhead_bytes > limits.header_bytes + OVERHEAD_LIMIT_BYTES + message.body_bytes:
+                self._reject(431)
 
     # Callbacks of httptools.HttpRequestParser.
     def on_message_begin(self) -> None:
--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -9,14 +9,9 @@
 from attrs import define, frozen
 
 from cottonlink.path._body_budget import RESPONSE_BODY_LIMIT_BYTES, BodyBudget
-from cottonlink.path._http import Headers
+from cottonlink.path._http import OVERHEAD_LIMIT_BYTES, PARSED_BYTES, Headers
 from cottonlink.path._sockets import enable_dead_peer_detection
 
-# Bytes of a response besides its body: interim responses, the head, the framing of chunks and the
-# trailers. The framing may be as large as the body in addition.
-OVERHEAD_LIMIT_BYTES = 65_536
-# Input is parsed in pieces of this size, and the bounds are checked after each.
-PARSED_BYTES = 16_384
 # Digits of a Content-Length that are read; more mean a length above any bound.
 _LENGTH_DIGITS = 18
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -14,7 +14,9 @@
     SHORT_BODY_BYTES,
     make_body_budget,
 )
+from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection
+from cottonlink.path._model import CallerLimits
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import PlatformTarget, configuration, route_resource
 from tests.platform_fixtures import FleetCase
@@ -48,6 +50,7 @@
     "line ends": (b"", b"\r\n"),
 }
 HEAD_BOUND_BYTES = 256 * 1024
+HEAD_FED_LIMIT_BYTES = 4 * 1024 * 1024
 # Endless bodies; a node holds up to its bound of them.
 ENDLESS_BODIES = {
     "chunks": (CHUNKED, b"400\r\n" + b"a" * 1024 + b"\r\n"),
@@ -190,6 +193,62 @@
         self.assertFalse(any(reader.is_paused for reader in self.readers))
 
 
+REQUEST = b"POST /a/ HTTP/1.1\r\nHost: shop.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_REQUESTS = {
+    "one header line": (b"GET /a/ HTTP/1.1\r\nX-Long: ", b"a"),
+    "header lines": (b"GET /a/ HTTP/1.1\r\n", b"a: b\r\n"),
+    "target": (b"GET /", b"a"),
+    "trailers": (REQUEST + b"0\r\n", b"a: b\r\n"),
+    "one trailer line": (REQUEST + b"0\r\nX-Long: ", b"a"),
+    "chunk size": (REQUEST, b"0"),
+    "chunk extension": (REQUEST + b"5;", b"a"),
+    "chunks of a byte": (REQUEST, b"1\r\na\r\n"),
+    "bytes that are no request": (b"", b"a"),
+}
+
+
+class TestEndlessRequests(unittest.TestCase):
+    """Guards against a node that grows with what a caller sends besides a body."""
+
+    def make_connection(self) -> CallerConnection:
+        """Return a connection of a caller, whose transport and node are stand-ins."""
+        handler = mock.Mock()
+        handler.now_ms.return_value = 0.0
+        handler.caller_limits.return_value = CallerLimits()
+        handler.is_shutting_down.return_value = False
+        connection = CallerConnection(handler)
+        transport = mock.Mock(spec=asyncio.Transport)
+        transport.get_extra_info.return_value = None
+        transport.get_write_buffer_size.return_value = 0
+        connection.connection_made(transport)
+        return connection
+
+    def test_request_without_end_is_rejected(self) -> None:
+        """Trailers and framing are held or parsed until they are complete."""
+        for name, (start, unit) in ENDLESS_REQUESTS.items():
+            with self.subTest(name=name):
+                connection = self.make_connection()
+                written = connection._transport.write
+                fed_bytes = 0
+                for piece in endless(start, unit):
+                    connection.data_received(piece)
+                    fed_bytes += len(piece)
+                    if written.called or fed_bytes > HEAD_FED_LIMIT_BYTES:
+                        break
+                self.assertLessEqual(fed_bytes, HEAD_BOUND_BYTES)
+                (response,) = written.call_args.args
+                self.assertRegex(response, rb"^HTTP/1.1 4(00|31) ")
+
+    def test_small_chunks_are_read(self) -> None:
+        """A caller may send its body in many small chunks."""
+        connection = self.make_connection()
+        data = REQUEST + b"10\r\n0123456789abcdef\r\n" * 20_000 + b"0\r\n\r\n"
+        for start in range(0, len(data), PIECE_BYTES):
+            connection.data_received(data[start : start + PIECE_BYTES])
+        body = connection._handler.parse_request.call_args.args[3]
+        self.assertEqual(len(body), 320_000)
+
+
 class TestSlowResponses(FleetCase):
     """Responses that never end because they come too slowly."""
 
