Skip the check for room at upstreams that never were full

Cause: each placement asked every upstream of a service, though targets rarely limit their rate. Change: only those that have refused calls as full are asked. Measured: the tests of limits and decisions pass; the choice is the same.

--- a/src/cottonlink/overload/_load_balancer.py
+++ b/src/cottonlink/overload/_load_balancer.py
@@ -161,7 +161,7 @@
             if state.unavailable_until_ms <= now_ms and state.upstream.upstream_id not in exclude
         ]
         if patience is not None:
-            states = [s for s in states if not s.full_for_ms(patience, now_ms)]
+            states = [s for s in states if not (s.full and s.full_for_ms(patience, now_ms))]
         if not states:
             return None
         # Upstreams of nodes that shut down are used only if there are no others.
