Test of deaf watchers: no bound on the wall clock

Cause: the test compared the time until a listener knows of a removal with 2 s of the wall clock, so a busy machine could decide it. Change: the connections of the watchers hang for good instead of failing after their time-outs. A listener that relies on heartbeats of such watchers never learns of the removal. The 2 s are checked by test_silence_of_all_watchers_is_noticed_within_the_time_to_apply_a_change, on the constants.

--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import unittest
 from unittest import mock
 
 import msgpack
 
-from cottonlink.errors import CottonlinkError, Step
 from cottonlink.overload import (
     QuarantineReport,
     StorePosition,
@@ -17,10 +15,8 @@
     make_leaving_targets,
 )
 from cottonlink.overload._leaving_targets import LEAVING_TARGET_LIMIT
-from cottonlink.path import Listing
 from cottonlink.path._frames import FrameReader, QuarantineFrame, TargetsLeavingFrame, encode
 from cottonlink.path._peer_notices import PeerNotices
-from cottonlink.platform._store_client import WATCH_MARGIN_S, WATCH_WAIT_MS
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
     PlatformTarget,
@@ -39,14 +35,13 @@
 
 
 class HangingStore:
-    """A store client whose connection went silent: calls fail only by their time-outs."""
+    """A store client whose connection went silent; its calls don't even fail."""
 
-    async def read_all(self) -> Listing:
-        return await self.watch(None)
+    async def read_all(self) -> None:
+        await asyncio.Event().wait()
 
-    async def watch(self, _position: StorePosition | None) -> Listing:
-        await asyncio.sleep(WATCH_WAIT_MS / 1000.0 + WATCH_MARGIN_S)
-        raise CottonlinkError("store_unreachable", "TimeoutError", step=Step.POLICY_READ)
+    async def watch(self, _position: StorePosition) -> None:
+        await asyncio.Event().wait()
 
 
 class StoreCase(FleetCase):
@@ -110,9 +105,7 @@
         for vm in self.watchers():
             self.silence_store(vm)
         await self.store.remove(f"servers/{leaving.target.upstream_id}")
-        removed_s = time.monotonic()
         await self.wait_until(lambda: not self.knows(listener, leaving.target.upstream_id))
-        self.assertLess(time.monotonic() - removed_s, DRAIN_S)
 
     async def test_changes_read_after_a_gap_are_sent_on(self) -> None:
         """A watcher that had lost the history read the changes and told nobody of them.
