Stop a listener of the threaded path without a race

Cause: Listener.stop set the event that ends the server's loop before it woke the loop up. A loop that happened to look at that moment closed the pipe of its trigger first, and stop failed with EBADF.

Change: the loop sets the event itself when it is woken up. A second stop does nothing.

Measured: test_stop_while_the_server_ends, which holds the caller right after the event is set, fails with EBADF on the old code and passes now.

--- a/src/cottonlink/node/_listeners.py
+++ b/src/cottonlink/node/_listeners.py
@@ -19,6 +19,7 @@
 MEMORY_BUFFER_BYTES = 1 << 30
 BACKLOG = 1_024
 INITIAL_THREADS = 4
+LOOP_TIMEOUT_S = 1
 
 _log = structlog.get_logger()
 
@@ -124,8 +125,10 @@
 
     def stop(self, timeout_s: float = 5) -> None:
         """Close the listening socket and all connections, and stop the threads."""
-        self._stopping.set()
-        self._server.pull_trigger()
+        if not self._thread.is_alive():
+            return
+        # The server's thread sets the event, as it closes the trigger once it sees it.
+        self._server.trigger.pull_trigger(self._stopping.set)
         self._thread.join(timeout_s)
 
 
@@ -173,6 +176,6 @@
 
 def _serve(server, socket_map: dict, stopping: threading.Event) -> None:
     while not stopping.is_set():
-        server.asyncore.loop(timeout=1, use_poll=True, map=socket_map, count=1)
+        server.asyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=socket_map, count=1)
     server.task_dispatcher.shutdown(timeout=1)
     server.asyncore.close_all(socket_map)
--- a/tests/test_listener_close.py
+++ b/tests/test_listener_close.py
@@ -5,8 +5,10 @@
 import socket
 import time
 import unittest
+from collections.abc import Callable
+from unittest import mock
 
-from cottonlink.node._listeners import start_listener
+from cottonlink.node._listeners import LOOP_TIMEOUT_S, Listener, start_listener
 
 BODY = bytes(24_000_000)
 # A small window keeps most of a response on the side of its sender.
@@ -14,6 +16,37 @@
 TIMEOUT_S = 20.0
 
 
+def start(app: Callable) -> Listener:
+    """Start a listener for ``app`` on a free port."""
+    return start_listener(
+        app,
+        "127.0.0.1:0",
+        threads=2,
+        connection_limit=10,
+        body_limit_bytes=1_000,
+        header_limit_bytes=1_000,
+        name="test",
+    )
+
+
+class TestListenerStop(unittest.TestCase):
+    """Stops of a listener."""
+
+    def test_stop_while_the_server_ends(self) -> None:
+        """Guards against a stop that fails as the server has closed its trigger already."""
+        listener = start(lambda _environ, _start_response: [])
+        stopping = listener._stopping
+        set_stopping = stopping.set
+
+        def set_and_wait() -> None:
+            set_stopping()
+            time.sleep(2 * LOOP_TIMEOUT_S)
+
+        with mock.patch.object(stopping, "set", set_and_wait):
+            listener.stop()
+        listener.stop()
+
+
 class TestListenerClose(unittest.TestCase):
     """Responses after which a listener closes the connection."""
 
@@ -24,15 +57,7 @@
             start_response("200 OK", [("Content-Length", str(len(BODY)))])
             return [BODY]
 
-        listener = start_listener(
-            serve,
-            "127.0.0.1:0",
-            threads=2,
-            connection_limit=10,
-            body_limit_bytes=1_000,
-            header_limit_bytes=1_000,
-            name="test",
-        )
+        listener = start(serve)
         self.addCleanup(listener.stop)
         host, _, port = listener.address.rpartition(":")
         caller = socket.socket()
