Don't ask a peer about an attempt that has been ended

Cause: since a missed reply no longer counts as a query, the slow-call checker asked once more about an attempt that it had just ended and whose thread hadn't noticed yet.

Change: attempts with an abort reason are left out.

--- a/src/cottonlink/node/_actors/_slow_calls.py
+++ b/src/cottonlink/node/_actors/_slow_calls.py
@@ -65,7 +65,8 @@
             now_ms - self._silence_ms
         ):
             is_due = now_ms - attempt.last_query_ms >= self._silence_ms
-            if is_due and not attempt.connection.answer_began:
+            is_open = attempt.abort_reason is None and not attempt.connection.answer_began
+            if is_due and is_open:
                 by_peer[attempt.control_address].append((forwarded, attempt))
         for address, waiting in by_peer.items():
             if address not in self._peers_being_queried:
