Close a listener's trigger only after its stop has pulled it

Change: stop sets the event and pulls the trigger under a lock, which the server's thread takes before it closes anything. A second stop only waits.

--- a/src/cottonlink/node/_listeners.py
+++ b/src/cottonlink/node/_listeners.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import structlog
-from attrs import define, field
+from attrs import define
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.server import create_server
@@ -121,14 +121,15 @@
     address: str
     _server: object
     _thread: threading.Thread
-    _stopping: threading.Event = field(factory=threading.Event)
+    _stopping: threading.Event
+    _stop_lock: threading.Lock
 
     def stop(self, timeout_s: float = 5) -> None:
         """Close the listening socket and all connections, and stop the threads."""
-        if not self._thread.is_alive():
-            return
-        # The server's thread sets the event, as it closes the trigger once it sees it.
-        self._server.trigger.pull_trigger(self._stopping.set)
+        with self._stop_lock:
+            if not self._stopping.is_set():
+                self._stopping.set()
+                self._server.pull_trigger()
         self._thread.join(timeout_s)
 
 
@@ -167,15 +168,18 @@
     server.task_dispatcher.set_thread_count(min(INITIAL_THREADS, threads))
     host = address.rpartition(":")[0]
     stopping = threading.Event()
+    stop_lock = threading.Lock()
     thread = threading.Thread(
-        target=_serve, args=(server, socket_map, stopping), name=name, daemon=True
+        target=_serve, args=(server, socket_map, stopping, stop_lock), name=name, daemon=True
     )
     thread.start()
-    return Listener(f"{host}:{server.effective_port}", server, thread, stopping)
+    return Listener(f"{host}:{server.effective_port}", server, thread, stopping, stop_lock)
 
 
-def _serve(server, socket_map: dict, stopping: threading.Event) -> None:
+def _serve(server, socket_map: dict, stopping: threading.Event, stop_lock: threading.Lock) -> None:
     while not stopping.is_set():
         server.asyncore.loop(timeout=LOOP_TIMEOUT_S, use_poll=True, map=socket_map, count=1)
-    server.task_dispatcher.shutdown(timeout=1)
-    server.asyncore.close_all(socket_map)
+    # Without the lock, the trigger could be closed while ``stop`` pulls it.
+    with stop_lock:
+        server.task_dispatcher.shutdown(timeout=1)
+        server.asyncore.close_all(socket_map)
