Count only runs before a restart as runs at a leaving node

Cause: the drain cells of the fault matrix restart the owner after it has left, and then send calls to it. The check of I6 took each run that started more than 5 s after the request to leave for a late one, so on a slow machine the calls after the restart broke it.

Change: the request to leave says when the node was started again, and runs from then on are not late. As strict as before for the process that leaves; a run at any time up to the restart still counts. The check was wrong, not the bound.

--- a/emulator/checker.py
+++ b/emulator/checker.py
@@ -19,10 +19,20 @@
 
 @frozen
 class LeaveRequest:
-    """``target`` was told to leave at ``at_ms`` (monotonic time)."""
+    """``target`` was told to leave at ``at_ms`` (monotonic time).
+
+    Its node was started again at ``restarted_ms``, and may take calls from then on; None if it
+    wasn't.
+    """
 
     target: str
     at_ms: int
+    restarted_ms: int | None = None
+
+    def covers(self, start_ms: int) -> bool:
+        """Return whether no run may start at ``start_ms``."""
+        is_restarted = self.restarted_ms is not None and start_ms >= self.restarted_ms
+        return start_ms > self.at_ms + LEAVE_GRACE_MS and not is_restarted
 
 
 @frozen
@@ -199,9 +209,7 @@
     """I6: a leaving node starts only calls that it had queued; its target soon gets no new run."""
     for leave in history.leave_requests:
         late_runs = [
-            run
-            for run in history.runs
-            if run.target == leave.target and run.start_ms > leave.at_ms + LEAVE_GRACE_MS
+            run for run in history.runs if run.target == leave.target and leave.covers(run.start_ms)
         ]
         if late_runs:
             yield Violation("I6", f"{leave.target}: {len(late_runs)} runs started after it left")
--- a/emulator/scenario_fleet.py
+++ b/emulator/scenario_fleet.py
@@ -60,10 +60,11 @@
         is_killed = not node.is_running and MatrixFault.KILL in list_faults(cell)
         injector.undo(is_node_restarted=False)
         status = node.wait()
+        restarted_ms = monotonic_ms()
         restart_with_advanced_clock(self._fleet, OWNER)
         self._finish_write(cell, write)
         result.history = self._make_history(injector)
-        result.history.leave_requests.append(LeaveRequest(OWNER, at_ms))
+        result.history.leave_requests.append(LeaveRequest(OWNER, at_ms, restarted_ms))
         if not is_killed and MatrixFault.CRASH not in list_faults(cell):
             address = self._fleet.upstreams[OWNER].advertised_caller
             result.history.shutdowns.append(Shutdown(OWNER, address, at_ms, status))
