--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -19,7 +19,7 @@
 from emulator.scenario import MATRIX_FLEET_PLAN, CallScenario, CellResult
 from emulator.scenario_fleet import FleetScenario
 
-THREAD_COUNT = 4
+THREAD_COUNT = 2
 WHOLE = frozenset({CallOutcome.WHOLE})
 UNKNOWN = frozenset({CallOutcome.UNKNOWN})
 WHOLE_OR_UNKNOWN = WHOLE | UNKNOWN
