Spend scarce retries where they save a request

Retries were given to whoever asked first, at random, up to 0.45 of the bound, and a run that had failed since its calls were turned away was run again, with all of its calls.

Change: - The budget knows the importance of a request and how many calls it still needs.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -19,6 +19,7 @@
     make_leaving_targets,
 )
 from cottonlink.overload._load_balancer import LoadBalancer, Patience, make_load_balancer
+from cottonlink.overload._parent_run import CallCounts, ParentRun, make_call_counts
 from cottonlink.overload._quarantine import (
     Quarantine,
     QuarantineDecision,
@@ -61,6 +62,7 @@
     "NEW_REQUEST_TIER",
     "RATE_LIMITED",
     "UNKNOWN_ERA",
+    "CallCounts",
     "CountedCrash",
     "CrashNotice",
     "CrashRegistry",
@@ -69,6 +71,7 @@
     "LeavingTargets",
     "LimitChange",
     "LoadBalancer",
+    "ParentRun",
     "Patience",
     "Quarantine",
     "QuarantineDecision",
@@ -89,6 +92,7 @@
     "UpstreamDirectory",
     "WatcherElection",
     "allowed_wait_ms",
+    "make_call_counts",
     "make_crash_registry",
     "make_leaving_targets",
     "make_load_balancer",
--- a/src/cottonlink/overload/_load_balancer.py
+++ b/src/cottonlink/overload/_load_balancer.py
@@ -147,19 +147,23 @@
         is_repeatable: bool,
         now_ms: float,
         patience: Patience | None = None,
+        among: Collection[str] | None = None,
     ) -> Any | None:
         """Return the ``path.Upstream`` for a call, or None if none of ``service`` is available.
 
-        ``exclude`` holds ids of upstreams that must not be chosen. With ``patience``, nor are those
-        that have no room for the call in the time for which it may wait. A repeatable call goes to
-        an upstream that this node hasn't called yet, once that one's first call is due; any other
-        call goes to the upstream with the lowest cost in a random sample.
+        ``exclude`` holds ids of upstreams that must not be chosen; with ``among``, only the ids in
+        it may be. With ``patience``, nor are those that have no room for the call in the time for
+        which it may wait. A repeatable call goes to an upstream that this node hasn't called yet,
+        once that one's first call is due; any other call goes to the upstream with the lowest cost
+        in a random sample.
         """
         states = [
             state
             for state in self._by_service.get(service, ())
             if state.unavailable_until_ms <= now_ms and state.upstream.upstream_id not in exclude
         ]
+        if among is not None:
+            states = [state for state in states if state.upstream.upstream_id in among]
         if patience is not None:
             states = [s for s in states if not (s.full and s.full_for_ms(patience, now_ms))]
         if not states:
--- a/src/cottonlink/path/_final_response.py
+++ b/src/cottonlink/path/_final_response.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from cottonlink.overload import RATE_LIMITED
 from cottonlink.path._exchange import Exchange
 from cottonlink.path._ingress_call import IngressCall
 from cottonlink.path._model import Answered, NotRun, Outcome, Request
@@ -19,7 +20,13 @@
 # Retry-After of a node that has no configuration yet.
 UNCONFIGURED_RETRY_AFTER_MS = 500.0
 
+# Reasons of refusals by the service that was called; others may be due to this node's connections.
+_SERVICE_REFUSALS = frozenset(
+    ("target_refused", "queue_wait", "queue_timeout", "queue_full", RATE_LIMITED)
+)
+
 TIMED_OUT = 504
+_SERVER_ERROR = 500
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
@@ -53,6 +60,10 @@
         now_ms = state.now_ms()
         latency_ms = now_ms - call.received_ms
         is_success = 200 <= answer.status < 300
+        if call.parent is not None and answer.status >= _SERVER_ERROR:
+            call.parent.turned_away_call_count += 1
+        elif call.parent is not None:
+            call.parent.answered_call_count += 1
         if not call.is_call:
             self._report_to_throttle(call, is_success, answer.status, latency_ms)
         state.metrics.record_latency("call" if call.is_call else "request", latency_ms)
@@ -105,6 +116,8 @@
             MIN_RETRY_AFTER_MS, min_delay_ms, RETRY_AFTER_SHARE * call.route.objective_ms
         )
         delay_ms = min_retry_ms * state.rng.uniform(1.0, RETRY_AFTER_JITTER)
+        if call.parent is not None and reason in _SERVICE_REFUSALS:
+            call.parent.turned_away_call_count += 1
         self._count_refusal(call.request, call, reason, delay_ms)
         self._on_finished(call)
         call.exchange.respond(_UNAVAILABLE, state.header_codec.retry_after(delay_ms), b"")
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -339,14 +339,18 @@
         report.is_nested,
         report.makes_calls,
         round(report.pressure * _PRESSURE_SCALE),
+        # Earlier builds read only the fields before this one.
+        report.is_failed_by_calls,
     )
 
 
 def _unpack_report(parts: tuple | None) -> TargetReport | None:
-    return (
-        None
-        if parts is None
-        else TargetReport(Load(*parts[0]), parts[1], parts[2], parts[3] / _PRESSURE_SCALE)
+    if parts is None:
+        return None
+    load, is_nested, makes_calls, pressure, *later_fields = parts
+    is_failed_by_calls = bool(later_fields and later_fields[0])
+    return TargetReport(
+        Load(*load), is_nested, makes_calls, pressure / _PRESSURE_SCALE, is_failed_by_calls
     )
 
 
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -33,6 +33,8 @@
 TIMEOUT_GRACE_MS = 60.0
 # Placements of one request that nodes may refuse before the caller gets a refusal.
 MAX_REFUSED_PLACEMENTS = 3
+# Times that one request is sent while targets refuse it, however few upstreams it may reach.
+MAX_REFUSED_SENDS = 4
 # A request is not retried when the time left until its deadline is less than this share of its
 # latency objective.
 MIN_RETRY_TIME_SHARE = 0.1
@@ -108,7 +110,7 @@
         if is_nested:
             state.dispatcher.record_nested_call()
         if parent is not None and parent.is_retry:
-            state.retry_budget.record_retry(call.service, now_ms)
+            state.retry_budget.record_retry(call.service, now_ms, rank=call.rank)
         else:
             state.retry_budget.record_first_send(call.service, now_ms)
         self._calls.add(call)
@@ -148,6 +150,7 @@
             route.is_repeatable,
             self._state.now_ms(),
             self._patience(call),
+            among=call.reached_upstream_ids if call.has_reached_all_upstreams else None,
         )
 
     def _patience(self, call: IngressCall) -> Patience:
@@ -241,7 +244,10 @@
     def _(self, outcome: Answered, call: IngressCall, upstream: Upstream) -> None:
         state = self._state
         now_ms = state.now_ms()
-        if outcome.status >= 500:
+        is_failed_by_calls = outcome.report is not None and outcome.report.is_failed_by_calls
+        if outcome.status >= 500 and is_failed_by_calls:
+            state.load_balancer.record_inconclusive(upstream.upstream_id)
+        elif outcome.status >= 500:
             state.load_balancer.record_failure(upstream.upstream_id, now_ms)
         else:
             latency_ms = now_ms - call.sent_at_ms
@@ -250,10 +256,12 @@
             )
         if call.is_done:
             return
-        call.reached_target_count += 1
+        call.record_reached_target()
         call.cancel_send = None
         is_failure = outcome.status >= 500 and call.route.is_repeatable
-        if is_failure and self._may_retry(call, now_ms):
+        # Calls that were turned away have been retried where they were made. Another run would make
+        # all of them again.
+        if is_failure and not is_failed_by_calls and self._may_retry(call, now_ms):
             call.fallback = outcome
             self._retry(call, f"answer_{outcome.status}")
             return
@@ -280,8 +288,8 @@
             self._final_responses.give_up(call, outcome)
             return
         if outcome.reached_target:
-            call.reached_target_count += 1
-            if self._may_retry(call, now_ms):
+            call.record_reached_target()
+            if self._may_retry(call, now_ms, was_refused=True):
                 self._retry(call, outcome.reason)
                 return
         else:
@@ -308,19 +316,24 @@
         if call.is_done:
             return
         call.cancel_send = None
-        call.reached_target_count += 1
+        call.record_reached_target()
         call.has_unknown_outcome = True
         if self._may_retry(call, now_ms):
             self._retry(call, outcome.reason)
             return
         self._final_responses.give_up(call, outcome)
 
-    def _may_retry(self, call: IngressCall, now_ms: float) -> bool:
+    def _may_retry(self, call: IngressCall, now_ms: float, *, was_refused: bool = False) -> bool:
+        """Return whether a call may be sent again; ``was_refused`` if a target didn't run it."""
         state = self._state
         route = call.route
         if not route.is_repeatable and call.has_unknown_outcome:
             return False
-        if call.reached_target_count >= route.upstream_limit:
+        send_limit = route.upstream_limit
+        if was_refused:
+            # The limit is on upstreams, and one that has refused a call may be asked again.
+            send_limit = max(send_limit, MAX_REFUSED_SENDS)
+        if call.reached_target_count >= send_limit:
             return False
         if call.deadline_ms - now_ms < MIN_RETRY_TIME_SHARE * route.objective_ms:
             return False
@@ -329,12 +342,18 @@
         # Retrying at a target that makes no calls multiplies no load further down the call graph.
         # Targets that have not reported yet are assumed to make calls.
         is_leaf = not state.calling_services.get(call.service, True)
-        return state.retry_budget.allows(call.service, now_ms, is_leaf=is_leaf)
+        return state.retry_budget.allows(
+            call.service,
+            now_ms,
+            is_leaf=is_leaf,
+            rank=call.rank,
+            calls_left=state.dispatcher.call_counts.calls_left(call.parent),
+        )
 
     def _retry(self, call: IngressCall, reason: str) -> None:
         state = self._state
         now_ms = state.now_ms()
-        state.retry_budget.record_retry(call.service, now_ms)
+        state.retry_budget.record_retry(call.service, now_ms, rank=call.rank)
         state.metrics.count("requests_sent_again", reason)
         state.log.event(
             "request_sent_again",
--- a/src/cottonlink/path/_ingress_call.py
+++ b/src/cottonlink/path/_ingress_call.py
@@ -7,19 +7,19 @@
 
 from attrs import define, field
 
-from cottonlink.overload import NESTED_CALL_TIER
+from cottonlink.overload import NESTED_CALL_TIER, ParentRun
 from cottonlink.path._exchange import Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import Answered, Request, Route, Upstream
-from cottonlink.path._target_dispatcher import ParentRequest
 
 
 @define(eq=False)
 class IngressCall:
     """A caller's request from its arrival to its final response.
 
-    ``reached_target_count`` counts the sends that a target received or may have received, and
-    ``refused_placements`` those that ended before any target received them. ``cancel_send`` cancels
+    ``reached_target_count`` counts the sends that a target received or may have received,
+    ``reached_upstream_ids`` are the upstreams that they went to, and ``refused_placements`` counts
+    the sends that ended before any target received them. ``cancel_send`` cancels
     the send in progress. ``fallback`` is the error response that is returned if a retry yields no
     response. ``has_unknown_outcome`` is set once a send may have run and its response was lost.
     """
@@ -27,13 +27,14 @@
     exchange: Exchange
     route: Route
     service: str
-    parent: ParentRequest | None
+    parent: ParentRun | None
     tier: int
     received_ms: float
     deadline_ms: float
     headers: Headers
     tried_upstream_ids: set[str] = field(factory=set)
     reached_target_count: int = 0
+    reached_upstream_ids: set[str] = field(factory=set)
     refused_placements: int = 0
     sent_at_ms: float = 0.0
     upstream: Upstream | None = None
@@ -57,3 +58,13 @@
     def rank(self) -> int:
         """Importance, 0 being the highest; a call inherits that of the request that makes it."""
         return self.parent.rank if self.parent is not None else self.route.rank
+
+    @property
+    def has_reached_all_upstreams(self) -> bool:
+        """Whether no further upstream may receive it than those that have."""
+        return len(self.reached_upstream_ids) >= self.route.upstream_limit
+
+    def record_reached_target(self) -> None:
+        """Record that the target of ``upstream`` received the call, or may have received it."""
+        self.reached_target_count += 1
+        self.reached_upstream_ids.add(self.upstream.upstream_id)
--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -153,13 +153,15 @@
     ``is_nested`` tells whether the route's requests are nested calls, which running requests make;
     None if unknown. ``makes_calls`` tells whether the target makes nested calls. ``pressure`` is
     the work at the target, running and queued, or at the targets that it calls if that is more, in
-    multiples of what runs concurrently.
+    multiples of what runs concurrently. ``is_failed_by_calls`` tells that the run failed since a
+    service that it calls turned its calls away, and not by a fault of the target.
     """
 
     load: Load
     is_nested: bool | None
     makes_calls: bool
     pressure: float = 0.0
+    is_failed_by_calls: bool = False
 
 
 @frozen
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -111,7 +111,10 @@
             metrics=PathMetrics(),
             load_balancer=make_load_balancer(settings.data_centre, rng),
             retry_budget=make_retry_budget(
-                settings.repeat_ratio, settings.repeat_allowance, settings.repeat_window_s * 1000.0
+                settings.repeat_ratio,
+                settings.repeat_allowance,
+                settings.repeat_window_s * 1000.0,
+                rng,
             ),
             route_throttle=make_route_throttle(self._on_route_limit_changed),
             traffic_split=make_traffic_split(rng),
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -8,17 +8,20 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from attrs import define, frozen
+from attrs import define
 
 from cottonlink.errors import CottonlinkError
 from cottonlink.overload import (
     NESTED_CALL_TIER,
+    CallCounts,
     Job,
+    ParentRun,
     Refusal,
     RouteClassifier,
     RunningRequests,
     TargetLimitChange,
     allowed_wait_ms,
+    make_call_counts,
     make_route_classifier,
     make_running_requests,
     make_target_limit,
@@ -52,6 +55,7 @@
 UNANSWERED_RUN_LIMIT = 512
 # Responses below this HTTP status come from a run that ended well.
 FIRST_ERROR_STATUS = 400
+FIRST_SERVER_ERROR_STATUS = 500
 # A target counts as making nested calls above this number of them per run. Below it, they may be
 # callers' requests that were mistaken for nested calls.
 MIN_NESTED_CALLS_PER_RUN = 0.1
@@ -64,15 +68,6 @@
 EXPIRY_INTERVAL_S = 0.02
 
 
-@frozen
-class ParentRequest:
-    """What a nested call inherits from the running request that makes it."""
-
-    rank: int
-    is_retry: bool
-    route: str
-
-
 @define(eq=False)
 class _Call:
     frame: CallFrame
@@ -83,6 +78,7 @@
     is_running: bool = False
     sent_deadline_ms: float = 0.0
     connection: Any = None
+    run: ParentRun | None = None
     is_cancelled: bool = False
     _fingerprints: tuple[str, ...] = ()
 
@@ -131,6 +127,7 @@
         self._limit = make_target_limit()
         self._queue = make_target_queue(DEFAULT_SLOTS, self._limit)
         self.running_requests: RunningRequests = make_running_requests()
+        self.call_counts: CallCounts = make_call_counts()
         self._calls: dict[Any, _Call] = {}
         self._call_numbers = itertools.count(1)
         # Runs that ended without a response, with the time of their end.
@@ -262,7 +259,13 @@
                 # Refusing new requests where they come in is better than running them in part. New
                 # requests for this target itself are refused here, by their importance.
                 pressure = max(pressure, self._limit.pressure(self._now_ms()))
-            report = TargetReport(self.load(), is_nested, self._makes_calls, pressure)
+            report = TargetReport(
+                self.load(),
+                is_nested,
+                self._makes_calls,
+                pressure,
+                _is_failed_by_calls(call, outcome),
+            )
             callback(with_report(outcome, report))
 
     @property
@@ -315,8 +318,8 @@
             return
         call.connection = connection
         call.sent_deadline_ms = now_ms + remaining_ms
-        parent = ParentRequest(frame.rank, frame.is_retry, frame.route)
-        self.running_requests.add(call.number, call.sent_deadline_ms, parent, frame.request_id)
+        call.run = ParentRun(frame.rank, frame.is_retry, frame.route)
+        self.running_requests.add(call.number, call.sent_deadline_ms, call.run, frame.request_id)
         headers = self._header_codec.target_headers(frame, remaining_ms)
         connection.send(
             request_bytes(frame.method, frame.target, headers, frame.body),
@@ -351,6 +354,7 @@
             return NotRun("target_refused", reached_target=True)
         # An error response may come from a target that fails before it runs anything.
         if response.status < FIRST_ERROR_STATUS:
+            self.call_counts.record_success(call.run)
             self._crash_guard.record_completion(call.frame)
             if self._crash_guard.has_entries:
                 self._crash_guard.clear_suspects(call.fingerprints)
@@ -449,3 +453,9 @@
             call = self._calls.get(job.key)
             if call is not None:
                 self._run(call)
+
+
+def _is_failed_by_calls(call: _Call, outcome: Outcome) -> bool:
+    """Return whether a run failed as services that it calls have turned its calls away."""
+    is_failure = isinstance(outcome, Answered) and outcome.status >= FIRST_SERVER_ERROR_STATUS
+    return is_failure and call.run is not None and call.run.turned_away_call_count > 0
--- a/tests/test_nested_calls.py
+++ b/tests/test_nested_calls.py
@@ -10,6 +10,7 @@
 from emulator.platform_target import (
     PlatformTarget,
     configuration,
+    not_executed_response,
     route_resource,
 )
 from tests.platform_fixtures import FleetCase, Response, Vm
@@ -50,6 +51,51 @@
         return [vm.target.runs for vm in vms if vm.target.runs]
 
 
+class TestRefusedCalls(NestedCallCase):
+    """What becomes of a request if the service that it calls turns its calls away."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.refusals_left = 10**6
+        for vm in self.files:
+            vm.target.behaviour = self.refuse
+
+    async def refuse(
+        self, target: PlatformTarget, request: ReceivedRequest, _writer: asyncio.StreamWriter
+    ) -> bytes:
+        self.refusals_left -= 1
+        if self.refusals_left >= 0:
+            return not_executed_response(request)
+        return target.success_response(request)
+
+    async def test_run_is_not_repeated_after_its_calls_were_turned_away(self) -> None:
+        """Guards against repeated runs, each of which makes all of its calls again."""
+        response = await self.search(self.fronts[0])
+        self.assertEqual(response.status, 500)
+        self.assertEqual(sum(len(runs) for runs in self.runs(self.fronts)), 1)
+
+    async def test_targets_are_not_blamed_for_the_service_that_they_call(self) -> None:
+        """Guards against calls that avoid healthy targets since a service below them sheds."""
+        for _ in range(5):
+            await self.search(self.fronts[0])
+        node = self.fronts[0].node
+        views = node.state.load_balancer.view(node.now_ms())
+        rates = {v["upstream"]: v["failure_rate"] for v in views}
+        self.assertEqual((rates["i-0"], rates["i-1"]), (0.0, 0.0))
+
+    async def test_refused_call_asks_again_among_the_upstreams_it_may_reach(self) -> None:
+        """Guards against requests that fail with the second refusal, or reach a third upstream."""
+        await self.call(self.fronts[0], "/files/1")
+        self.assertLessEqual(len(self.runs(self.files)), 2)
+        self.assertEqual(sum(len(runs) for runs in self.runs(self.files)), 4)
+
+    async def test_call_succeeds_after_three_refusals(self) -> None:
+        """Guards against a refusal that ends a request which the next try would have saved."""
+        self.refusals_left = 3
+        response = await self.search(self.fronts[0])
+        self.assertEqual(response.status, 200)
+
+
 class TestImportance(NestedCallCase):
     """What a nested call inherits from the request that makes it."""
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -198,7 +198,7 @@
 
     def _check_fleet(self, rng: random.Random) -> None:
         node_count, ratio, allowance, window_ms = 12, 0.2, 47, 10_000
-        nodes = [make_retry_budget(ratio, allowance, window_ms) for _ in range(node_count)]
+        nodes = [make_retry_budget(ratio, allowance, window_ms, rng) for _ in range(node_count)]
         for node in nodes:
             node.set_node_count(node_count)
         weights = [rng.random() ** 3 for _ in nodes]
@@ -220,7 +220,7 @@
 
     def test_retries_use_up_the_budget_until_the_window_has_passed(self) -> None:
         """Guards against recorded retries that don't count, or count for ever."""
-        budget = make_retry_budget(0.2, 10, 10_000)
+        budget = make_retry_budget(0.2, 10, 10_000, random.Random(1))
         self.assertTrue(budget.allows("s", 0, is_leaf=True))
         for _ in range(6):
             budget.record_retry("s", 0)
@@ -232,7 +232,7 @@
         ratio, levels = 0.2, 4
         runs_per_request = 1.0  # runs at a level per run without any retries
         for level in range(levels):
-            budget = make_retry_budget(ratio, 0, 10_000)
+            budget = make_retry_budget(ratio, 0, 10_000, random.Random(level))
             is_leaf = level == levels - 1
             retries = 0
             for _ in range(10_000):
