Place calls on targets that few nodes know

Cause: on 196 VMs a node calls each of the 68 targets of fleet once in 2 to 10 s, so it doesn't know which have a free slot. Each sent its first call to every target (up to 14,416 such calls of 45,846 arrivals), and a call queued or was refused where it was placed although other targets were idle. Of targets with 4 slots one was left unused, a quarter.

Change: - About three nodes of the fleet, drawn by each for itself, call a new target ahead of the others. - A call's first four placements queue only where the wait is short, and otherwise go on to another target; the refusal costs one round trip and tells the load. Then the call waits where there is least.

The busiest of 68 targets of fleet still gets more than 1.4 of the mean, since their speeds differ by a factor of three.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -20,6 +20,7 @@
 )
 from cottonlink.overload._load_balancer import LoadBalancer, Patience, make_load_balancer
 from cottonlink.overload._parent_run import CallCounts, ParentRun, make_call_counts
+from cottonlink.overload._placement import Placement, make_placement
 from cottonlink.overload._quarantine import (
     Quarantine,
     QuarantineDecision,
@@ -73,6 +74,7 @@
     "LoadBalancer",
     "ParentRun",
     "Patience",
+    "Placement",
     "Quarantine",
     "QuarantineDecision",
     "QuarantineReport",
@@ -96,6 +98,7 @@
     "make_crash_registry",
     "make_leaving_targets",
     "make_load_balancer",
+    "make_placement",
     "make_quarantine",
     "make_recent_answers",
     "make_retry_budget",
--- a/src/cottonlink/overload/_load_balancer.py
+++ b/src/cottonlink/overload/_load_balancer.py
@@ -41,7 +41,10 @@
 # A target that limits its rate and has refused calls is tried again after this time at the latest,
 # so that the end of its need is noticed.
 MAX_FULL_MS = 1_000.0
-# Each node sends its first call to a new upstream after a random delay of up to this.
+# Nodes of the fleet, on average, that send a call to a new upstream before others would choose it:
+# enough to learn soon whether it answers, and few enough not to fill it in a large fleet.
+FIRST_CALLERS = 3.0
+# Each of them does so after a random delay of up to this.
 FIRST_CALL_JITTER_MS = 2_500.0
 
 
@@ -67,12 +70,14 @@
     """What one node knows of one upstream.
 
     ``upstream`` is a ``path.Upstream`` and ``load`` the latest ``path.Load`` that its node
-    reported. ``latency_ms`` holds the moving average of the latency by route, and
-    ``full`` the calls for which there is no room, by importance (tier and rank).
+    reported. ``first_call_draw``, from 0 to 1, decides whether this node is among the first
+    callers. ``latency_ms`` holds the moving average of the latency by route, and ``full`` the calls
+    for which there is no room, by importance (tier and rank).
     """
 
     upstream: Any
     first_call_after_ms: float
+    first_call_draw: float
     warm_at_ms: float
     is_local: bool
     load: Any = None
@@ -122,6 +127,11 @@
         self._rng = rng
         self._states: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
+        self._node_count = 1
+
+    def set_node_count(self, count: int) -> None:
+        """Set the number of nodes in the fleet, all of which call the same upstreams."""
+        self._node_count = max(1, count)
 
     def update(self, upstreams: Iterable[Any], now_ms: float) -> None:
         """Replace the set of upstreams; measurements of upstreams that remain are kept."""
@@ -154,8 +164,8 @@
         ``exclude`` holds ids of upstreams that must not be chosen; with ``among``, only the ids in
         it may be. With ``patience``, nor are those that have no room for the call in the time for
         which it may wait. A repeatable call goes to an upstream that this node hasn't called yet,
-        once that one's first call is due; any other call goes to the upstream with the lowest cost
-        in a random sample.
+        if the node is among its first callers and the call is due; any other call goes to the
+        upstream with the lowest cost in a random sample.
         """
         states = [
             state
@@ -173,7 +183,7 @@
         states = staying or states
         if is_repeatable:
             for state in states:
-                if not state.was_called and now_ms >= state.first_call_after_ms:
+                if not state.was_called and self._is_first_call_due(state, now_ms):
                     return state.upstream
         if len(states) > SAMPLE_SIZE:
             states = self._sample(states)
@@ -194,6 +204,14 @@
         ]
         return min((wait_ms for wait_ms in waits_ms if wait_ms > 0.0), default=None)
 
+    def is_known_busy(self, upstream_id: str, now_ms: float) -> bool:
+        """Return whether an upstream has recently reported that all of its slots are in use."""
+        state = self._states.get(upstream_id)
+        if state is None or state.load is None:
+            return False
+        is_recent = now_ms - state.load_reported_at_ms < LOAD_MAX_AGE_MS
+        return is_recent and state.utilization(now_ms) >= 1.0
+
     def mark_full(
         self, upstream_id: str, patience: Patience, wait_ms: float, now_ms: float
     ) -> None:
@@ -308,10 +326,15 @@
             for s in self._states.values()
         ]
 
+    def _is_first_call_due(self, state: UpstreamState, now_ms: float) -> bool:
+        is_first_caller = state.first_call_draw * self._node_count < FIRST_CALLERS
+        return is_first_caller and now_ms >= state.first_call_after_ms
+
     def _make_state(self, upstream: Any, now_ms: float) -> UpstreamState:
         return UpstreamState(
             upstream=upstream,
             first_call_after_ms=now_ms + self._rng.random() * FIRST_CALL_JITTER_MS,
+            first_call_draw=self._rng.random(),
             warm_at_ms=now_ms + upstream.warmup_left_ms,
             is_local=upstream.data_centre == self._data_centre,
         )
--- a/src/cottonlink/overload/_target_queue.py
+++ b/src/cottonlink/overload/_target_queue.py
@@ -25,6 +25,8 @@
 # Share of the slots that is used: targets slow down close to their last slot, and need room for
 # health checks and for connections that hold a slot while they open.
 USABLE_SLOT_SHARE = 0.94
+# With fewer slots all of them are used: one unused slot would cost more than the slowdown.
+MIN_SLOTS_WITH_RESERVE = 5
 # Share of the limit that new requests may always use while nested calls are waiting.
 RESERVED_NEW_REQUEST_SHARE = 0.2
 # Share of the limit left free for more important requests, times the rank of the new request.
@@ -47,6 +49,9 @@
 TOP_RANK_MAX_WAIT_OBJECTIVE_SHARE = 0.3
 # Part of the time to its deadline that any job may wait, so that it can still run.
 MAX_WAIT_REMAINING_SHARE = 0.6
+# Multiple of its latency objective that a nested call may wait. It binds only where the sender
+# asks for a short wait by a smaller objective.
+NESTED_CALL_MAX_WAIT_OBJECTIVES = 3.0
 
 NESTED_CALL_TIER = 0
 NEW_REQUEST_TIER = 1
@@ -126,9 +131,16 @@
             return self.limit
         return max(1, min(self.limit, round(rate_per_s * self.service_ms / 1000.0)))
 
+    def has_room(self, tier: int, rank: int) -> bool:
+        """Return whether a job of this importance would start at once."""
+        job = Job(None, tier, rank, 0.0)
+        return self._has_free_slot(job) and not self._must_wait_behind_queue(job)
+
     def resize(self, slots: int) -> None:
         """Set the number of slots, the jobs that the target can run at the same time."""
-        self.limit = max(1, int(slots * USABLE_SLOT_SHARE))
+        if slots >= MIN_SLOTS_WITH_RESERVE:
+            slots = int(slots * USABLE_SLOT_SHARE)
+        self.limit = max(1, slots)
 
     def offer(self, job: Job, now_ms: float) -> tuple[bool, tuple[Refusal, ...]]:
         """Start, queue or refuse ``job``; return whether it started, and all jobs refused.
@@ -218,7 +230,7 @@
     def _has_free_slot(self, job: Job) -> bool:
         usable_slots = self.limit
         if job.tier == NEW_REQUEST_TIER and not self._is_new_request_share_free():
-            usable_slots = max(1, int(self.limit * (1.0 - RESERVE_PER_RANK * job.rank)))
+            usable_slots = max(1, round(self.limit * (1.0 - RESERVE_PER_RANK * job.rank)))
         return len(self._running) < usable_slots
 
     def _must_wait_behind_queue(self, job: Job) -> bool:
@@ -289,10 +301,11 @@
 def allowed_wait_ms(tier: int, rank: int, objective_ms: float, remaining_ms: float) -> float:
     """Return how long a job may wait for a slot, in ms.
 
-    ``objective_ms`` is the latency objective of its route, ``remaining_ms`` the time to its
-    deadline.
+    ``objective_ms`` is the latency objective of its route, or a part of it where the wait should be
+    short, and ``remaining_ms`` the time to its deadline.
     """
     if tier == NESTED_CALL_TIER:
-        return MAX_WAIT_REMAINING_SHARE * remaining_ms
+        share = NESTED_CALL_MAX_WAIT_OBJECTIVES
+        return min(share * objective_ms, MAX_WAIT_REMAINING_SHARE * remaining_ms)
     share = TOP_RANK_MAX_WAIT_OBJECTIVE_SHARE if rank == 0 else MAX_WAIT_OBJECTIVE_SHARE
     return min(share * objective_ms, MAX_WAIT_REMAINING_SHARE * remaining_ms)
--- a/src/cottonlink/path/_frames.py
+++ b/src/cottonlink/path/_frames.py
@@ -26,7 +26,8 @@
 class CallFrame:
     """A call for the target next to the receiver.
 
-    ``remaining_ms`` is the time until the deadline, counted from sending. ``tier`` is 0 for a
+    ``remaining_ms`` is the time until the deadline, counted from sending, and ``objective_ms``
+    bounds the wait for a slot of the target. ``tier`` is 0 for a
     nested call, which a running request makes, and 1 for a new request of a caller. ``is_retry``
     marks a call that was sent before, or that a request makes which is a retry itself.
     """
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/_ingress.py
@@ -31,8 +31,6 @@
 
 # Time after a request's deadline for which the node still waits for the target's own response.
 TIMEOUT_GRACE_MS = 60.0
-# Placements of one request that nodes may refuse before the caller gets a refusal.
-MAX_REFUSED_PLACEMENTS = 3
 # Times that one request is sent while targets refuse it, however few upstreams it may reach.
 MAX_REFUSED_SENDS = 4
 # A request is not retried when the time left until its deadline is less than this share of its
@@ -201,7 +199,7 @@
             headers=call.headers,
             body=request.body,
             remaining_ms=max(0, int(call.deadline_ms - state.now_ms())),
-            objective_ms=int(call.route.objective_ms),
+            objective_ms=self._wait_objective_ms(call, upstream),
             tier=call.tier,
             rank=call.rank,
             is_repeatable=call.route.is_repeatable,
@@ -210,6 +208,15 @@
             route=call.route.name,
         )
 
+    def _wait_objective_ms(self, call: IngressCall, upstream: Upstream) -> int:
+        is_known_busy = self._state.load_balancer.is_known_busy(
+            upstream.upstream_id, self._state.now_ms()
+        )
+        objective_ms = call.placement.wait_objective_ms(
+            call.tier, call.route.objective_ms, is_known_busy=is_known_busy
+        )
+        return max(1, int(objective_ms))
+
     def _on_outcome(self, call: IngressCall, upstream: Upstream, outcome: Outcome) -> None:
         report = None if isinstance(outcome, OutcomeUnknown) else outcome.report
         if report is not None:
@@ -293,15 +300,14 @@
                 self._retry(call, outcome.reason)
                 return
         else:
-            call.refused_placements += 1
-            may_place_again = (
-                call.refused_placements < MAX_REFUSED_PLACEMENTS
-                or outcome.reason in _UNREACHABLE_REASONS
-                or _is_rate_limited(outcome)
-            )
-            if may_place_again and now_ms < call.deadline_ms:
+            placement = call.placement
+            is_unreachable = outcome.reason in _UNREACHABLE_REASONS
+            placement.record_refusal(outcome.reason, is_unreachable=is_unreachable)
+            if placement.may_place_again and now_ms < call.deadline_ms:
                 # No target received the request, so this doesn't use the retry budget.
                 state.metrics.count("placements_refused", outcome.reason)
+                if placement.may_try_busy_again:
+                    call.tried_upstream_ids.clear()
                 self._place(call, outcome)
                 return
         if _is_rate_limited(outcome) and outcome.report is not None:
--- a/src/cottonlink/path/_ingress_call.py
+++ b/src/cottonlink/path/_ingress_call.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from cottonlink.overload import NESTED_CALL_TIER, ParentRun
+from cottonlink.overload import NESTED_CALL_TIER, ParentRun, Placement, make_placement
 from cottonlink.path._exchange import Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import Answered, Request, Route, Upstream
@@ -18,8 +18,8 @@
     """A caller's request from its arrival to its final response.
 
     ``reached_target_count`` counts the sends that a target received or may have received,
-    ``reached_upstream_ids`` are the upstreams that they went to, and ``refused_placements`` counts
-    the sends that ended before any target received them. ``cancel_send`` cancels
+    ``reached_upstream_ids`` are the upstreams that they went to, and ``placement`` decides on the
+    sends that end before any target receives them. ``cancel_send`` cancels
     the send in progress. ``fallback`` is the error response that is returned if a retry yields no
     response. ``has_unknown_outcome`` is set once a send may have run and its response was lost.
     """
@@ -35,7 +35,7 @@
     tried_upstream_ids: set[str] = field(factory=set)
     reached_target_count: int = 0
     reached_upstream_ids: set[str] = field(factory=set)
-    refused_placements: int = 0
+    placement: Placement = field(factory=make_placement)
     sent_at_ms: float = 0.0
     upstream: Upstream | None = None
     cancel_send: Callable[[], None] | None = None
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -218,9 +218,10 @@
         """Use the upstreams that are registered, but those that have said that they leave."""
         is_leaving = self.state.leaving_targets.is_leaving
         upstreams = [evolve(u, is_draining=True) if is_leaving(u) else u for u in self._upstreams]
+        vm_ips = {upstream.vm_ip for upstream in upstreams}
+        self.state.load_balancer.set_node_count(len(vm_ips))
         self.state.load_balancer.update(upstreams, self.now_ms())
         self.dispatcher.route_classifier.set_service_count(len({u.service for u in upstreams}))
-        vm_ips = {upstream.vm_ip for upstream in upstreams}
         self.state.retry_budget.set_node_count(len(vm_ips))
         self.state.peer_links.keep_only({(ip, self.state.peer_port) for ip in vm_ips})
         own = [u for u in upstreams if u.address == self.state.target_address]
