Never resend a request on a connection that has carried it

Cause: a target may send a second copy of a response late, on a connection that is in use again. Copies are told from the next response by the id of the request. A request that a target refused was sent to the same target again, with the same id and often on the same connection (a service of one target, and since any whose targets have refused a call twice), so that the copy of the refusal counted as the refusal of the second send: the caller was told that the request hadn't run while it ran, and sends a booking again then.

Change: a connection remembers its latest 64 requests, and the pool gives none that has carried the request before.

--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 import httptools
@@ -14,6 +15,8 @@
 
 # Digits of a Content-Length that are read; more mean a length above any bound.
 _LENGTH_DIGITS = 18
+# Latest requests of a connection that are told from later copies of themselves.
+REMEMBERED_IDS = 64
 
 
 @frozen
@@ -81,6 +84,7 @@
         self.is_open = False
         self.is_reusable = True
         self.idle_since_ms = 0.0
+        self._sent_ids: deque[bytes] = deque(maxlen=REMEMBERED_IDS)
         self.idle_timeout_ms: float | None = None
         self.exchange_count = 0
 
@@ -107,10 +111,19 @@
             on_result(ExchangeFailed("connection_lost", was_sent=False, is_connection_lost=True))
             return
         self._exchange = _Exchange(on_result, is_head, expected_id)
+        if expected_id is not None:
+            self._sent_ids.append(expected_id)
         self.exchange_count += 1
         self._reset_parser()
         self._transport.write(data)
 
+    def has_sent(self, request_id: bytes) -> bool:
+        """Return whether a request with this id was sent before.
+
+        A copy of its response may still come, which can't be told from the response to the next.
+        """
+        return request_id in self._sent_ids
+
     @property
     def can_send(self) -> bool:
         """Whether a request would be sent: a closing transport discards what is written to it.
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/_target_dispatcher.py
@@ -300,6 +300,7 @@
         self._run_count += 1
         self._pool.acquire(
             must_be_fresh=not call.frame.is_repeatable,
+            request_id=call.frame.request_id,
             on_ready=lambda connection: self._send(call, connection),
             on_failure=lambda reason: self._on_connect_failed(call, reason),
         )
--- a/src/cottonlink/path/_target_pool.py
+++ b/src/cottonlink/path/_target_pool.py
@@ -42,14 +42,16 @@
         self,
         *,
         must_be_fresh: bool,
+        request_id: bytes,
         on_ready: Callable[[HttpConnection], None],
         on_failure: Callable[[str], None],
     ) -> None:
         """Call ``on_ready`` with a connection, or ``on_failure`` with a reason code.
 
         With ``must_be_fresh``, a connection idle for longer than ``MAX_FRESH_IDLE_MS`` isn't used.
+        Nor is one on which ``request_id`` was sent before.
         """
-        connection = self._take_idle(must_be_fresh)
+        connection = self._take_idle(must_be_fresh, request_id)
         if connection is not None:
             on_ready(connection)
             return
@@ -91,17 +93,18 @@
         for connection in idle:
             connection.close()
 
-    def _take_idle(self, must_be_fresh: bool) -> HttpConnection | None:
+    def _take_idle(self, must_be_fresh: bool, request_id: bytes) -> HttpConnection | None:
         now_ms = self._loop.time() * 1000.0
-        while self._idle:
-            connection = self._idle[-1]
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
             if not connection.can_send or _is_expired(connection, now_ms):
-                self._idle.pop()
+                del self._idle[index]
                 connection.close()
                 continue
             if must_be_fresh and now_ms - connection.idle_since_ms > MAX_FRESH_IDLE_MS:
                 return None
-            return self._idle.pop()
+            if not connection.has_sent(request_id):
+                return self._idle.pop(index)
         return None
 
     def _start_connecting(
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -81,6 +81,7 @@
         pool = TargetPool(ADDRESS, b"id", make_body_budget(), self.loop)
         failure: asyncio.Future[str] = self.loop.create_future()
         pool.acquire(
+            request_id=b"",
             must_be_fresh=False,
             on_ready=lambda connection: failure.set_exception(AssertionError("lost")),
             on_failure=failure.set_result,
@@ -103,6 +104,7 @@
         self.assertEqual(results, [ExchangeFailed("connection_lost", False, True)])
         failure: asyncio.Future[str] = self.loop.create_future()
         pool.acquire(
+            request_id=b"",
             must_be_fresh=False,
             on_ready=lambda connection: failure.set_exception(AssertionError("closing")),
             on_failure=failure.set_result,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -214,6 +214,35 @@
             )
             self.assertEqual(response.body, f"i-3:{path}".encode())
 
+    async def test_late_copy_of_a_refusal_is_not_the_answer_to_the_next_try(self) -> None:
+        """A booking that ran was reported as not run, and its caller would have sent it again.
+
+        Its only target refused it, and the copy of the refusal came on the connection on which the
+        same booking was sent once more.
+        """
+        refusals: list[bytes] = []
+
+        async def refuse_first(
+            target: PlatformTarget, request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> bytes:
+            if not refusals:
+                refusals.append(not_executed_response(request))
+                writers.append(writer)
+                return refusals[0]
+            if writer in writers:
+                writer.write(refusals[0])
+            return target.success_response(request)
+
+        writers: list[asyncio.StreamWriter] = []
+        self.booking.target.behaviour = refuse_first
+        # Enough first sends for a retry to be allowed.
+        for _ in range(200):
+            state = self.first.node.state
+            state.retry_budget.record_first_send("booking", state.now_ms())
+        response = await self.call(self.first, "/bookings/1", method="POST", body=b"x")
+        self.assertEqual(len(self.booking.target.runs), 2)
+        self.assertEqual((response.status, response.body), (200, b"i-3:/bookings/1"))
+
     async def test_truncated_response_becomes_502(self) -> None:
         """A response that ends before its Content-Length must not be forwarded as a success."""
 
