Check every value that peers and the store send

Cause: one malformed message could end more than itself.

Change: frames are decoded in a module of their own, which checks the type and the size of each value once; a wrong one ends the connection with a line in the log (peer_invalid). The store's client checks its lists. The follower goes on after an unexpected error, with a line (store_follower_failed) and a whole read; exceptions that nothing handles are logged in the log's own form (unexpected_error).

Not measured: the cost of the checks, about 16 of them for each call.

--- /dev/null
+++ b/src/cottonlink/path/_frame_reader.py
@@ -0,0 +1,268 @@
+"""Decodes and checks the frames that other nodes send.
+
+Every value is checked here, once, so that a frame of a faulty peer costs its connection and nothing
+else: what a handler gets has the types and sizes that it relies on.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import msgpack
+
+from cottonlink.errors import CottonlinkError, Step
+from cottonlink.overload import (
+    NESTED_CALL_TIER,
+    NEW_REQUEST_TIER,
+    CrashNotice,
+    QuarantineReport,
+    ReportedLevel,
+    TargetStart,
+)
+from cottonlink.path._frames import (
+    ANSWERED,
+    CALL,
+    CANCEL,
+    ERA_KEY,
+    LEAVING,
+    NOT_RUN,
+    PING,
+    PONG,
+    PRESSURE_SCALE,
+    QUARANTINE,
+    SNAPSHOT_REQUEST,
+    STORE_CHANGES,
+    STORE_SNAPSHOT,
+    UNKNOWN,
+    CallFrame,
+    CancelFrame,
+    LeavingFrame,
+    OutcomeFrame,
+    PingFrame,
+    PongFrame,
+    QuarantineFrame,
+    SnapshotRequestFrame,
+    StoreChangesFrame,
+    StoreSnapshotFrame,
+    TargetLimitFrame,
+    TargetsLeavingFrame,
+)
+from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
+
+# Largest frame that is accepted; it has room for the largest body of a caller and its headers.
+FRAME_LIMIT_BYTES = 80_000_000
+# Largest integer that a float holds exactly; no count, revision or time in ms is larger.
+MAX_INTEGER = 2**53
+# Largest status of an HTTP response, and the smallest of a final one.
+MAX_STATUS, MIN_STATUS = 999, 200
+# Fields of a report of requests that crash targets, after their levels.
+_QUARANTINE_LATER_FIELDS = 3
+
+
+class FrameReader:
+    """Decodes a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(
+            use_list=False, raw=False, max_buffer_size=FRAME_LIMIT_BYTES
+        )
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        """Yield the frames that are complete after ``data``.
+
+        Raises CottonlinkError if the bytes are not valid frames; the connection is then unusable.
+        """
+        try:
+            self._unpacker.feed(data)
+            for fields in self._unpacker:
+                yield _DECODERS[fields[0]](*fields[1:])
+        except (ValueError, TypeError, LookupError, msgpack.exceptions.UnpackException) as error:
+            detail = f"unreadable frame: {type(error).__name__}: {error}"
+            raise CottonlinkError("peer_frame_invalid", detail, step=Step.ACCEPT) from error
+
+
+def _integer(value: Any) -> int:
+    if type(value) is not int or not 0 <= value <= MAX_INTEGER:
+        raise TypeError(f"expected an integer from 0 on, got {value!r:.40}")
+    return value
+
+
+def _number(value: Any) -> float:
+    if type(value) not in (int, float) or not 0 <= value <= MAX_INTEGER or math.isnan(value):
+        raise TypeError(f"expected a number from 0 on, got {value!r:.40}")
+    return value
+
+
+def _optional_integer(value: Any) -> int | None:
+    return None if value is None else _integer(value)
+
+
+def _make_check(kind: type) -> Callable[[Any], Any]:
+    def check(value: Any) -> Any:
+        if type(value) is not kind:
+            raise TypeError(f"expected {kind.__name__}, got {value!r:.40}")
+        return value
+
+    return check
+
+
+_text = _make_check(str)
+_bytes = _make_check(bytes)
+_boolean = _make_check(bool)
+_tuple = _make_check(tuple)
+
+
+def _optional_boolean(value: Any) -> bool | None:
+    return None if value is None else _boolean(value)
+
+
+def _texts(value: Any) -> tuple[str, ...]:
+    return tuple(_text(part) for part in _tuple(value))
+
+
+def _headers(value: Any) -> tuple[tuple[bytes, bytes], ...]:
+    for name, content in _tuple(value):
+        if type(name) is not bytes or type(content) is not bytes:
+            raise TypeError(f"expected a header, got {name!r:.40}: {content!r:.40}")
+    return value
+
+
+def _tier(value: Any) -> int:
+    if type(value) is not int or value not in (NESTED_CALL_TIER, NEW_REQUEST_TIER):
+        raise ValueError(f"expected a tier, got {value!r:.40}")
+    return value
+
+
+def _rank(value: Any) -> int:
+    # Operators may rank routes below 0, too.
+    if type(value) is not int or abs(value) > MAX_INTEGER:
+        raise TypeError(f"expected an integer, got {value!r:.40}")
+    return value
+
+
+def _status(value: Any) -> int:
+    if not MIN_STATUS <= _integer(value) <= MAX_STATUS:
+        raise ValueError(f"expected the status of a final response, got {value}")
+    return value
+
+
+_CALL_CHECKS = (
+    _integer, _text, _text, _bytes, _bytes, _bytes, _bytes, _headers, _bytes, _integer, _integer,
+    _tier, _rank, _boolean, _boolean, _text,
+)  # fmt: skip
+
+
+def _decode_call(*fields: Any) -> CallFrame:
+    return CallFrame(*[check(f) for check, f in zip(_CALL_CHECKS, fields, strict=True)])
+
+
+def _decode_load(fields: Any) -> Load:
+    running, queued, limit, service_ms = _tuple(fields)
+    return Load(_integer(running), _integer(queued), _integer(limit), _number(service_ms))
+
+
+def _decode_report(fields: Any) -> TargetReport | None:
+    if fields is None:
+        return None
+    load, is_nested, makes_calls, pressure, *later_fields = _tuple(fields)
+    return TargetReport(
+        _decode_load(load),
+        _optional_boolean(is_nested),
+        _boolean(makes_calls),
+        _number(pressure) / PRESSURE_SCALE,
+        bool(later_fields) and _boolean(later_fields[0]),
+    )
+
+
+def _decode_answered(
+    stream: Any, status: Any, headers: Any, body: Any, report: Any
+) -> OutcomeFrame:
+    outcome = Answered(_status(status), _headers(headers), _bytes(body), _decode_report(report))
+    return OutcomeFrame(_integer(stream), outcome)
+
+
+def _decode_not_run(
+    stream: Any, reason: Any, retry_after_ms: Any, reached_target: Any, report: Any
+) -> OutcomeFrame:
+    outcome = NotRun(
+        _text(reason), _number(retry_after_ms), _boolean(reached_target), _decode_report(report)
+    )
+    return OutcomeFrame(_integer(stream), outcome)
+
+
+def _decode_unknown(stream: Any, reason: Any, target_crashed: Any) -> OutcomeFrame:
+    return OutcomeFrame(_integer(stream), OutcomeUnknown(_text(reason), _boolean(target_crashed)))
+
+
+def _decode_start(fields: Any) -> TargetStart:
+    upstream_id, started_at_ms = _tuple(fields)
+    return TargetStart(_text(upstream_id), _optional_integer(started_at_ms))
+
+
+def _decode_quarantine(
+    levels: Any, *later_fields: Any
+) -> QuarantineFrame | TargetsLeavingFrame | TargetLimitFrame:
+    notices = later_fields[_QUARANTINE_LATER_FIELDS:]
+    if len(notices) > 1:
+        start, limit_per_s, age_ms = _tuple(notices[1])
+        limit = float(_number(limit_per_s))
+        return TargetLimitFrame(_decode_start(start), limit, int(_number(age_ms)))
+    if notices:
+        return TargetsLeavingFrame(tuple(_decode_start(target) for target in _tuple(notices[0])))
+    pairs = [(_text(fingerprint), _integer(level)) for fingerprint, level in _tuple(levels)]
+    if not later_fields:
+        return QuarantineFrame(QuarantineReport(tuple(ReportedLevel(*pair) for pair in pairs)))
+    ages_ms, crashes, cleared = later_fields
+    return QuarantineFrame(
+        QuarantineReport(
+            tuple(
+                ReportedLevel(*pair, _number(age_ms))
+                for pair, age_ms in zip(pairs, _tuple(ages_ms), strict=True)
+            ),
+            tuple(_decode_crash(*crash) for crash in _tuple(crashes)),
+            _texts(cleared),
+        )
+    )
+
+
+def _decode_crash(crash_id: Any, age_ms: Any, fingerprints: Any) -> CrashNotice:
+    return CrashNotice(_text(crash_id), _number(age_ms), _texts(fingerprints))
+
+
+def _decode_items(fields: Any) -> tuple[tuple, int | None]:
+    """Return the items of the store in a frame, and the era of their revisions."""
+    items: list[tuple[str, int, bytes | None]] = []
+    era = None
+    for key, revision, value in _tuple(fields):
+        if key == ERA_KEY:
+            era = _integer(revision)
+        else:
+            items.append((_text(key), _integer(revision), None if value is None else _bytes(value)))
+    return tuple(items), era
+
+
+def _decode_snapshot(revision: Any, fields: Any) -> StoreSnapshotFrame:
+    items, era = _decode_items(fields)
+    if any(value is None for _, _, value in items):
+        raise TypeError("expected no removed items in a snapshot")
+    return StoreSnapshotFrame(_integer(revision), items, era)
+
+
+_DECODERS: dict[int, Callable[..., Any]] = {
+    CALL: _decode_call,
+    ANSWERED: _decode_answered,
+    NOT_RUN: _decode_not_run,
+    UNKNOWN: _decode_unknown,
+    CANCEL: lambda stream: CancelFrame(_integer(stream)),
+    PING: lambda number: PingFrame(_integer(number)),
+    PONG: lambda number, load: PongFrame(_integer(number), _decode_load(load)),
+    LEAVING: lambda takes_calls: LeavingFrame(_boolean(takes_calls)),
+    QUARANTINE: _decode_quarantine,
+    STORE_CHANGES: lambda after, revision, items: StoreChangesFrame(
+        _integer(after), _integer(revision), *_decode_items(items)
+    ),
+    SNAPSHOT_REQUEST: lambda *position: SnapshotRequestFrame(*map(_integer, position)),
+    STORE_SNAPSHOT: _decode_snapshot,
+}
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -9,6 +9,7 @@
 
 from attrs import evolve
 
+from cottonlink.errors import CottonlinkError
 from cottonlink.overload import (
     LimitChange,
     make_crash_registry,
@@ -323,6 +324,12 @@
         elif isinstance(frame, TargetLimitFrame):
             self._limit_exchange.receive(frame)
 
+    def on_peer_error(self, error: CottonlinkError, address: Any) -> None:
+        self.state.metrics.count("peer_links", "invalid")
+        self.state.log.event(
+            "peer_invalid", code=error.code, detail=error.detail, peer=address and address[0]
+        )
+
     # Implements PeerLinkListener.
     def on_link_leaving(self, address: Address, *, takes_calls: bool) -> None:
         now_ms = self.now_ms()
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/_peer_links.py
@@ -10,10 +10,10 @@
 
 from cottonlink.errors import CottonlinkError
 from cottonlink.path._connection_end import unsent_bytes
+from cottonlink.path._frame_reader import FrameReader
 from cottonlink.path._frames import (
     CallFrame,
     CancelFrame,
-    FrameReader,
     LeavingFrame,
     OutcomeFrame,
     PingFrame,
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/_peer_server.py
@@ -7,10 +7,10 @@
 
 from cottonlink.errors import CottonlinkError
 from cottonlink.path._connection_end import unsent_bytes
+from cottonlink.path._frame_reader import FrameReader
 from cottonlink.path._frames import (
     CallFrame,
     CancelFrame,
-    FrameReader,
     LeavingFrame,
     OutcomeFrame,
     PingFrame,
@@ -48,6 +48,9 @@
     def on_peer_frame(self, frame: Any) -> None:
         """Called with a frame that doesn't belong to a call."""
 
+    def on_peer_error(self, error: CottonlinkError, address: Any) -> None:
+        """Called if the peer at ``address`` has sent what is no frame; its connection ends."""
+
 
 class PeerConnection(asyncio.Protocol):
     """One incoming connection of another node."""
@@ -74,7 +77,8 @@
         try:
             for frame in self._reader.feed(data):
                 self._handle(frame)
-        except CottonlinkError:
+        except CottonlinkError as error:
+            self._handler.on_peer_error(error, self._transport.get_extra_info("peername"))
             self._transport.abort()
 
     def send_leaving(self, *, takes_calls: bool) -> None:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -121,6 +121,16 @@
             except CottonlinkError as error:
                 self._on_store_lost(error)
                 await self._wait_before_retry()
+            except Exception as error:
+                # A node whose task ended would never learn of another change.
+                self._log_failure("step", error)
+                self._must_read = self._must_read_latest = True
+                await self._wait_before_retry()
+
+    def _log_failure(self, part: str, error: Exception) -> None:
+        self._log.event(
+            "store_follower_failed", part=part, error=f"{type(error).__name__}: {error}"
+        )
 
     async def _wait_before_retry(self) -> None:
         await asyncio.sleep(self._retry_delay_s * self._rng.uniform(0.5, 1.0))
@@ -130,7 +140,10 @@
         """Update the contents over time, until cancelled."""
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self._contents.maintain(self._now_ms())
+            try:
+                self._contents.maintain(self._now_ms())
+            except Exception as error:
+                self._log_failure("maintenance", error)
 
     def apply_changes(self, frame: StoreChangesFrame) -> None:
         """Apply changes, or a heartbeat without any, that a watching node has sent."""
--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -8,6 +8,8 @@
 import random
 import signal
 import sys
+import traceback
+from typing import Any
 
 import uvloop
 
@@ -28,6 +30,8 @@
 # The platform may rewrite the settings file without sending SIGHUP, so it is checked this often.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 EXIT_BAD_SETTINGS = 2
+# Innermost frames of an unexpected exception that are logged.
+LOGGED_FRAMES = 4
 
 
 def main() -> int:
@@ -48,6 +52,7 @@
     loop = asyncio.get_running_loop()
     rng = random.Random()
     log = make_event_log(settings.node, loop)
+    loop.set_exception_handler(lambda _loop, context: _log_unexpected(log, context))
     node = Node(settings, PlatformHeaderCodec(), log, loop, rng)
     follower = make_store_follower(settings, node, log, rng, loop)
     await node.start()
@@ -65,6 +70,18 @@
         task.cancel()
 
 
+def _log_unexpected(log: EventLog, context: dict[str, Any]) -> None:
+    """Log an exception that nothing has handled; it ends a callback or connection at most."""
+    error = context.get("exception")
+    frames = traceback.extract_tb(error.__traceback__) if error is not None else []
+    log.event(
+        "unexpected_error",
+        detail=context.get("message"),
+        error=None if error is None else f"{type(error).__name__}: {error}",
+        at=[f"{frame.name}:{frame.lineno}" for frame in frames[-LOGGED_FRAMES:]],
+    )
+
+
 def _log_failed_task(log: EventLog, task: asyncio.Task) -> None:
     """Log the exception that ended a task; the node goes on without it."""
     if not task.cancelled() and task.exception() is not None:
@@ -110,6 +127,8 @@
         except SettingsError as error:
             # The settings that were applied last stay in force.
             log.event("settings_invalid", problems=error.problems)
+        except Exception as error:
+            log.event("settings_invalid", problems=[f"{type(error).__name__}: {error}"])
 
 
 def _read_mtime_ns(path: str) -> int:
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -112,7 +112,7 @@
             data = _parse(answer)
             page_position = _read_position(answer, data)
             _expect_era(page_position.era, era)
-            page = [decode_item(item, era) for item in data.get("items", ())]
+            page = _read_items(data, "items", era)
             items += page
             # The watch continues from the first page, so that no change between pages is missed.
             position = position or page_position
@@ -146,7 +146,7 @@
         data = _parse(_expect_ok(answer))
         answered = _read_position(answer, data)
         _expect_era(answered.era, position.era)
-        events = tuple(decode_item(event, answered.era) for event in data.get("events", ()))
+        events = tuple(_read_items(data, "events", answered.era))
         return Listing(events, max(position, answered))
 
     def close(self) -> None:
@@ -234,6 +234,15 @@
     return data
 
 
+def _read_items(data: dict[str, Any], name: str, era: int) -> list[StoreItem]:
+    items = data.get(name, [])
+    if not isinstance(items, list):
+        raise CottonlinkError(
+            "store_answer_invalid", f"expected a list in {name}", step=Step.POLICY_READ
+        )
+    return [decode_item(item, era) for item in items]
+
+
 def _read_position(
     answer: HttpResponse, data: dict[str, Any], default: int | None = None
 ) -> StorePosition:
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -55,7 +55,7 @@
     is_complete: bool = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode().lower()] = value.decode()
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
         self.body += body
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -15,7 +15,8 @@
     make_leaving_targets,
 )
 from cottonlink.overload._leaving_targets import LEAVING_TARGET_LIMIT
-from cottonlink.path._frames import FrameReader, QuarantineFrame, TargetsLeavingFrame, encode
+from cottonlink.path._frame_reader import FrameReader
+from cottonlink.path._frames import QuarantineFrame, TargetsLeavingFrame, encode
 from cottonlink.path._peer_notices import PeerNotices
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -287,6 +287,26 @@
         self.follower._on_store_lost(caught.exception)
 
 
+class TestUnexpectedErrors(FollowerCase):
+    """Faults of the node's own code."""
+
+    async def test_follower_goes_on_after_an_unexpected_error(self) -> None:
+        """A node whose task had ended kept its configuration and its upstreams for ever."""
+        self.follower._retry_delay_s = 0.0
+        with mock.patch.object(self.follower._contents, "replace", side_effect=KeyError("x")):
+            self.follower._must_read = True
+            running = asyncio.create_task(self.follower.run())
+            await asyncio.sleep(0.02)
+        self.store.items = (StoreItem("configuration", StorePosition(1, 9), b"6"),)
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            if self.applied_versions() == [6]:
+                break
+        running.cancel()
+        self.assertEqual(self.applied_versions(), [6])
+        self.assertEqual(self.logged_events("store_follower_failed")[0]["part"], "step")
+
+
 class TestFirstRead(FollowerCase):
     """How a node that starts learns what the store holds, and what that costs the store."""
 
