Ask the store less: one range for all keys, batches, a later first watch

Change: a whole read is one range over all keys, at one position, instead of a key and a range. While changes come without a pause the delay between two watches grows from 0.15 to 0.5 s, and is 0.15 s again after one. In a fleet that starts a node waits 1.5 s before its first watch and, unless it is elected, after one.

Slowest way of a change, all watchers alive: 0.5 s of batch, 0.4 s of a slow answer, the frame; with all watchers lost 1.2 + 0.2 s and a read, as before (tests/test_store_follower.py).

--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -139,7 +139,7 @@
         if url.path == "/-/kv-key":
             return self._get_key(query["key"], source)
         if url.path == "/-/kv-range":
-            return self._get_range(query["prefix"], query.get("after", ""), source)
+            return self._get_range(query.get("prefix", ""), query.get("after", ""), source)
         return self._get_events_after(query)
 
     def _get_key(self, key: str, source: StoreCopy) -> bytes:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/_store_follower.py
@@ -39,12 +39,18 @@
 # outage. A change published right after it must reach every node within about five seconds.
 MIN_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 1.0
-# Delay between two watches, so that changes close to each other are read with one call.
+# Delay between two watches, so that changes close to each other are read with one call. It doubles
+# up to the maximum while changes come without a pause, and is far less than the two seconds within
+# which a change must be in force.
 BATCH_DELAY_S = 0.15
-# The same while a fleet starts, and how long that takes: the targets register one by one, and until
-# nodes know each other all of them ask the store.
-FLEET_START_BATCH_DELAY_S = 1.0
+MAX_BATCH_DELAY_S = 0.5
+# A watch that is answered within this time found changes that had been made before.
+PROMPT_ANSWER_S = 0.1
+# How long a fleet starts: the targets register one by one, and until nodes know each other all of
+# them ask the store. Delay before the first watch in that time, and after one at a node that isn't
+# elected to watch.
 FLEET_START_S = 3.0
+FLEET_START_DELAY_S = 1.5
 # Interval of the check for entries that went missing around an outage of the store.
 MAINTENANCE_INTERVAL_S = 0.25
 # Interval at which a node that doesn't watch checks whether the watching nodes still send.
@@ -92,6 +98,7 @@
         # Whether the first read, which may be seconds old, couldn't be brought up to date.
         self._must_read_latest = False
         self._fleet_starts_until_s = float("-inf")
+        self._batch_delay_s = BATCH_DELAY_S
         self._watch_call: asyncio.Future[Listing] | None = None
         # The latest era that another node told of.
         self._announced_era = UNKNOWN_ERA
@@ -288,14 +295,26 @@
         listing = await self._store.read_all(may_be_stale=True)
         if not any(self._store.is_configuration(item.key) for item in listing.items):
             self._fleet_starts_until_s = self._loop.time() + FLEET_START_S
+            await self._wait_while_fleet_starts()
         if not listing.items:
             return listing
         self.call_count += 1
         return merge_changes(listing, await self._store.read_changes(listing.position))
 
-    def _batch_delay_s(self) -> float:
+    async def _wait_while_fleet_starts(self) -> None:
+        rest_s = self._fleet_starts_until_s - self._loop.time()
+        await asyncio.sleep(max(0.0, min(FLEET_START_DELAY_S, rest_s)))
+
+    async def _wait_for_batch(self, answered_in_s: float) -> None:
+        """Wait after a watch that was answered with changes, so that more come together."""
         is_fleet_starting = self._loop.time() < self._fleet_starts_until_s
-        return FLEET_START_BATCH_DELAY_S if is_fleet_starting else BATCH_DELAY_S
+        if is_fleet_starting and not self._watcher_election.is_watcher:
+            await self._wait_while_fleet_starts()
+            return
+        is_busy = answered_in_s < PROMPT_ANSWER_S
+        delay_s = min(2 * self._batch_delay_s, MAX_BATCH_DELAY_S) if is_busy else BATCH_DELAY_S
+        self._batch_delay_s = delay_s
+        await asyncio.sleep(delay_s)
 
     def _apply_listing(self, listing: Listing) -> None:
         self._enter_era(listing.position)
@@ -317,6 +336,7 @@
 
     async def _watch(self, asked: StorePosition) -> None:
         self.call_count += 1
+        asked_at_s = self._loop.time()
         self._watch_call = asyncio.ensure_future(self._store.watch(asked))
         try:
             await asyncio.wait((self._watch_call,))
@@ -325,6 +345,7 @@
         if self._watch_call.cancelled():
             return
         changes = self._watch_call.result()
+        answered_at_s = self._loop.time()
         self._on_store_regained()
         if changes.items:
             self._log.event(
@@ -342,7 +363,7 @@
         # Frames of other watchers may have taken this node further than this answer.
         self._position = max(changes.position, self._position)
         if changes.items:
-            await asyncio.sleep(self._batch_delay_s())
+            await self._wait_for_batch(answered_at_s - asked_at_s)
 
     def _broadcast(self, after: int, position: StorePosition, items: tuple[StoreItem, ...]) -> None:
         """Send the changes after one revision up to a position, which must be all of them.
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -48,8 +48,7 @@
 # More digits than any counter has; a longer number would not fit a frame between nodes.
 _ERA_DIGITS_LIMIT = 18
 _GONE = 410
-_NOT_FOUND = 404
-# One watch covers the configuration and the upstreams, whose keys share no prefix.
+# One call covers the configuration and the upstreams, whose keys share no prefix.
 _ALL_KEYS_PREFIX = ""
 
 
@@ -64,18 +63,27 @@
         self._body_budget = make_body_budget()
 
     async def read_all(self, *, may_be_stale: bool = False) -> Listing:
-        """Return the configuration and all entries of upstreams.
+        """Return the configuration and all entries of upstreams, as they were at one position.
 
         With ``may_be_stale`` they may be seconds old: such reads cost a tenth and aren't counted
         towards the store's rate limit. Raises EraChangedError if the store returned from a copy in
         between.
         """
-        options = {"serializable": 1} if may_be_stale else {}
-        configuration = await self._read_key(CONFIGURATION_KEY, options)
-        upstreams = await self._read_range(UPSTREAM_PREFIX, configuration.position.era, options)
-        # The watch continues from the earlier read, so that no change between the two is missed.
-        position = min(configuration.position, upstreams.position)
-        return Listing(configuration.items + upstreams.items, position)
+        items: list[StoreItem] = []
+        position: StorePosition | None = None
+        query = {"prefix": _ALL_KEYS_PREFIX, **({"serializable": 1} if may_be_stale else {})}
+        while True:
+            answer = _expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S))
+            data = _parse(answer)
+            page_position = _read_position(answer, data)
+            # The watch continues from the first page, so that no change between pages is missed.
+            position = position or page_position
+            _expect_era(page_position.era, position.era)
+            page = _read_items(data, "items", position.era)
+            items += page
+            if not data.get("has_more") or not page:
+                return Listing(tuple(items), position)
+            query["after"] = page[-1].key
 
     def is_configuration(self, key: str) -> bool:
         """Return whether ``key`` holds the operator's configuration."""
@@ -93,33 +101,6 @@
         """Return the upstream that ``item`` registers. Raises CottonlinkError if it is invalid."""
         return decode_upstream(item)
 
-    async def _read_key(self, key: str, options: dict[str, Any]) -> Listing:
-        """Return a listing with the item of ``key``, or without items if there is none."""
-        answer = await self._get("/-/kv-key", {"key": key, **options}, READ_TIMEOUT_S)
-        if answer.status == _NOT_FOUND:
-            return Listing((), _read_position(answer, _parse(answer), default=0))
-        data = _parse(_expect_ok(answer))
-        position = _read_position(answer, data)
-        return Listing((decode_item(data, position.era),), position)
-
-    async def _read_range(self, prefix: str, era: int, options: dict[str, Any]) -> Listing:
-        """Return all items whose keys begin with ``prefix``, all of one ``era``."""
-        items: list[StoreItem] = []
-        position: StorePosition | None = None
-        query = {"prefix": prefix, **options}
-        while True:
-            answer = _expect_ok(await self._get("/-/kv-range", query, READ_TIMEOUT_S))
-            data = _parse(answer)
-            page_position = _read_position(answer, data)
-            _expect_era(page_position.era, era)
-            page = _read_items(data, "items", era)
-            items += page
-            # The watch continues from the first page, so that no change between pages is missed.
-            position = position or page_position
-            if not data.get("has_more") or not page:
-                return Listing(tuple(items), position)
-            query = {"prefix": prefix, "after": page[-1].key, **options}
-
     async def watch(self, position: StorePosition) -> Listing:
         """Return the changes after ``position``, or none if there are none within WATCH_WAIT_MS.
 
@@ -243,10 +224,8 @@
     return [decode_item(item, era) for item in items]
 
 
-def _read_position(
-    answer: HttpResponse, data: dict[str, Any], default: int | None = None
-) -> StorePosition:
-    revision = data.get("as_of", default)
+def _read_position(answer: HttpResponse, data: dict[str, Any]) -> StorePosition:
+    revision = data.get("as_of")
     if not isinstance(revision, int):
         raise CottonlinkError(
             "store_answer_invalid", "expected an integer in as_of", step=Step.POLICY_READ
