--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 from cottonlink.path import StorePosition
 from cottonlink.path._frames import PingFrame, StoreChangesFrame
@@ -275,6 +277,38 @@
         response = await self.call(self.first, "/bookings/1", method="POST", body=b"x")
         self.assertEqual((response.status, response.body), (200, b"whole"))
 
+    async def test_response_that_is_cut_short_never_looks_complete(self) -> None:
+        """Half an answer must not reach a caller as a success, however its end is marked.
+
+        A reset in the middle ends a response without framing like any other.
+        """
+        framings = ("", "Transfer-Encoding: chunked\r\n", "Content-Length: 900\r\n")
+        bodies = (b"half", b"4\r\nhalf\r\n", b"half")
+
+        for framing, body in zip(framings, bodies, strict=True):
+
+            async def cut_short(
+                _target: PlatformTarget,
+                request: ReceivedRequest,
+                writer: asyncio.StreamWriter,
+                framing: str = framing,
+                body: bytes = body,
+            ) -> None:
+                attempt = request.header("x-attempt-id")
+                lines = ("HTTP/1.1 200 OK", f"X-Attempt-Id: {attempt}", "X-Server-Seal: s")
+                head = "\r\n".join(lines) + f"\r\n{framing}\r\n"
+                writer.write(head.encode() + body)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                reset_on_close = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close)
+
+            with self.subTest(framing=framing):
+                self.booking.target.behaviour = cut_short
+                response = await self.call(self.first, "/bookings/1", method="POST", body=b"x")
+                self.assertEqual((response.status, response.body), (502, b""))
+
     async def test_caller_disconnect_aborts_its_read(self) -> None:
         """A target must not keep working on a read after its caller has disconnected."""
         ended: list[bool] = []
