Group the modules of the call path by whom a node speaks to

Cause: path/ held 46 modules in one folder, and the parts to come have no obvious place in it.

Change: callers/, peers/, target/ and store/ hold what faces each side; what joins or serves all of them stays in path/. Names of modules are unchanged, and nothing else is.

--- a/src/cottonlink/path/__init__.py
+++ b/src/cottonlink/path/__init__.py
@@ -1,7 +1,6 @@
 """The call path: one event loop that carries calls between callers, nodes and targets."""
 
 from cottonlink.overload import UNKNOWN_ERA, StorePosition
-from cottonlink.path._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection, HttpResponse
@@ -16,8 +15,15 @@
 )
 from cottonlink.path._node import Node
 from cottonlink.path._settings import NodeSettings, load_node_settings
-from cottonlink.path._store import EraChangedError, HistoryLostError, Listing, Store, StoreItem
-from cottonlink.path._store_follower import StoreFollower
+from cottonlink.path.peers._frames import CallFrame
+from cottonlink.path.store._store import (
+    EraChangedError,
+    HistoryLostError,
+    Listing,
+    Store,
+    StoreItem,
+)
+from cottonlink.path.store._store_follower import StoreFollower
 
 __all__ = [
     "UNKNOWN_ERA",
--- a/src/cottonlink/path/_header_codec.py
+++ b/src/cottonlink/path/_header_codec.py
@@ -4,10 +4,10 @@
 
 from typing import Protocol
 
-from cottonlink.path._frames import CallFrame
 from cottonlink.path._http import Headers
 from cottonlink.path._http_client import HttpResponse
 from cottonlink.path._model import Request
+from cottonlink.path.peers._frames import CallFrame
 
 
 class HeaderCodec(Protocol):
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -23,37 +23,37 @@
     make_traffic_split,
 )
 from cottonlink.path._body import WholeBody
-from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._connection_end import ConnectionEnd
-from cottonlink.path._crash_guard import CrashGuard
-from cottonlink.path._exchange import Exchange
-from cottonlink.path._frames import (
-    QuarantineFrame,
-    SnapshotRequestFrame,
-    StoreChangesFrame,
-    StoreSnapshotFrame,
-    TargetLimitFrame,
-    TargetsLeavingFrame,
-)
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import Headers, parse_address
-from cottonlink.path._ingress import Ingress
-from cottonlink.path._leaving_exchange import LeavingExchange
-from cottonlink.path._limit_exchange import LimitExchange
 from cottonlink.path._listeners import Listeners
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import CallerLimits, Configuration, Load, Request, Upstream
-from cottonlink.path._own_target import OwnTarget
 from cottonlink.path._paced_input import Turns
-from cottonlink.path._peer_links import Address, PeerLinkListener, PeerLinks
-from cottonlink.path._peer_notices import PeerNotices
-from cottonlink.path._peer_server import PeerConnection
-from cottonlink.path._quarantine_exchange import QuarantineExchange
 from cottonlink.path._settings import NodeSettings
 from cottonlink.path._shutdown import Shutdown, report_connection_end
 from cottonlink.path._state import NodeState
-from cottonlink.path._status_server import StatusServer
+from cottonlink.path.callers._caller_connection import CallerConnection
+from cottonlink.path.callers._exchange import Exchange
+from cottonlink.path.callers._ingress import Ingress
+from cottonlink.path.callers._status_server import StatusServer
+from cottonlink.path.peers._frames import (
+    QuarantineFrame,
+    SnapshotRequestFrame,
+    StoreChangesFrame,
+    StoreSnapshotFrame,
+    TargetLimitFrame,
+    TargetsLeavingFrame,
+)
+from cottonlink.path.peers._leaving_exchange import LeavingExchange
+from cottonlink.path.peers._limit_exchange import LimitExchange
+from cottonlink.path.peers._peer_links import Address, PeerLinkListener, PeerLinks
+from cottonlink.path.peers._peer_notices import PeerNotices
+from cottonlink.path.peers._peer_server import PeerConnection
+from cottonlink.path.peers._quarantine_exchange import QuarantineExchange
+from cottonlink.path.target._crash_guard import CrashGuard
+from cottonlink.path.target._own_target import OwnTarget
 
 # Interval of the periodic check of links, pooled connections and a shutdown in progress.
 SWEEP_INTERVAL_S = 0.1
--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -6,12 +6,12 @@
 
 from attrs import define, field
 
-from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._connection_end import ConnectionEnd
-from cottonlink.path._ingress import Ingress
 from cottonlink.path._listeners import Listeners
-from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
+from cottonlink.path.callers._caller_connection import CallerConnection
+from cottonlink.path.callers._ingress import Ingress
+from cottonlink.path.peers._peer_server import PeerConnection
 
 # Time after SIGTERM for which new callers still arrive: the readiness check that directs them here
 # runs once a second and needs two failures to stop.
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -18,16 +18,16 @@
     RouteThrottle,
     TrafficSplit,
 )
-from cottonlink.path._crash_guard import CrashGuard
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import Configuration, Request, Route
 from cottonlink.path._paced_input import Turns
-from cottonlink.path._peer_links import PeerLinks
+from cottonlink.path.peers._peer_links import PeerLinks
+from cottonlink.path.target._crash_guard import CrashGuard
 
 if TYPE_CHECKING:
-    from cottonlink.path._target_dispatcher import TargetDispatcher
+    from cottonlink.path.target._target_dispatcher import TargetDispatcher
 
 
 @define(eq=False)
--- a/src/cottonlink/path/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -10,17 +10,17 @@
 from cottonlink.path._body import LONG_BODY_BYTES
 from cottonlink.path._body_stream import BodyStream
 from cottonlink.path._connection_end import ConnectionEnd, Linger, unsent_bytes
-from cottonlink.path._exchange import CallerHandler, Exchange
 from cottonlink.path._http import OVERHEAD_LIMIT_BYTES, Headers, response_bytes
-from cottonlink.path._incoming_request import IncomingRequest
 from cottonlink.path._model import CallerLimits, Request
 from cottonlink.path._paced_input import PARSED_BODY_BYTES, PARSED_BYTES, PacedInput
-from cottonlink.path._response_stream import ResponseStream
 from cottonlink.path._sockets import (
     CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
     enable_dead_peer_detection,
     unread_bytes,
 )
+from cottonlink.path.callers._exchange import CallerHandler, Exchange
+from cottonlink.path.callers._incoming_request import IncomingRequest
+from cottonlink.path.callers._response_stream import ResponseStream
 
 # Unanswered requests of one connection; at this number reading pauses.
 MAX_PIPELINED_REQUESTS = 16
--- a/src/cottonlink/path/_exchange.py
+++ b/src/cottonlink/path/callers/_exchange.py
@@ -15,7 +15,7 @@
 from cottonlink.path._model import CallerLimits, Request
 
 if TYPE_CHECKING:
-    from cottonlink.path._caller_connection import CallerConnection
+    from cottonlink.path.callers._caller_connection import CallerConnection
 
 
 @define(eq=False)
--- a/src/cottonlink/path/_final_response.py
+++ b/src/cottonlink/path/callers/_final_response.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 from cottonlink.overload import RATE_LIMITED
-from cottonlink.path._exchange import Exchange
-from cottonlink.path._ingress_call import IngressCall
 from cottonlink.path._model import Answered, NotRun, Outcome, Request
 from cottonlink.path._state import NodeState
+from cottonlink.path.callers._exchange import Exchange
+from cottonlink.path.callers._ingress_call import IngressCall
 
 # Retry-After of a refused request, as a share of its latency objective: long enough for capacity to
 # become free, short enough for the response to be still useful.
--- a/src/cottonlink/path/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -14,11 +14,7 @@
     allowed_wait_ms,
 )
 from cottonlink.path._body_stream import WINDOW_BYTES, BodyStream
-from cottonlink.path._exchange import Exchange
-from cottonlink.path._final_response import TIMED_OUT, FinalResponses
-from cottonlink.path._frames import CallFrame
 from cottonlink.path._http import Headers, end_to_end_headers
-from cottonlink.path._ingress_call import IngressCall
 from cottonlink.path._model import (
     Answered,
     NotRun,
@@ -30,6 +26,10 @@
     Upstream,
 )
 from cottonlink.path._state import NodeState
+from cottonlink.path.callers._exchange import Exchange
+from cottonlink.path.callers._final_response import TIMED_OUT, FinalResponses
+from cottonlink.path.callers._ingress_call import IngressCall
+from cottonlink.path.peers._frames import CallFrame
 
 # Time after a request's deadline for which the node still waits for the target's own response.
 TIMEOUT_GRACE_MS = 60.0
--- a/src/cottonlink/path/_ingress_call.py
+++ b/src/cottonlink/path/callers/_ingress_call.py
@@ -8,9 +8,9 @@
 from attrs import define, field
 
 from cottonlink.overload import NESTED_CALL_TIER, ParentRun, Placement, make_placement
-from cottonlink.path._exchange import Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import Answered, Request, Route, Upstream
+from cottonlink.path.callers._exchange import Exchange
 
 
 @define(eq=False)
--- a/src/cottonlink/path/_status_server.py
+++ b/src/cottonlink/path/callers/_status_server.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 
 from cottonlink.path._body import WholeBody
-from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._connection_end import ConnectionEnd
-from cottonlink.path._exchange import Exchange
 from cottonlink.path._http import Headers
 from cottonlink.path._model import CallerLimits, Request
+from cottonlink.path.callers._caller_connection import CallerConnection
+from cottonlink.path.callers._exchange import Exchange
 
 # No page needs a body; the node takes no room for one.
 BODY_LIMIT_BYTES = 1_024
--- a/src/cottonlink/path/_frame_input.py
+++ b/src/cottonlink/path/peers/_frame_input.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from cottonlink.errors import CottonlinkError
-from cottonlink.path._frame_reader import FrameReader
+from cottonlink.path.peers._frame_reader import FrameReader
 
 # Frames that are handled in one turn.
 FRAMES_PER_TURN = 64
--- a/src/cottonlink/path/_frame_reader.py
+++ b/src/cottonlink/path/peers/_frame_reader.py
@@ -21,7 +21,8 @@
     ReportedLevel,
     TargetStart,
 )
-from cottonlink.path._frames import (
+from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
+from cottonlink.path.peers._frames import (
     ANSWERED,
     CALL,
     CANCEL,
@@ -59,7 +60,6 @@
     TargetLimitFrame,
     TargetsLeavingFrame,
 )
-from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 
 # Largest frame that is accepted; it has room for the largest body of a caller and its headers.
 FRAME_LIMIT_BYTES = 80_000_000
--- a/src/cottonlink/path/_leaving_exchange.py
+++ b/src/cottonlink/path/peers/_leaving_exchange.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 
 from cottonlink.overload import TargetStart, target_start
-from cottonlink.path._frames import TargetsLeavingFrame
 from cottonlink.path._model import Upstream
-from cottonlink.path._peer_links import Address
-from cottonlink.path._peer_notices import PeerNotices
-from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
+from cottonlink.path.peers._frames import TargetsLeavingFrame
+from cottonlink.path.peers._peer_links import Address
+from cottonlink.path.peers._peer_notices import PeerNotices
+from cottonlink.path.peers._peer_server import PeerConnection
 
 # Random nodes are told again for this time, as a notice can be lost on a link that is silent or not
 # open.
--- a/src/cottonlink/path/_limit_exchange.py
+++ b/src/cottonlink/path/peers/_limit_exchange.py
@@ -10,13 +10,13 @@
 
 from cottonlink.errors import CottonlinkError
 from cottonlink.overload import LIMIT_LAPSE_MS, TargetStart, target_start
-from cottonlink.path._frames import TargetLimitFrame
 from cottonlink.path._http import Headers
 from cottonlink.path._model import Upstream
-from cottonlink.path._own_target import OwnTarget
-from cottonlink.path._peer_links import Address
-from cottonlink.path._peer_notices import PeerNotices
 from cottonlink.path._state import NodeState
+from cottonlink.path.peers._frames import TargetLimitFrame
+from cottonlink.path.peers._peer_links import Address
+from cottonlink.path.peers._peer_notices import PeerNotices
+from cottonlink.path.target._own_target import OwnTarget
 
 
 @frozen
--- a/src/cottonlink/path/_long_bodies.py
+++ b/src/cottonlink/path/peers/_long_bodies.py
@@ -10,7 +10,7 @@
 from cottonlink.overload import Hold
 from cottonlink.path._body import BodyBuffer, HeldBody, WholeBody
 from cottonlink.path._body_stream import WINDOW_BYTES, BodyStream
-from cottonlink.path._frames import (
+from cottonlink.path.peers._frames import (
     PIECE_BYTES,
     CallFrame,
     CreditFrame,
--- a/src/cottonlink/path/_peer_links.py
+++ b/src/cottonlink/path/peers/_peer_links.py
@@ -12,8 +12,10 @@
 from cottonlink.path._body import LONG_BODY_BYTES
 from cottonlink.path._body_stream import BodyStream
 from cottonlink.path._connection_end import unsent_bytes
-from cottonlink.path._frame_input import FrameInput
-from cottonlink.path._frames import (
+from cottonlink.path._model import Load, NotRun, Outcome, OutcomeUnknown
+from cottonlink.path._sockets import enable_dead_peer_detection
+from cottonlink.path.peers._frame_input import FrameInput
+from cottonlink.path.peers._frames import (
     SENDS_PIECES,
     TAKES_PIECES,
     CallFrame,
@@ -29,9 +31,7 @@
     PongFrame,
     encode,
 )
-from cottonlink.path._long_bodies import CreditCounter, RequestBodySender
-from cottonlink.path._model import Load, NotRun, Outcome, OutcomeUnknown
-from cottonlink.path._sockets import enable_dead_peer_detection
+from cottonlink.path.peers._long_bodies import CreditCounter, RequestBodySender
 
 Address = tuple[str, int]
 
--- a/src/cottonlink/path/_peer_notices.py
+++ b/src/cottonlink/path/peers/_peer_notices.py
@@ -6,10 +6,10 @@
 
 from attrs import define
 
-from cottonlink.path._frames import encode
-from cottonlink.path._peer_links import Address
-from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
+from cottonlink.path.peers._frames import encode
+from cottonlink.path.peers._peer_links import Address
+from cottonlink.path.peers._peer_server import PeerConnection
 
 # Nodes that are told each time. With two a second, a node that missed a notice hears of it within a
 # second or two in a fleet of any size.
--- a/src/cottonlink/path/_peer_server.py
+++ b/src/cottonlink/path/peers/_peer_server.py
@@ -13,8 +13,10 @@
 from cottonlink.path._body import WholeBody
 from cottonlink.path._body_stream import WINDOW_BYTES, BodyStream
 from cottonlink.path._connection_end import unsent_bytes
-from cottonlink.path._frame_input import FrameInput
-from cottonlink.path._frames import (
+from cottonlink.path._model import Answered, Load, NotRun, Outcome, OutcomeUnknown
+from cottonlink.path._sockets import enable_dead_peer_detection
+from cottonlink.path.peers._frame_input import FrameInput
+from cottonlink.path.peers._frames import (
     SENDS_PIECES,
     TAKES_PIECES,
     CallFrame,
@@ -29,13 +31,11 @@
     PongFrame,
     encode,
 )
-from cottonlink.path._long_bodies import (
+from cottonlink.path.peers._long_bodies import (
     RequestBodyReceiver,
     ResponseBodyCollector,
     ResponseBodySender,
 )
-from cottonlink.path._model import Answered, Load, NotRun, Outcome, OutcomeUnknown
-from cottonlink.path._sockets import enable_dead_peer_detection
 
 
 class CallDispatcher(Protocol):
--- a/src/cottonlink/path/_quarantine_exchange.py
+++ b/src/cottonlink/path/peers/_quarantine_exchange.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 from cottonlink.overload import CountedCrash, LearnedQuarantine, report_of_crash
-from cottonlink.path._frames import QuarantineFrame
-from cottonlink.path._peer_links import Address
-from cottonlink.path._peer_notices import PeerNotices
-from cottonlink.path._peer_server import PeerConnection
 from cottonlink.path._state import NodeState
+from cottonlink.path.peers._frames import QuarantineFrame
+from cottonlink.path.peers._peer_links import Address
+from cottonlink.path.peers._peer_notices import PeerNotices
+from cottonlink.path.peers._peer_server import PeerConnection
 
 # Fingerprints in one log line about a crash.
 LOGGED_FINGERPRINTS = 16
--- a/src/cottonlink/path/_store_contents.py
+++ b/src/cottonlink/path/store/_store_contents.py
@@ -14,7 +14,7 @@
 from cottonlink.overload import UNKNOWN_ERA, StorePosition, make_upstream_directory
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
-from cottonlink.path._store import Listing, Store, StoreItem
+from cottonlink.path.store._store import Listing, Store, StoreItem
 
 
 class StoreContents:
--- a/src/cottonlink/path/_store_follower.py
+++ b/src/cottonlink/path/store/_store_follower.py
@@ -20,10 +20,14 @@
     StorePosition,
     make_watcher_election,
 )
-from cottonlink.path._frames import SnapshotRequestFrame, StoreChangesFrame, StoreSnapshotFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
-from cottonlink.path._store import (
+from cottonlink.path.peers._frames import (
+    SnapshotRequestFrame,
+    StoreChangesFrame,
+    StoreSnapshotFrame,
+)
+from cottonlink.path.store._store import (
     EraChangedError,
     HistoryLostError,
     Listing,
@@ -33,7 +37,7 @@
     pack_items,
     unpack_items,
 )
-from cottonlink.path._store_contents import make_store_contents
+from cottonlink.path.store._store_contents import make_store_contents
 
 # Delays after failed calls. All nodes share the store's rate limit, so the delay grows during an
 # outage. A change published right after it must reach every node within about five seconds.
--- a/src/cottonlink/path/_crash_detector.py
+++ b/src/cottonlink/path/target/_crash_detector.py
@@ -6,10 +6,10 @@
 from collections import deque
 from typing import Protocol
 
-from cottonlink.path._crash_guard import CrashGuard, call_fingerprints
-from cottonlink.path._frames import CallFrame
+from cottonlink.path.target._crash_guard import CrashGuard, call_fingerprints
+from cottonlink.path.peers._frames import CallFrame
 from cottonlink.path._log import EventLog
-from cottonlink.path._target_pool import TargetPool
+from cottonlink.path.target._target_pool import TargetPool
 
 # A target that is unreachable within this time after runs ended without a response is taken to have
 # crashed.
--- a/src/cottonlink/path/_crash_guard.py
+++ b/src/cottonlink/path/target/_crash_guard.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 
 from cottonlink.overload import CrashRegistry, make_recent_answers, request_fingerprint
-from cottonlink.path._frames import CallFrame
+from cottonlink.path.peers._frames import CallFrame
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import NotRun, Request
 
--- a/src/cottonlink/path/_own_target.py
+++ b/src/cottonlink/path/target/_own_target.py
@@ -6,12 +6,12 @@
 
 from cottonlink.overload import TargetLimitChange, TargetStart, target_start
 from cottonlink.path._http_client import SkippedResponse
-from cottonlink.path._leaving_exchange import LeavingExchange
+from cottonlink.path.peers._leaving_exchange import LeavingExchange
 from cottonlink.path._model import Upstream
-from cottonlink.path._quarantine_exchange import QuarantineExchange
+from cottonlink.path.peers._quarantine_exchange import QuarantineExchange
 from cottonlink.path._state import NodeState
-from cottonlink.path._target_dispatcher import TargetDispatcher
-from cottonlink.path._target_pool import TargetPool
+from cottonlink.path.target._target_dispatcher import TargetDispatcher
+from cottonlink.path.target._target_pool import TargetPool
 
 
 class OwnTarget:
--- a/src/cottonlink/path/_target_dispatcher.py
+++ b/src/cottonlink/path/target/_target_dispatcher.py
@@ -30,9 +30,9 @@
 )
 from cottonlink.path._body_stream import BodyStream
 from cottonlink.path._connection_end import LONGEST_LINGER_MS, STALLED_MS
-from cottonlink.path._crash_detector import CrashDetector
-from cottonlink.path._crash_guard import CrashGuard, call_fingerprints
-from cottonlink.path._frames import CallFrame
+from cottonlink.path.target._crash_detector import CrashDetector
+from cottonlink.path.target._crash_guard import CrashGuard, call_fingerprints
+from cottonlink.path.peers._frames import CallFrame
 from cottonlink.path._header_codec import HeaderCodec
 from cottonlink.path._http import end_to_end_headers, request_head_bytes
 from cottonlink.path._http_client import ExchangeFailed, ExchangeResult, HttpResponse
@@ -46,7 +46,7 @@
     TargetReport,
     with_report,
 )
-from cottonlink.path._target_pool import TargetPool
+from cottonlink.path.target._target_pool import TargetPool
 
 # Concurrent calls assumed until the target's registration states its slots.
 DEFAULT_SLOTS = 32
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -171,7 +171,7 @@
 
     async def asyncSetUp(self) -> None:
         # The fleet starts before its configuration is written, and tests need not wait for that.
-        patch = mock.patch("cottonlink.path._store_follower.FLEET_START_S", 0.0)
+        patch = mock.patch("cottonlink.path.store._store_follower.FLEET_START_S", 0.0)
         patch.start()
         self.addCleanup(patch.stop)
         self.store = PlatformStore()
--- a/tests/test_answer_proof.py
+++ b/tests/test_answer_proof.py
@@ -22,11 +22,17 @@
 from cottonlink.node._pool import Connection, ExchangeError, OutgoingRequest
 from cottonlink.path import HttpResponse
 from cottonlink.path._body_stream import BodyStream
-from cottonlink.path._frame_reader import FrameReader
-from cottonlink.path._frames import EndFrame, LongAnswerFrame, OutcomeFrame, PieceFrame, encode
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection, SkippedResponse
 from cottonlink.path._model import Answered, Outcome, OutcomeUnknown
-from cottonlink.path._peer_links import PeerLink, PeerLinkListener, _Connection
+from cottonlink.path.peers._frame_reader import FrameReader
+from cottonlink.path.peers._frames import (
+    EndFrame,
+    LongAnswerFrame,
+    OutcomeFrame,
+    PieceFrame,
+    encode,
+)
+from cottonlink.path.peers._peer_links import PeerLink, PeerLinkListener, _Connection
 from tests.platform_fixtures import TurnLoop
 
 EARLIER, OWN = b"a1", b"a2"
--- a/tests/test_crash_registry.py
+++ b/tests/test_crash_registry.py
@@ -19,8 +19,8 @@
 from cottonlink.overload._crash_registry import KNOWN_CRASH_LIMIT
 from cottonlink.overload._quarantine import SUSPECT_MS
 from cottonlink.overload._recent_answers import PERIOD_ENTRY_LIMIT, PERIOD_MS
-from cottonlink.path._frame_reader import FrameReader
-from cottonlink.path._frames import QuarantineFrame, encode
+from cottonlink.path.peers._frame_reader import FrameReader
+from cottonlink.path.peers._frames import QuarantineFrame, encode
 
 
 class TestCrashRegistry(unittest.TestCase):
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -6,9 +6,9 @@
 
 from attrs import evolve
 
-from cottonlink.path._crash_guard import call_fingerprints
-from cottonlink.path._frames import CallFrame, PingFrame
 from cottonlink.path._model import Answered, NotRun, Outcome, OutcomeUnknown
+from cottonlink.path.peers._frames import CallFrame, PingFrame
+from cottonlink.path.target._crash_guard import call_fingerprints
 from emulator.http_stand_in import ReceivedRequest, make_response
 from emulator.platform_target import PlatformTarget, configuration, route_resource
 from tests.platform_fixtures import FleetCase, Vm
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -9,13 +9,13 @@
 from unittest import mock
 
 from cottonlink.overload import make_memory_account
-from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._http_client import (
     RESPONSE_BODY_LIMIT_BYTES,
     ExchangeFailed,
     HttpConnection,
 )
 from cottonlink.path._model import CallerLimits
+from cottonlink.path.callers._caller_connection import CallerConnection
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import PlatformTarget, configuration, route_resource
 from tests.platform_fixtures import FleetCase, TurnLoop
@@ -207,7 +207,7 @@
         await self.store.put("op/config", configuration(4, route))
         await self.wait_until_version(4)
         booking.target.behaviour = trickle
-        with mock.patch("cottonlink.path._target_dispatcher.OVERDUE_MS", 200.0):
+        with mock.patch("cottonlink.path.target._target_dispatcher.OVERDUE_MS", 200.0):
             response = await self.call(booking, "/bookings/1", method="POST", remaining_ms=300)
             self.assertEqual(response.status, 504)
             await self.wait_until(lambda: booking.node.dispatcher.is_idle)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -13,8 +13,8 @@
 from attrs import evolve
 
 from cottonlink.path._connection_end import unsent_bytes
-from cottonlink.path._frames import PingFrame
 from cottonlink.path._shutdown import Shutdown
+from cottonlink.path.peers._frames import PingFrame
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import PlatformTarget, configuration, route_resource
 from tests.platform_fixtures import WAIT_TIMEOUT_S, Caller, FleetCase, Vm, request_bytes
@@ -327,7 +327,7 @@
 
         Its first request may be on its way, so it isn't closed at once.
         """
-        patch = mock.patch("cottonlink.path._caller_connection.NEW_CONNECTION_MS", 60_000.0)
+        patch = mock.patch("cottonlink.path.callers._caller_connection.NEW_CONNECTION_MS", 60_000.0)
         patch.start()
         self.addCleanup(patch.stop)
         self.first.node.begin_shutdown(lambda: None)
--- a/tests/test_input_turns.py
+++ b/tests/test_input_turns.py
@@ -12,9 +12,6 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from cottonlink.path._caller_connection import MAX_PIPELINED_REQUESTS, CallerConnection
-from cottonlink.path._frame_input import FRAMES_PER_TURN
-from cottonlink.path._frames import OutcomeFrame, PingFrame, encode
 from cottonlink.path._http_client import HttpConnection
 from cottonlink.path._model import Load, NotRun
 from cottonlink.path._paced_input import (
@@ -24,8 +21,11 @@
     TURNS_PER_ROUND,
     Turns,
 )
-from cottonlink.path._peer_links import PeerLink, PeerLinkListener, _Connection
-from cottonlink.path._peer_server import PeerConnection
+from cottonlink.path.callers._caller_connection import MAX_PIPELINED_REQUESTS, CallerConnection
+from cottonlink.path.peers._frame_input import FRAMES_PER_TURN
+from cottonlink.path.peers._frames import OutcomeFrame, PingFrame, encode
+from cottonlink.path.peers._peer_links import PeerLink, PeerLinkListener, _Connection
+from cottonlink.path.peers._peer_server import PeerConnection
 from tests.platform_fixtures import TurnLoop, caller_handler
 from tests.test_tiny_pieces import CHUNK, REQUEST_HEAD, RESPONSE_HEAD
 
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -15,9 +15,9 @@
     make_leaving_targets,
 )
 from cottonlink.overload._leaving_targets import LEAVING_TARGET_LIMIT
-from cottonlink.path._frame_reader import FrameReader
-from cottonlink.path._frames import QuarantineFrame, TargetsLeavingFrame, encode
-from cottonlink.path._peer_notices import PeerNotices
+from cottonlink.path.peers._frame_reader import FrameReader
+from cottonlink.path.peers._frames import QuarantineFrame, TargetsLeavingFrame, encode
+from cottonlink.path.peers._peer_notices import PeerNotices
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
     PlatformTarget,
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -16,8 +16,8 @@
 
 from cottonlink.path._body import LONG_BODY_BYTES
 from cottonlink.path._body_stream import WINDOW_BYTES
-from cottonlink.path._caller_connection import WRITE_BUFFER_LIMIT_BYTES
-from cottonlink.path._frames import PingFrame, encode
+from cottonlink.path.callers._caller_connection import WRITE_BUFFER_LIMIT_BYTES
+from cottonlink.path.peers._frames import PingFrame, encode
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import PlatformTarget, configuration, route_resource
 from tests.platform_fixtures import WAIT_TIMEOUT_S, Caller, FleetCase, Vm, request_bytes
@@ -305,8 +305,8 @@
         self.booking.node.memory.limit_bytes = len(LONG_BODY) + 1_000
         caller = await self.connect(self.reads)
         # Neither the body nor the end of its call arrives.
-        is_frozen = mock.patch("cottonlink.path._peer_links.RequestBodySender.grant")
-        is_silent = mock.patch("cottonlink.path._peer_links._Connection.cancel")
+        is_frozen = mock.patch("cottonlink.path.peers._peer_links.RequestBodySender.grant")
+        is_silent = mock.patch("cottonlink.path.peers._peer_links._Connection.cancel")
         with is_frozen, is_silent:
             request = request_bytes("/bookings/1", method="POST", body=LONG_BODY, remaining_ms=400)
             caller.writer.write(request)
@@ -358,8 +358,8 @@
     async def test_peer_of_an_earlier_build_gets_and_sends_whole_bodies(self) -> None:
         """Fleets are replaced node by node."""
         self.reads.target.behaviour = answer_long
-        earlier_server = mock.patch("cottonlink.path._peer_server.TAKES_PIECES", -1)
-        earlier_client = mock.patch("cottonlink.path._peer_links.TAKES_PIECES", 0)
+        earlier_server = mock.patch("cottonlink.path.peers._peer_server.TAKES_PIECES", -1)
+        earlier_client = mock.patch("cottonlink.path.peers._peer_links.TAKES_PIECES", 0)
         for name, patch in {"server": earlier_server, "client": earlier_client}.items():
             with self.subTest(earlier=name), patch:
                 self.close_links()
@@ -387,7 +387,9 @@
     async def test_long_call_waits_for_what_its_peer_knows(self) -> None:
         """A link that has just been opened must not carry a long body in one frame."""
         sent: list[object] = []
-        with mock.patch("cottonlink.path._peer_links.encode", side_effect=record_frames(sent)):
+        with mock.patch(
+            "cottonlink.path.peers._peer_links.encode", side_effect=record_frames(sent)
+        ):
             self.close_links()
             response = await self.call(
                 self.reads, "/bookings/1", method="POST", body=LONG_BODY, remaining_ms=20_000
--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -12,12 +12,12 @@
 from unittest import mock
 
 from cottonlink.errors import CottonlinkError
-from cottonlink.path._frames import CallFrame
 from cottonlink.path._http_client import ExchangeFailed, HttpConnection
 from cottonlink.path._model import NotRun
-from cottonlink.path._peer_links import PeerLink, PeerLinkListener, _Connection
-from cottonlink.path._peer_server import PeerConnection
-from cottonlink.path._target_pool import TargetPool
+from cottonlink.path.peers._frames import CallFrame
+from cottonlink.path.peers._peer_links import PeerLink, PeerLinkListener, _Connection
+from cottonlink.path.peers._peer_server import PeerConnection
+from cottonlink.path.target._target_pool import TargetPool
 from cottonlink.platform._store_client import StoreClient
 
 ADDRESS = ("127.0.0.1", 1)
@@ -54,7 +54,7 @@
         patches = (
             mock.patch.object(self.loop, "create_connection", connect),
             mock.patch("cottonlink.path._http_client.enable_dead_peer_detection"),
-            mock.patch("cottonlink.path._peer_links.enable_dead_peer_detection"),
+            mock.patch("cottonlink.path.peers._peer_links.enable_dead_peer_detection"),
         )
         for patch in patches:
             patch.start()
@@ -138,7 +138,7 @@
     async def test_outcome_is_dropped_on_a_closing_connection(self) -> None:
         """An outcome that comes while its peer's connection closes must not raise."""
         handler = mock.Mock()
-        with mock.patch("cottonlink.path._peer_server.enable_dead_peer_detection"):
+        with mock.patch("cottonlink.path.peers._peer_server.enable_dead_peer_detection"):
             connection = PeerConnection(handler)
             connection.connection_made(ClosedTransport())
         connection._handle(mock.Mock(spec=CallFrame, stream=1))
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -15,7 +15,8 @@
 import msgpack
 
 from cottonlink.overload import CrashNotice, QuarantineReport, ReportedLevel, TargetStart
-from cottonlink.path._frames import (
+from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
+from cottonlink.path.peers._frames import (
     CallFrame,
     CancelFrame,
     LeavingFrame,
@@ -30,7 +31,6 @@
     TargetsLeavingFrame,
     encode,
 )
-from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import PlatformTarget, configuration, make_response, route_resource
 from tests.platform_fixtures import FleetCase, Vm, request_bytes
--- a/tests/test_nested_calls.py
+++ b/tests/test_nested_calls.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from cottonlink.overload import NESTED_CALL_TIER, NEW_REQUEST_TIER
-from cottonlink.path._frames import CallFrame
+from cottonlink.path.peers._frames import CallFrame
 from emulator.http_stand_in import ReceivedRequest, make_response
 from emulator.platform_target import (
     PlatformTarget,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,8 +8,8 @@
 import struct
 
 from cottonlink.path import StorePosition
-from cottonlink.path._frames import PingFrame, StoreChangesFrame
 from cottonlink.path._http import parse_address
+from cottonlink.path.peers._frames import PingFrame, StoreChangesFrame
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
     PlatformTarget,
--- a/tests/test_request_segments.py
+++ b/tests/test_request_segments.py
@@ -12,9 +12,9 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from cottonlink.path._caller_connection import CallerConnection
-from cottonlink.path._exchange import Exchange
 from cottonlink.path._model import CallerLimits
+from cottonlink.path.callers._caller_connection import CallerConnection
+from cottonlink.path.callers._exchange import Exchange
 from tests.platform_fixtures import TurnLoop, caller_handler
 
 SEED_COUNT = 60
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -21,8 +21,8 @@
     StorePosition,
     Upstream,
 )
-from cottonlink.path._frames import StoreChangesFrame, StoreSnapshotFrame
-from cottonlink.path._store_follower import (
+from cottonlink.path.peers._frames import StoreChangesFrame, StoreSnapshotFrame
+from cottonlink.path.store._store_follower import (
     LISTENER_CHECK_INTERVAL_S,
     MAINTENANCE_INTERVAL_S,
     MAX_RETRY_DELAY_S,
@@ -180,7 +180,7 @@
         configuration for too long.
         """
         self.follower.apply_changes(StoreChangesFrame(1, 1, (), era=1))
-        with mock.patch("cottonlink.path._store_follower.LISTENER_CHECK_INTERVAL_S", 0.0):
+        with mock.patch("cottonlink.path.store._store_follower.LISTENER_CHECK_INTERVAL_S", 0.0):
             await self.follower._step()
         self.assertEqual(self.store.calls, [])
         self.clock.now_s += 10.0
@@ -339,7 +339,7 @@
         """A node must not stay without a listing, or use the old one, if history was dropped."""
         self.store.has_lost_history = True
         self.store.items = (StoreItem("configuration", StorePosition(1, 9), b"6"),)
-        with mock.patch("cottonlink.path._store_follower.MIN_RETRY_DELAY_S", 0.0):
+        with mock.patch("cottonlink.path.store._store_follower.MIN_RETRY_DELAY_S", 0.0):
             self.follower._retry_delay_s = 0.0
             running = asyncio.create_task(self.follower.run())
             for _ in range(20):
@@ -375,7 +375,7 @@
             delays_s.append(round(delay_s, 2))
             self.clock.now_s += delay_s
 
-        with mock.patch("cottonlink.path._store_follower.asyncio.sleep", sleep):
+        with mock.patch("cottonlink.path.store._store_follower.asyncio.sleep", sleep):
             for _ in range(steps):
                 await self.follower._step()
         return delays_s
@@ -402,7 +402,7 @@
             delays_s.append(delay_s)
 
         self.store.watch = watch
-        with mock.patch("cottonlink.path._store_follower.asyncio.sleep", sleep):
+        with mock.patch("cottonlink.path.store._store_follower.asyncio.sleep", sleep):
             await self.follower._step()
         return delays_s[0]
 
--- a/tests/test_store_frames.py
+++ b/tests/test_store_frames.py
@@ -12,8 +12,8 @@
 
 import msgpack
 
-from cottonlink.path._frame_reader import FrameReader
-from cottonlink.path._frames import (
+from cottonlink.path.peers._frame_reader import FrameReader
+from cottonlink.path.peers._frames import (
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -27,8 +27,8 @@
 from cottonlink.overload._load_balancer import MAX_FULL_MS
 from cottonlink.overload._target_limit import BURST_S, LIMIT_LAPSE_MS, RECOVERY_MS
 from cottonlink.path import Upstream
-from cottonlink.path._frame_reader import FrameReader
-from cottonlink.path._frames import QuarantineFrame, TargetLimitFrame, encode
+from cottonlink.path.peers._frame_reader import FrameReader
+from cottonlink.path.peers._frames import QuarantineFrame, TargetLimitFrame, encode
 from cottonlink.platform._headers import PlatformHeaderCodec
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import (
--- a/tests/test_tiny_pieces.py
+++ b/tests/test_tiny_pieces.py
@@ -17,8 +17,8 @@
 
 from cottonlink._clock import SystemClock
 from cottonlink.node._pool import Connection, OutgoingRequest
-from cottonlink.path._caller_connection import CallerConnection
 from cottonlink.path._http_client import HttpConnection
+from cottonlink.path.callers._caller_connection import CallerConnection
 from tests.platform_fixtures import TurnLoop, caller_handler
 
 BODY_BYTES = 2_000_000
