Decide whose request it is by its API key, and stop where a revocation may be unknown

Cause: nothing in the code knew an organisation. Keys were passed on to targets, requests ran whose key no configuration held or whose key had been taken away, and callers could claim any organisation.

Change: organisations/ holds the directory of keys by digest, the proof that a configuration is current, and what becomes of unknown keys. The adapter replaces keys by digests where the configuration is read, so that they reach no frame between nodes. The entry node finds the organisation, strips what a caller claims, and tells the target the name in the last header of the call, which builds that know no organisations pass on as well. With a promised revocation time a node serves keys only for 0.9 of it after its latest proof: an answer of the store, counted from the question, or a peer that is asked. Routes of the kind download are repeatable. Deployments without organisations send the same bytes as before.

--- a/emulator/platform_target.py
+++ b/emulator/platform_target.py
@@ -125,6 +125,12 @@
     return {"resource_type": "routes", "metadata": {"name": name}, "spec": spec}
 
 
+def organisation_resource(name: str, *keys: str, **changes: object) -> dict:
+    """Return an organisation of the operator's configuration, with ``changes`` to its ``spec``."""
+    spec = {"api_keys": list(keys), **changes}
+    return {"resource_type": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def configuration(version: int, *routes: dict, **limits: object) -> dict:
     """Return an operator's configuration with ``routes`` and their services."""
     services = sorted({r["spec"]["service"] for r in routes if "service" in r["spec"]})
--- a/src/cottonlink/overload/_parent_run.py
+++ b/src/cottonlink/overload/_parent_run.py
@@ -19,13 +19,15 @@
 class ParentRun:
     """A run at the local target, and the nested calls that it has made so far.
 
-    ``rank`` is the importance that its calls inherit, ``is_retry`` whether the run repeats another.
+    ``rank`` is the importance that its calls inherit, as they do its ``organisation``, ``is_retry``
+    whether the run repeats another.
     ``turned_away_call_count`` counts the calls that the service called has refused or failed.
     """
 
     rank: int
     is_retry: bool
     route: str
+    organisation: str = ""
     answered_call_count: int = 0
     turned_away_call_count: int = 0
 
--- a/src/cottonlink/overload/_watcher_election.py
+++ b/src/cottonlink/overload/_watcher_election.py
@@ -28,12 +28,13 @@
         self._name = name
         self._last_heartbeat_ms = float("-inf")
         self.is_watcher = True
+        self.watchers: tuple[str, ...] = (name,)
 
     def set_members(self, names: Iterable[str]) -> None:
         """Elect the watchers among ``names``, the nodes of the data centre."""
         members = {*names, self._name}
-        elected = rendezvous_order(_RENDEZVOUS_KEY, members)[:WATCHERS_PER_DATA_CENTRE]
-        self.is_watcher = self._name in elected
+        self.watchers = tuple(rendezvous_order(_RENDEZVOUS_KEY, members)[:WATCHERS_PER_DATA_CENTRE])
+        self.is_watcher = self._name in self.watchers
 
     def record_heartbeat(self, now_ms: float) -> None:
         """Record that a watcher reported to be up to date."""
--- a/src/cottonlink/path/_header_codec.py
+++ b/src/cottonlink/path/_header_codec.py
@@ -30,6 +30,25 @@
     def target_headers(self, frame: CallFrame, remaining_ms: int) -> Headers:
         """Return the headers of the request that is sent to the target."""
 
+    def key_digest(self, headers: Headers) -> bytes | None:
+        """Return the digest of the API key in a request, or None if it has none or several."""
+
+    def without_credentials(self, headers: Headers, *, needs_key: bool) -> Headers:
+        """Return the headers of a request without keys and names of organisations.
+
+        Where no key is needed, other credentials are for the target and stay.
+        """
+
+    def organisation_header(self, name: str) -> tuple[bytes, bytes]:
+        """Return the header that tells a target whose request it is.
+
+        It is the last one of a call between nodes, so that builds that know no organisations pass
+        it on as well.
+        """
+
+    def organisation(self, headers: Headers) -> str:
+        """Return the organisation that a node has put behind the headers of a call, or ``""``."""
+
     def is_not_run(self, answer: HttpResponse) -> bool:
         """Return whether the target states that it didn't run the request."""
 
--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -7,6 +7,7 @@
 
 from attrs import evolve, field, frozen
 
+from cottonlink.organisations import OrganisationDirectory
 from cottonlink.path._body import Body, WholeBody
 
 
@@ -24,7 +25,8 @@
 
     ``rank`` is the importance of the route; 0 is the highest. ``objective_ms`` is the latency
     objective, within which a response is of full use. ``upstream_limit`` is the largest number of
-    upstreams that one attempt of a caller may reach.
+    upstreams that one attempt of a caller may reach. ``needs_key`` tells whether a request must
+    carry the API key of an organisation, if the configuration has any.
     """
 
     name: str
@@ -36,6 +38,7 @@
     rank: int
     upstream_limit: int
     services: tuple[WeightedService, ...]
+    needs_key: bool = True
 
 
 @frozen
@@ -50,12 +53,18 @@
 
 @frozen
 class Configuration:
-    """One version of the operator's configuration; ``connection_limits`` is by service."""
+    """One version of the operator's configuration; ``connection_limits`` is by service.
+
+    ``organisations`` is None if requests need no API key. ``problems`` tells what was left out as
+    invalid.
+    """
 
     version: int
     routes: tuple[Route, ...]
     limits: CallerLimits
     connection_limits: dict[str, int]
+    organisations: OrganisationDirectory | None = None
+    problems: tuple[str, ...] = ()
     _index: dict[str, dict[bytes, Route]] = field(init=False, repr=False, eq=False)
 
     @_index.default
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -10,6 +10,7 @@
 from attrs import evolve
 
 from cottonlink.errors import CottonlinkError
+from cottonlink.organisations import make_currency_proof
 from cottonlink.overload import (
     Hold,
     LimitChange,
@@ -38,7 +39,10 @@
 from cottonlink.path.callers._exchange import Exchange
 from cottonlink.path.callers._ingress import Ingress
 from cottonlink.path.callers._status_server import StatusServer
+from cottonlink.path.peers._currency_exchange import CurrencyExchange
 from cottonlink.path.peers._frames import (
+    CurrencyAnswerFrame,
+    CurrencyQuestionFrame,
     QuarantineFrame,
     SnapshotRequestFrame,
     StoreChangesFrame,
@@ -73,6 +77,8 @@
 SNAPSHOT_REQUEST_INTERVAL_MS = 300.0
 # Peers in one line of the log.
 LOGGED_PEERS_LIMIT = 16
+# Problems of a configuration that are logged.
+LOGGED_PROBLEMS_LIMIT = 16
 
 
 class StoreView(Protocol):
@@ -132,6 +138,7 @@
             leaving_targets=make_leaving_targets(),
             memory=make_memory_account(settings.memory_mb, loop.call_soon),
             turns=Turns(loop),
+            currency=make_currency_proof(settings.revocation_s * 1000.0 or None),
         )
         self.memory = self.state.memory
         self.state.peer_links = PeerLinks(self, loop)
@@ -145,6 +152,7 @@
         )
         self.dispatcher = self.state.dispatcher = self._target.dispatcher
         self._limit_exchange = LimitExchange(self.state, peers, self._target)
+        self._currency_exchange = CurrencyExchange(self.state)
         self._ingress = Ingress(self.state, self._on_response)
         # As registered in the store.
         self._upstreams: list[Upstream] = []
@@ -212,6 +220,10 @@
                 )
             return
         self.state.configuration = configuration
+        organisations = configuration.organisations
+        self.dispatcher.is_currency_proven = (
+            None if organisations is None else self.state.is_currency_proven
+        )
         limit = configuration.connection_limits.get(self._settings.service)
         if limit is not None:
             self._target.pool.limit = max(1, int(limit * self._settings.connection_share))
@@ -220,7 +232,11 @@
             version=configuration.version,
             previous=present,
             routes=len(configuration.routes),
+            organisations=organisations and len(organisations.organisations),
+            keys=organisations and organisations.key_count,
         )
+        for problem in configuration.problems[:LOGGED_PROBLEMS_LIMIT]:
+            self.state.log.event("configuration_problem", detail=problem)
 
     def apply_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Replace the set of known upstreams."""
@@ -262,6 +278,14 @@
                 peer_count=len(vm_ips),
             )
 
+    def record_store_answer(self, asked_at_ms: float, era: int) -> None:
+        """Note that an answer of the store, no older than its question, has been applied."""
+        self._currency_exchange.record_store_answer(asked_at_ms, era)
+
+    def set_watchers(self, vm_ips: tuple[str, ...]) -> None:
+        """Note which nodes watch the store for the data centre."""
+        self._currency_exchange.watcher_ips = vm_ips
+
     def apply_settings(self, settings: NodeSettings) -> None:
         """Replace the settings. Those that are used only at the start, such as addresses, stay."""
         self._settings = settings
@@ -357,6 +381,11 @@
             self._leaving_exchange.receive(frame)
         elif isinstance(frame, TargetLimitFrame):
             self._limit_exchange.receive(frame)
+        elif isinstance(frame, CurrencyAnswerFrame):
+            self._currency_exchange.receive(frame)
+
+    def answer_question(self, frame: CurrencyQuestionFrame) -> CurrencyAnswerFrame:
+        return self._currency_exchange.answer(frame)
 
     def on_peer_error(self, error: CottonlinkError, address: Any) -> None:
         self.state.metrics.count("peer_links", "invalid")
@@ -461,6 +490,7 @@
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.state.peer_links.sweep()
         self._target.pool.sweep()
+        self._currency_exchange.sweep()
         for connection in list(self._peer_connections):
             connection.sweep()
         if self._peer_connections and self._snapshot_request() is not None:
--- a/src/cottonlink/path/_settings.py
+++ b/src/cottonlink/path/_settings.py
@@ -61,6 +61,9 @@
     repeat_window_s: float = field(default=10, validator=_number_between(0.1, _MAX_SECONDS))
     grace_s: float = field(default=10, validator=_number_between(0, _MAX_SECONDS))
     memory_mb: float = field(default=200, validator=_number_between(64, 1_000_000))
+    # Time within which a revoked API key must no longer work anywhere, also without any contact; 0
+    # if no such time is promised.
+    revocation_s: float = field(default=0, validator=_number_between(0, _MAX_SECONDS))
     connection_share: float = field(default=0.9, validator=_number_between(0.01, 1))
 
 
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -5,10 +5,13 @@
 import asyncio
 import itertools
 import random
+import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from attrs import define, field
 
+from cottonlink.organisations import CurrencyProof
 from cottonlink.overload import (
     CrashRegistry,
     LeavingTargets,
@@ -51,6 +54,7 @@
     leaving_targets: LeavingTargets
     memory: MemoryAccount
     turns: Turns
+    currency: CurrencyProof
     dispatcher: TargetDispatcher = field(init=False)
     peer_links: PeerLinks = field(init=False)
     configuration: Configuration | None = None
@@ -58,12 +62,24 @@
     """Whether a route's requests are nested calls, as the nodes next to targets report."""
     calling_services: dict[str, bool] = field(factory=dict)
     """Whether the targets of a service make calls themselves, as reported by their nodes."""
+    currency_waits: set[Callable[[], None]] = field(factory=set)
+    """Called once the configuration is proven to have been current later than before."""
     _streams: itertools.count = field(factory=itertools.count)
 
     def now_ms(self) -> float:
         """Return the monotonic time of the event loop."""
         return self.loop.time() * 1000.0
 
+    def is_currency_proven(self) -> bool:
+        """Return whether requests with API keys may be sent to targets.
+
+        The event loop's own time may be as old as a freeze of the process was long, while input
+        that is read now arrived at its end.
+        """
+        if not self.currency.is_required:
+            return True
+        return self.currency.valid_for_ms(time.monotonic() * 1000.0) > 0
+
     def next_stream(self) -> int:
         """Return a stream number, unique within this node."""
         return next(self._streams)
--- a/src/cottonlink/path/callers/_final_response.py
+++ b/src/cottonlink/path/callers/_final_response.py
@@ -30,6 +30,8 @@
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
+_UNAUTHORIZED = 401
+_REVOKED = NotRun("key_revoked")
 
 
 class FinalResponses:
@@ -93,17 +95,19 @@
         route = call.route
         now_ms = state.now_ms()
         if is_success:
-            is_useful = route.rank == 0 or latency_ms <= route.objective_ms
+            is_useful = call.rank == 0 or latency_ms <= route.objective_ms
             state.route_throttle.record_answer(
-                route.name, route.rank, latency_ms, is_useful=is_useful, now_ms=now_ms
+                route.name, call.rank, latency_ms, is_useful=is_useful, now_ms=now_ms
             )
         elif status == TIMED_OUT:
-            state.route_throttle.record_failure(route.name, route.rank, now_ms)
+            state.route_throttle.record_failure(route.name, call.rank, now_ms)
 
     def give_up(self, call: IngressCall, outcome: Outcome) -> None:
         """End a request that got no usable response."""
         if call.fallback is not None:
             self.answer(call, call.fallback)
+        elif outcome == _REVOKED and not call.has_unknown_outcome:
+            self.fail(call, _UNAUTHORIZED, outcome.reason)
         elif isinstance(outcome, NotRun) and not call.has_unknown_outcome:
             self.refuse(call, outcome.reason, outcome.retry_after_ms)
         else:
@@ -127,7 +131,7 @@
         state = self._state
         now_ms = state.now_ms()
         if not call.is_call and status == TIMED_OUT:
-            state.route_throttle.record_failure(call.route.name, call.route.rank, now_ms)
+            state.route_throttle.record_failure(call.route.name, call.rank, now_ms)
         state.metrics.count("requests_failed", reason)
         state.log.event(
             "request_failed",
--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from cottonlink.organisations import Organisation
 from cottonlink.overload import (
     NESTED_CALL_TIER,
     NEW_REQUEST_TIER,
@@ -29,6 +30,7 @@
 from cottonlink.path.callers._exchange import Exchange
 from cottonlink.path.callers._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path.callers._ingress_call import IngressCall
+from cottonlink.path.callers._key_gate import KeyGate
 from cottonlink.path.peers._frames import CallFrame
 
 # Time after a request's deadline for which the node still waits for the target's own response.
@@ -40,7 +42,7 @@
 MIN_RETRY_TIME_SHARE = 0.1
 
 # The Host header travels in a field of its own; the target's node sets it again.
-_HOST = b"host"
+_HOST_ONLY = frozenset((b"host",))
 
 
 class Ingress:
@@ -53,6 +55,7 @@
         self._state = state
         self._on_response = on_response
         self._calls: set[IngressCall] = set()
+        self._key_gate = KeyGate(state, self.serve)
         self._final_responses = FinalResponses(state, self._finish)
 
     @property
@@ -85,9 +88,14 @@
         if route is None:
             self._final_responses.respond_no_route(exchange, configuration.version)
             return
-        self._admit(exchange, route)
+        organisation = None
+        if configuration.organisations is not None and route.needs_key:
+            organisation = self._key_gate.find(exchange, route, configuration)
+            if organisation is None:
+                return
+        self._admit(exchange, route, organisation)
 
-    def _admit(self, exchange: Exchange, route: Route) -> None:
+    def _admit(self, exchange: Exchange, route: Route, organisation: Organisation | None) -> None:
         state = self._state
         now_ms = state.now_ms()
         request = exchange.request
@@ -107,10 +115,13 @@
             tier=tier,
             received_ms=exchange.received_ms,
             deadline_ms=now_ms + _allowed_ms(request, route) - waited_ms,
-            headers=end_to_end_headers(request.headers, frozenset((_HOST,))),
+            headers=(),
+            configuration=state.configuration,
+            organisation=organisation,
         )
+        call.headers = self._forwarded_headers(call)
         if tier == NEW_REQUEST_TIER and not state.route_throttle.admits(
-            route.name, route.rank, now_ms
+            route.name, call.rank, now_ms
         ):
             self._final_responses.refuse(call, "route_throttled", 0.0)
             return
@@ -126,6 +137,16 @@
         call.timer = state.loop.call_later(delay_s, self._time_out, call)
         self._place(call, _NO_UPSTREAM)
 
+    def _forwarded_headers(self, call: IngressCall) -> Headers:
+        headers = call.request.headers
+        if call.configuration.organisations is None:
+            return end_to_end_headers(headers, _HOST_ONLY)
+        codec = self._state.header_codec
+        headers = codec.without_credentials(headers, needs_key=call.route.needs_key)
+        headers = end_to_end_headers(headers, _HOST_ONLY)
+        name = call.organisation_name
+        return (*headers, codec.organisation_header(name)) if name else headers
+
     def _is_nested(self, route: Route, parent_id: bytes | None) -> bool:
         hints = self._state.dispatcher.parent_hints
         hints.observe(parent_id)
@@ -143,6 +164,11 @@
         if quarantine_refusal is not None:
             self._final_responses.give_up(call, quarantine_refusal)
             return
+        if call.organisation is not None:
+            reason = self._key_gate.reason_not_to_send(call)
+            if reason is not None:
+                self._final_responses.give_up(call, NotRun(reason))
+                return
         upstream = self._choose(call)
         if upstream is None:
             if refusal is _NO_UPSTREAM:
@@ -259,7 +285,7 @@
             state.dispatcher.record_nested_call_pressure(report.pressure)
         else:
             state.route_throttle.record_pressure(
-                call.route.name, call.route.rank, report.pressure, state.now_ms()
+                call.route.name, call.rank, report.pressure, state.now_ms()
             )
 
     @singledispatchmethod
--- a/src/cottonlink/path/callers/_ingress_call.py
+++ b/src/cottonlink/path/callers/_ingress_call.py
@@ -7,9 +7,10 @@
 
 from attrs import define, field
 
+from cottonlink.organisations import Organisation
 from cottonlink.overload import NESTED_CALL_TIER, ParentRun, Placement, make_placement
 from cottonlink.path._http import Headers
-from cottonlink.path._model import Answered, Request, Route, Upstream
+from cottonlink.path._model import Answered, Configuration, Request, Route, Upstream
 from cottonlink.path.callers._exchange import Exchange
 
 
@@ -19,9 +20,11 @@
 
     ``reached_target_count`` counts the sends that a target received or may have received,
     ``reached_upstream_ids`` are the upstreams that they went to, and ``placement`` decides on the
-    sends that end before any target receives them. ``cancel_send`` cancels
-    the send in progress. ``fallback`` is the error response that is returned if a retry yields no
-    response. ``has_unknown_outcome`` is set once a send may have run and its response was lost.
+    sends that end before any target receives them. ``configuration`` and ``organisation`` are those
+    with which it was admitted; a nested call needs no key and has no organisation of its own.
+    ``cancel_send`` cancels the send in progress. ``fallback`` is the error response that is
+    returned if a retry yields no response. ``has_unknown_outcome`` is set once a send may have run
+    and its response was lost.
     """
 
     exchange: Exchange
@@ -32,6 +35,8 @@
     received_ms: float
     deadline_ms: float
     headers: Headers
+    configuration: Configuration
+    organisation: Organisation | None = None
     tried_upstream_ids: set[str] = field(factory=set)
     reached_target_count: int = 0
     reached_upstream_ids: set[str] = field(factory=set)
@@ -56,8 +61,22 @@
 
     @property
     def rank(self) -> int:
-        """Importance, 0 being the highest; a call inherits that of the request that makes it."""
-        return self.parent.rank if self.parent is not None else self.route.rank
+        """Importance, 0 being the highest; a call inherits that of the request that makes it.
+
+        That of an organisation goes before its route's.
+        """
+        if self.parent is not None:
+            return self.parent.rank
+        if self.organisation is not None and self.organisation.rank is not None:
+            return self.organisation.rank
+        return self.route.rank
+
+    @property
+    def organisation_name(self) -> str:
+        """Whose request it is, empty if that isn't known; a call inherits it as well."""
+        if self.organisation is not None:
+            return self.organisation.name
+        return self.parent.organisation if self.parent is not None else ""
 
     @property
     def has_reached_all_upstreams(self) -> bool:
--- a/src/cottonlink/path/peers/_frame_reader.py
+++ b/src/cottonlink/path/peers/_frame_reader.py
@@ -27,6 +27,8 @@
     CALL,
     CANCEL,
     CREDIT,
+    CURRENCY_ANSWER,
+    CURRENCY_QUESTION,
     END,
     ERA_KEY,
     LEAVING,
@@ -45,6 +47,8 @@
     CallFrame,
     CancelFrame,
     CreditFrame,
+    CurrencyAnswerFrame,
+    CurrencyQuestionFrame,
     EndFrame,
     LeavingFrame,
     LongAnswerFrame,
@@ -318,5 +322,11 @@
     LONG_ANSWER: _decode_long_answer,
     PIECE: lambda stream, data: PieceFrame(_integer(stream), _bytes(data)),
     CREDIT: lambda stream, count: CreditFrame(_integer(stream), _integer(count)),
+    CURRENCY_QUESTION: lambda number, version: CurrencyQuestionFrame(
+        _integer(number), _integer(version)
+    ),
+    CURRENCY_ANSWER: lambda number, version, age_ms: CurrencyAnswerFrame(
+        _integer(number), _integer(version), _optional_integer(age_ms)
+    ),
     END: lambda stream, is_whole: EndFrame(_integer(stream), _boolean(is_whole)),
 }
--- a/src/cottonlink/path/peers/_frames.py
+++ b/src/cottonlink/path/peers/_frames.py
@@ -157,6 +157,29 @@
     age_ms: int
 
 
+@frozen
+class CurrencyQuestionFrame:
+    """Asks how old the receiver's proof is that its configuration is current.
+
+    ``version`` is that of the sender's configuration.
+    """
+
+    number: int
+    version: int
+
+
+@frozen
+class CurrencyAnswerFrame:
+    """Answers a question; ``age_ms`` is None without a proof.
+
+    ``version`` is that of the sender's configuration.
+    """
+
+    number: int
+    version: int
+    age_ms: int | None
+
+
 @frozen
 class StoreChangesFrame:
     """Changes of the store after one revision up to another, as (key, revision, value) each.
@@ -221,9 +244,12 @@
 SNAPSHOT_REQUEST, STORE_SNAPSHOT = range(10, 12)
 # Sent only to peers that know them; earlier builds end a connection at an unknown code.
 LONG_CALL, LONG_ANSWER, PIECE, CREDIT, END = range(12, 17)
+CURRENCY_QUESTION, CURRENCY_ANSWER = range(17, 19)
 
 # Numbers of pings and pongs that tell of the frames for long bodies.
 TAKES_PIECES, SENDS_PIECES = 1, 2
+# The same for questions about the configuration and quotas, in a ping and in its pong.
+TAKES_QUESTIONS, ANSWERS_QUESTIONS = 3, 4
 # Body bytes in one frame.
 PIECE_BYTES = 32 * 1024
 
@@ -357,6 +383,16 @@
     return msgpack.packb((STORE_SNAPSHOT, frame.revision, _add_era(frame.items, frame.era)))
 
 
+@encode.register
+def _(frame: CurrencyQuestionFrame) -> bytes:
+    return msgpack.packb((CURRENCY_QUESTION, frame.number, frame.version))
+
+
+@encode.register
+def _(frame: CurrencyAnswerFrame) -> bytes:
+    return msgpack.packb((CURRENCY_ANSWER, frame.number, frame.version, frame.age_ms))
+
+
 @singledispatch
 def _encode_outcome(outcome: Any, _stream: int) -> bytes:
     raise TypeError(f"expected an outcome, got {type(outcome).__name__}")
--- a/src/cottonlink/path/peers/_peer_links.py
+++ b/src/cottonlink/path/peers/_peer_links.py
@@ -16,6 +16,7 @@
 from cottonlink.path._sockets import enable_dead_peer_detection
 from cottonlink.path.peers._frame_input import FrameInput
 from cottonlink.path.peers._frames import (
+    ANSWERS_QUESTIONS,
     SENDS_PIECES,
     TAKES_PIECES,
     CallFrame,
@@ -92,6 +93,7 @@
         # None until the peer has told whether it knows the frames for long bodies.
         self.takes_pieces: bool | None = None
         self.undecided: dict[int, CallFrame] = {}
+        self.knows_questions = False
         self.last_received_ms = 0.0
         self.pinged_at_ms: float | None = None
         self.is_suspect = False
@@ -259,6 +261,11 @@
             self._queued_frame = frame
             self._open_task = self._loop.create_task(self._open())
 
+    @property
+    def knows_questions(self) -> bool:
+        """Whether the peer is connected and has told that it answers questions."""
+        return self._current is not None and self._current.knows_questions
+
     def sweep(self) -> None:
         """Ping silent peers, drop those that don't reply, and reopen lost connections."""
         now_ms = self.now_ms()
@@ -346,6 +353,8 @@
                 sender.grant(frame.count)
         elif isinstance(frame, PongFrame) and frame.number in (TAKES_PIECES, SENDS_PIECES):
             connection.decide(takes_pieces=frame.number == SENDS_PIECES)
+        elif isinstance(frame, PongFrame) and frame.number == ANSWERS_QUESTIONS:
+            connection.knows_questions = True
         elif isinstance(frame, PongFrame):
             self._listener.on_link_load(self.address, frame.load)
         elif isinstance(frame, LeavingFrame):
--- a/src/cottonlink/path/peers/_peer_server.py
+++ b/src/cottonlink/path/peers/_peer_server.py
@@ -17,11 +17,15 @@
 from cottonlink.path._sockets import enable_dead_peer_detection
 from cottonlink.path.peers._frame_input import FrameInput
 from cottonlink.path.peers._frames import (
+    ANSWERS_QUESTIONS,
     SENDS_PIECES,
     TAKES_PIECES,
+    TAKES_QUESTIONS,
     CallFrame,
     CancelFrame,
     CreditFrame,
+    CurrencyAnswerFrame,
+    CurrencyQuestionFrame,
     LeavingFrame,
     LongAnswerFrame,
     LongCallFrame,
@@ -72,6 +76,9 @@
     def on_peer_frame(self, frame: Any) -> None:
         """Called with a frame that doesn't belong to a call."""
 
+    def answer_question(self, frame: CurrencyQuestionFrame) -> CurrencyAnswerFrame:
+        """Return the answer to a question of another node."""
+
     def on_peer_error(self, error: CottonlinkError, address: Any) -> None:
         """Called if the peer at ``address`` has sent what is no frame; its connection ends."""
 
@@ -161,6 +168,8 @@
             self._cancel(frame.stream)
         elif isinstance(frame, PingFrame):
             self._on_ping(frame)
+        elif isinstance(frame, CurrencyQuestionFrame):
+            self.send(self._handler.answer_question(frame))
         else:
             self._handler.on_peer_frame(frame)
 
@@ -169,6 +178,8 @@
         if number == TAKES_PIECES:
             self._takes_pieces = True
             number = SENDS_PIECES
+        elif number == TAKES_QUESTIONS:
+            number = ANSWERS_QUESTIONS
         self.send(PongFrame(number, self._handler.dispatcher.load()))
 
     def _cancel(self, stream: int) -> None:
--- a/src/cottonlink/path/store/_store_follower.py
+++ b/src/cottonlink/path/store/_store_follower.py
@@ -73,6 +73,15 @@
     def broadcast_changes(self, frame: StoreChangesFrame) -> None:
         """Send changes to the other nodes of the data centre."""
 
+    def record_store_answer(self, asked_at_ms: float, era: int) -> None:
+        """Note that an answer to a question sent at ``asked_at_ms`` has been applied.
+
+        Such an answer isn't older than the question.
+        """
+
+    def set_watchers(self, vm_ips: tuple[str, ...]) -> None:
+        """Note which nodes watch the store for the data centre."""
+
 
 class StoreFollower:
     """Follows the store by watching it or by listening to nodes that do."""
@@ -114,6 +123,8 @@
         self._has_listened = False
         self._is_watching = False
         self._retry_delay_s = MIN_RETRY_DELAY_S
+        # When the read in progress asked the store for what isn't older than the question.
+        self._asked_at_ms = float("-inf")
         self.call_count = 0
 
     async def run(self) -> None:
@@ -284,9 +295,11 @@
                 changes = self._contents.changes_to(listing)
                 self._broadcast(previous.revision, position, changes)
         self._apply_listing(listing)
+        self._node.record_store_answer(self._asked_at_ms, position.era)
 
     async def _read_latest(self) -> Listing:
         self.call_count += 1
+        self._asked_at_ms = self._now_ms()
         return await self._store.read_all()
 
     async def _read_first(self) -> Listing:
@@ -296,6 +309,7 @@
         since are known: a target that it holds may have left.
         """
         self.call_count += 1
+        self._asked_at_ms = float("-inf")
         listing = await self._store.read_all(may_be_stale=True)
         if not any(self._store.is_configuration(item.key) for item in listing.items):
             self._fleet_starts_until_s = self._loop.time() + FLEET_START_S
@@ -303,6 +317,7 @@
         if not listing.items:
             return listing
         self.call_count += 1
+        self._asked_at_ms = self._now_ms()
         return merge_changes(listing, await self._store.read_changes(listing.position))
 
     async def _wait_while_fleet_starts(self) -> None:
@@ -366,6 +381,7 @@
         self._contents.apply(changes.items, self._now_ms())
         # Frames of other watchers may have taken this node further than this answer.
         self._position = max(changes.position, self._position)
+        self._node.record_store_answer(asked_at_s * 1000.0, changes.position.era)
         if changes.items:
             await self._wait_for_batch(answered_at_s - asked_at_s)
 
@@ -412,6 +428,7 @@
         self._watcher_election.set_members(
             upstream.vm_ip for upstream in upstreams if upstream.data_centre == self._data_centre
         )
+        self._node.set_watchers(self._watcher_election.watchers)
         self._node.apply_upstreams(upstreams)
 
     def _on_store_lost(self, error: CottonlinkError) -> None:
--- a/src/cottonlink/path/target/_target_dispatcher.py
+++ b/src/cottonlink/path/target/_target_dispatcher.py
@@ -72,6 +72,7 @@
     on_outcome: Callable[[Outcome], None] | None
     deadline_ms: float
     number: int
+    organisation: str = ""
     is_running: bool = False
     sent_deadline_ms: float = 0.0
     connection: Any = None
@@ -151,6 +152,8 @@
         self._downstream_pressure = 0.0
         self._downstream_pressure_at_ms = 0.0
         self._run_count = 0
+        # Set while callers' requests belong to organisations, whose names follow their headers.
+        self.is_currency_proven: Callable[[], bool] | None = None
 
     def submit(self, frame: CallFrame, key: Any, on_outcome: Callable[[Outcome], None]) -> None:
         """Run, queue or refuse a call; ``on_outcome`` gets its outcome once."""
@@ -166,6 +169,8 @@
             on_outcome(refusal)
             return
         self._report_limit(self._limit.lapse(now_ms))
+        if self.is_currency_proven is not None:
+            call.organisation = self._header_codec.organisation(frame.headers)
         wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.remaining_ms)
         job = Job(key, frame.tier, frame.rank, wait_ms)
         self._calls[key] = call
@@ -289,6 +294,13 @@
             return None
         return self._crash_guard.refuse(call.frame.request_id, call.fingerprints, "target")
 
+    def _refuse_unproven(self, call: _Call) -> NotRun | None:
+        """Refuse a request whose key may have been taken away while it was on its way."""
+        if not call.organisation or call.frame.tier == NESTED_CALL_TIER:
+            return None
+        is_proven = self.is_currency_proven is None or self.is_currency_proven()
+        return None if is_proven else NotRun("keys_unproven")
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
@@ -323,7 +335,7 @@
         frame = call.frame
         refusal = NotRun("deadline") if call.is_cancelled or remaining_ms <= 0 else None
         # The quarantine may have begun while the call was waiting.
-        refusal = refusal or self._refuse_quarantined(call)
+        refusal = refusal or self._refuse_quarantined(call) or self._refuse_unproven(call)
         if refusal is not None:
             self._pool.release(connection)
             self._deliver(call, refusal)
@@ -331,7 +343,7 @@
             return
         call.connection = connection
         call.sent_deadline_ms = now_ms + remaining_ms
-        call.run = ParentRun(frame.rank, frame.is_retry, frame.route)
+        call.run = ParentRun(frame.rank, frame.is_retry, frame.route, call.organisation)
         self.running_requests.add(call.number, call.sent_deadline_ms, call.run, frame.request_id)
         headers = self._header_codec.target_headers(frame, remaining_ms)
         connection.send(
--- a/src/cottonlink/platform/_headers.py
+++ b/src/cottonlink/platform/_headers.py
@@ -5,6 +5,7 @@
 import math
 
 from cottonlink.errors import CottonlinkError, Step
+from cottonlink.organisations import key_digest
 from cottonlink.path import CallFrame, Headers, HttpResponse, Request
 
 # Identifies one attempt of a caller, not the caller's request over all its attempts.
@@ -13,6 +14,10 @@
 REMAINING_MS = b"X-Request-Deadline-Ms"
 EXPECTED_UPSTREAM = b"X-Expected-Instance"
 CALLER_SERVICE = b"X-Caller-Service"
+# Name of the organisation whose key the caller sent.
+ORGANISATION = b"X-Tenant"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = b"token"
 NOT_EXECUTED = b"x-not-executed"
 LEAVING = b"server-leaving"
 # Requests per second from all nodes together, with a decimal point if need be.
@@ -21,6 +26,7 @@
 _PLATFORM_HEADERS = frozenset(
     name.lower() for name in (ATTEMPT_ID, REMAINING_MS, EXPECTED_UPSTREAM, CALLER_SERVICE)
 )
+_ORGANISATION = ORGANISATION.lower()
 _MISDIRECTED_REQUEST = 421
 # No target takes more requests than this in a second.
 _MAX_LIMIT_PER_S = 1_000_000.0
@@ -96,6 +102,37 @@
             platform_headers.append((ATTEMPT_ID, frame.request_id))
         return (*platform_headers, *frame.headers)
 
+    def key_digest(self, headers: Headers) -> bytes | None:
+        """Return the digest of the API key in a request, or None if it has none or several."""
+        digest = None
+        for name, value in headers:
+            if name.lower() != AUTHORIZATION:
+                continue
+            scheme, _, key = value.strip().partition(b" ")
+            if digest is not None or scheme.lower() != KEY_SCHEME:
+                return None
+            digest = key_digest(key.strip())
+        return digest
+
+    def without_credentials(self, headers: Headers, *, needs_key: bool) -> Headers:
+        """Return the headers of a request without keys and names of organisations.
+
+        Where no key is needed, other credentials are for the target and stay.
+        """
+        return tuple(
+            header for header in headers if not _is_credential(*header, needs_key=needs_key)
+        )
+
+    def organisation_header(self, name: str) -> tuple[bytes, bytes]:
+        """Return the header that tells a target whose request it is."""
+        return (ORGANISATION, name.encode())
+
+    def organisation(self, headers: Headers) -> str:
+        """Return the organisation that a node has put behind the headers of a call, or ``""``."""
+        if headers and headers[-1][0] == ORGANISATION:
+            return headers[-1][1].decode()
+        return ""
+
     def is_not_run(self, answer: HttpResponse) -> bool:
         """Return whether the target reports that it didn't run the request."""
         return answer.header(NOT_EXECUTED) is not None
@@ -123,6 +160,14 @@
         return ((b"Retry-After", b"%.3f" % (delay_ms / 1000.0)),)
 
 
+def _is_credential(name: bytes, value: bytes, *, needs_key: bool) -> bool:
+    # Targets behind gateways of the older kind take underscores for hyphens.
+    name = name.lower().replace(b"_", b"-")
+    if name == AUTHORIZATION:
+        return needs_key or value.strip().partition(b" ")[0].lower() == KEY_SCHEME
+    return name == _ORGANISATION
+
+
 def _decode_limit(value: bytes) -> float:
     try:
         limit_per_s = float(value)
--- a/src/cottonlink/platform/_records.py
+++ b/src/cottonlink/platform/_records.py
@@ -8,11 +8,19 @@
 
 import base64
 import binascii
+import math
 from typing import Any
 
 import orjson
 
 from cottonlink.errors import CottonlinkError, Step
+from cottonlink.organisations import (
+    Organisation,
+    OrganisationDirectory,
+    Quota,
+    key_digest,
+    make_organisation_directory,
+)
 from cottonlink.path import (
     CallerLimits,
     Configuration,
@@ -26,8 +34,10 @@
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 
-# Requests of routes of this kind may run more than once.
-_REPEATABLE_KIND = "safe"
+# Requests of routes of these kinds may run more than once; downloads have large responses.
+_REPEATABLE_KINDS = ("safe", "download")
+# Stands for an API key behind this module, in a table so that no key can be taken for it.
+_DIGEST = "digest"
 _UPSTREAM_STATES = ("ready", "draining")
 # Rank of a route without a priority: other routes can rank above it, with 0, or below it.
 _DEFAULT_RANK = 1
@@ -96,9 +106,14 @@
         routes: list[Route] = []
         limits = CallerLimits()
         connection_limits: dict[str, int] = {}
+        tenants: list[dict[str, Any]] = []
         for resource in data["resources"]:
-            # Routes, services and limits share one list; the type tells them apart.
-            resource_type, spec = resource["resource_type"], resource["spec"]
+            # Routes, services, tenants and limits share one list; the type tells them apart.
+            resource_type = resource["resource_type"]
+            if resource_type == "tenants":
+                tenants.append(resource)
+                continue
+            spec = resource["spec"]
             name = resource.get("metadata", {}).get("name", "")
             if resource_type == "routes":
                 routes.append(_decode_route(name, spec))
@@ -108,7 +123,10 @@
                     connection_limits[name] = limit
             elif resource_type == "limits":
                 limits = _decode_limits(spec)
-        return Configuration(version, tuple(routes), limits, connection_limits)
+        organisations, problems = _decode_organisations(tenants)
+        return Configuration(
+            version, tuple(routes), limits, connection_limits, organisations, problems
+        )
     except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise invalid_record(f"{CONFIGURATION_KEY}: {error!r}") from error
 
@@ -129,7 +147,7 @@
         name=name,
         host=_check_string(spec["host"]).lower(),
         prefix=_check_string(spec["prefix"]).encode(),
-        is_repeatable=spec["kind"] == _REPEATABLE_KIND,
+        is_repeatable=spec["kind"] in _REPEATABLE_KINDS,
         # Limits the time until a request is answered, over all the times that it is sent.
         timeout_ms=timeout_ms,
         objective_ms=max(1.0, _seconds_to_ms(spec.get("target_latency_s", timeout_ms / 1000.0))),
@@ -138,9 +156,107 @@
         # Limits the upstreams that one attempt of a caller reaches, not the times that it is sent.
         upstream_limit=max(1, int(spec.get("max_attempts", 1))),
         services=services,
+        needs_key=spec.get("auth_exempt") is not True,
     )
 
 
+def hide_keys(value: bytes) -> bytes:
+    """Return a configuration with digests in place of its API keys.
+
+    Nodes send the configuration to each other, and nothing but its digest is needed of a key. What
+    isn't a configuration is returned as it is.
+    """
+    try:
+        data = orjson.loads(value)
+        tenants = [r for r in data["resources"] if r["resource_type"] == "tenants"]
+        if not tenants:
+            return value
+        for tenant in tenants:
+            keys = tenant["spec"].get("api_keys")
+            if isinstance(keys, list):
+                tenant["spec"]["api_keys"] = [_hide_key(key) for key in keys]
+        return orjson.dumps(data)
+    except (KeyError, TypeError, AttributeError, ValueError):
+        # Decoding it reports what is wrong.
+        return value
+
+
+def _hide_key(key: Any) -> Any:
+    return {_DIGEST: key_digest(key.encode()).hex()} if isinstance(key, str) else key
+
+
+def _decode_organisations(
+    resources: list[dict[str, Any]],
+) -> tuple[OrganisationDirectory | None, tuple[str, ...]]:
+    """Return the organisations, which the platform calls tenants, and the problems found.
+
+    A problem with one of them leaves the rest in force. No key appears in a problem.
+    """
+    if not resources:
+        return None, ()
+    problems: list[str] = []
+    holders: list[tuple[Organisation, tuple[bytes, ...]]] = []
+    for resource in resources:
+        spec = resource.get("spec")
+        name = (resource.get("metadata") or {}).get("name")
+        if not isinstance(name, str) or not name or not isinstance(spec, dict):
+            problems.append(f"organisation without a name or a spec: {name!r}")
+            continue
+        holders.append(
+            (
+                Organisation(
+                    name, _decode_rank(name, spec, problems), _decode_quota(name, spec, problems)
+                ),
+                _decode_keys(name, spec, problems),
+            )
+        )
+    directory, conflicts = make_organisation_directory(holders)
+    return directory, (*problems, *conflicts)
+
+
+def _decode_keys(name: str, spec: dict[str, Any], problems: list[str]) -> tuple[bytes, ...]:
+    keys = spec.get("api_keys", [])
+    if not isinstance(keys, list):
+        problems.append(f"organisation {name!r}: expected a list of keys")
+        return ()
+    digests: list[bytes] = []
+    for key in keys:
+        try:
+            if isinstance(key, dict):
+                digests.append(bytes.fromhex(key[_DIGEST]))
+            else:
+                digests.append(key_digest(_check_string(key).encode()))
+        except (KeyError, TypeError, ValueError):
+            problems.append(f"organisation {name!r}: expected a non-empty string as a key")
+    if not digests:
+        problems.append(f"organisation {name!r}: no keys, so it can send no requests")
+    return tuple(digests)
+
+
+def _decode_rank(name: str, spec: dict[str, Any], problems: list[str]) -> int | None:
+    rank = spec.get("priority")
+    if rank is None or _is_integer(rank):
+        return rank
+    problems.append(f"organisation {name!r}: expected an integer in priority, got {rank!r}")
+    return None
+
+
+def _decode_quota(name: str, spec: dict[str, Any], problems: list[str]) -> Quota | None:
+    rate_per_s, burst = spec.get("rate_per_s") or 0, spec.get("burst") or 0
+    if not all(_is_amount(amount) for amount in (rate_per_s, burst)):
+        problems.append(
+            f"organisation {name!r}: expected numbers from 0 on in rate_per_s and burst, "
+            f"got {rate_per_s!r} and {burst!r}"
+        )
+        return None
+    return Quota(float(rate_per_s), float(burst)) if rate_per_s else None
+
+
+def _is_amount(value: Any) -> bool:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and 0 <= value < math.inf
+
+
 def _decode_limits(spec: dict[str, Any]) -> CallerLimits:
     default = CallerLimits()
     return CallerLimits(
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -7,6 +7,7 @@
 from urllib.parse import urlencode
 
 import orjson
+from attrs import evolve
 
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import (
@@ -28,6 +29,7 @@
     decode_configuration,
     decode_item,
     decode_upstream,
+    hide_keys,
 )
 
 # The store usually answers within milliseconds; a slow one takes about a hundred times as long.
@@ -222,7 +224,13 @@
         raise CottonlinkError(
             "store_answer_invalid", f"expected a list in {name}", step=Step.POLICY_READ
         )
-    return [decode_item(item, era) for item in items]
+    return [_hide_keys(decode_item(item, era)) for item in items]
+
+
+def _hide_keys(item: StoreItem) -> StoreItem:
+    if item.key != CONFIGURATION_KEY or item.value is None:
+        return item
+    return evolve(item, value=hide_keys(item.value))
 
 
 def _read_position(answer: HttpResponse, data: dict[str, Any]) -> StorePosition:
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -214,11 +214,16 @@
             repeat_ratio=1.0,
             repeat_allowance=100,
             grace_s=6,
+            **self.node_settings(),
         )
         vm = await self._start_node(settings, target)
         self.vms.append(vm)
         return vm
 
+    def node_settings(self) -> dict:
+        """Return further settings of the nodes of a test."""
+        return {}
+
     async def _start_node(self, settings: NodeSettings, target: PlatformTarget) -> Vm:
         loop = asyncio.get_running_loop()
         rng = random.Random(len(self.vms))
