Callers' connections: parse single pieces at once, and skip redundant work

Most input is one short piece, for which the loop of turns, the memoryviews and the wrappers around the parser's callback did nothing. Held input is set only when it changes, and whether later requests have started is asked only if there are any.

--- a/src/cottonlink/path/_paced_input.py
+++ b/src/cottonlink/path/_paced_input.py
@@ -80,7 +80,7 @@
         self._set_paused = set_paused
         self._rest = memoryview(b"")
         self._is_paused = False
-        self._is_held = False
+        self.is_held = False
         self._is_turn_due = False
 
     @property
@@ -93,8 +93,11 @@
         if self._rest:
             # The transport had read on before it was paused.
             self._rest = memoryview(bytes(self._rest) + data)
-        else:
+        elif len(data) > self.piece_bytes or self._is_paused or self.is_held:
             self._take_turn(memoryview(data))
+        else:
+            # Most input is a single short piece.
+            self._end_turn(self._parse(data) or 0, len(data))
 
     def discard(self) -> None:
         """Drop what hasn't been parsed."""
@@ -102,7 +105,7 @@
 
     def set_held(self, is_held: bool) -> None:
         """Parse nothing more until this is called with False."""
-        self._is_held = is_held
+        self.is_held = is_held
         if not is_held and self._rest:
             self._schedule_turn()
 
@@ -110,7 +113,7 @@
         self._rest = data
         event_count = 0
         byte_count = len(data)
-        while self._rest and event_count < EVENTS_PER_TURN and not self._is_held:
+        while self._rest and event_count < EVENTS_PER_TURN and not self.is_held:
             piece = self._rest[: self.piece_bytes]
             self._rest = self._rest[len(piece) :]
             events = self._parse(piece)
@@ -118,11 +121,16 @@
                 self.discard()
                 break
             event_count += events
-        byte_count -= len(self._rest)
+        self._end_turn(event_count, byte_count - len(self._rest))
+
+    def _end_turn(self, event_count: int, byte_count: int) -> None:
         is_tired = event_count + byte_count // BYTES_PER_EVENT >= EVENTS_PER_ROUND
-        if is_tired or (self._rest and not self._is_held):
+        if is_tired or (self._rest and not self.is_held):
             self._schedule_turn()
-        self._pause(is_tired or bool(self._rest))
+        is_paused = is_tired or bool(self._rest)
+        if is_paused != self._is_paused:
+            self._is_paused = is_paused
+            self._set_paused(is_paused)
 
     def _schedule_turn(self) -> None:
         if not self._is_turn_due:
@@ -132,8 +140,3 @@
     def _take_next_turn(self) -> None:
         self._is_turn_due = False
         self._take_turn(self._rest)
-
-    def _pause(self, is_paused: bool) -> None:
-        if is_paused != self._is_paused:
-            self._is_paused = is_paused
-            self._set_paused(is_paused)
--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -109,28 +109,28 @@
     def data_received(self, data: bytes) -> None:
         self._input.feed(data)
 
-    def _parse(self, data: memoryview) -> int:
+    def _parse(self, data: bytes | memoryview) -> int:
         """Parse the next bytes; return the number of parser events."""
-        self._event_count = 0
-        self._parse_piece(data)
-        return self._event_count
-
-    def _parse_piece(self, data: memoryview) -> None:
         if self._is_closing or self._is_rejecting or self._is_last_response:
             self._discarded_bytes += len(data)
-            return
+            return 0
+        self._event_count = 0
         self._last_activity_ms = self._handler.now_ms()
         previous = self._message
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(400)
-            return
+            return self._event_count
         message = self._message
         # The bytes in which a message began may belong to others before it.
-        if message is None or message is not previous:
-            return
-        message.received_bytes += len(data)
+        if message is not None and message is previous:
+            self._check_size(message, len(data))
+        return self._event_count
+
+    def _check_size(self, message: IncomingRequest, count: int) -> None:
+        """Reject a request of which too much has come besides its body."""
+        message.received_bytes += count
         allowed_bytes = self._handler.caller_limits().header_bytes
         if message.is_head_complete:
             # A head, and the framing of chunks, which may be as long as the body.
@@ -262,16 +262,19 @@
 
     def flush(self) -> None:
         """Write the responses that are ready, up to the first request that has none yet."""
-        while self._exchanges and self._can_write:
-            exchange = self._exchanges[0]
+        exchanges = self._exchanges
+        while exchanges and self._is_writable and not self._is_closing and self._stream is None:
+            exchange = exchanges[0]
             if exchange.response is None:
                 break
             self._last_activity_ms = self._handler.now_ms()
             status, headers, body = exchange.response
             # Callers resend what follows a closing response, so none of it may have started.
-            is_rest_unstarted = not any(e.is_started for e in self._exchanges if e is not exchange)
+            is_rest_unstarted = len(exchanges) == 1 or not any(
+                e.is_started for e in exchanges if e is not exchange
+            )
             close = exchange.is_last or (self._handler.is_shutting_down() and is_rest_unstarted)
-            close = close or (self._is_rejecting and len(self._exchanges) == 1)
+            close = close or (self._is_rejecting and len(exchanges) == 1)
             if isinstance(body, BodyStream):
                 self._is_last_response = close
                 self._stream = ResponseStream(
@@ -283,7 +286,7 @@
                 )
                 self._stream.begin(status, headers, close=close)
                 continue
-            self._exchanges.popleft()
+            exchanges.popleft()
             is_head = exchange.request.method == b"HEAD"
             self._transport.write(
                 response_bytes(status, headers, body, close=close, is_head=is_head)
@@ -294,11 +297,6 @@
         self._start_exchanges()
         self._pause_or_resume_reading()
 
-    @property
-    def _can_write(self) -> bool:
-        """Whether the next response may be written."""
-        return self._is_writable and not self._is_closing and self._stream is None
-
     def _end_stream(self, is_whole: bool, close: bool) -> None:
         """Go on after a long response; cut off the connection if it isn't whole."""
         exchange = self._exchanges.popleft()
@@ -481,7 +479,8 @@
         if self._transport is None or self._is_closing:
             return
         must_wait = self._must_wait
-        self._input.set_held(must_wait)
+        if must_wait != self._input.is_held:
+            self._input.set_held(must_wait)
         should_pause = must_wait or self._is_input_paused
         if should_pause and not self._is_reading_paused:
             self._is_reading_paused = True
