--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -112,6 +112,8 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._announced_bytes = 0
+        self._keep_alive: bytes | None = None
+        self._response_id: bytes | None = None
         self.is_open = False
         self.is_reusable = True
         self.idle_since_ms = 0.0
@@ -220,25 +222,29 @@
             return
         self._input.feed(data)
 
-    def _parse(self, data: memoryview) -> int | None:
+    def _parse(self, data: bytes | memoryview) -> int | None:
         """Parse the next bytes of a response; return the number of parser events.
 
         That is None if no more input is wanted: the response is complete or has failed.
         """
+        if self._exchange is None:
+            return None
         self._event_count = 0
         if not self._parse_piece(data):
             return None
         if not self._is_complete:
-            return self._event_count
+            self._stream_if_long()
+            return None if self._exchange is None else self._event_count
+        if self._stream is not None:
+            self._pass_on()
         if self._input.unparsed_bytes:
             self.is_reusable = False
-        self._deliver()
+        if self._exchange is not None:
+            self._deliver()
         return None
 
-    def _parse_piece(self, data: memoryview) -> bool:
+    def _parse_piece(self, data: bytes | memoryview) -> bool:
         """Parse the next bytes of a response; return False if it has failed."""
-        if self._exchange is None:
-            return False
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -258,23 +264,20 @@
         if max(self._body_bytes, announced_bytes) > self._body_limit_bytes:
             self._fail("answer_body_too_large")
             return False
-        if self._should_stream():
-            self._begin_stream()
+        return True
+
+    def _stream_if_long(self) -> None:
+        """Return a response with a long body that is still arriving, and pass on what there is."""
+        if self._stream is None:
+            is_long = max(len(self._body), self._announced_bytes) > LONG_BODY_BYTES
+            if not (is_long and self._exchange.takes_streams and self._belongs):
+                return
+            self._stream = BodyStream(self._announced_bytes or None, self._on_taken)
+            self._untaken_bytes = 0
+            response = HttpResponse(self._status, tuple(self._headers), self._stream)
+            self._exchange.on_result(response)
         if self._stream is not None:
             self._pass_on()
-        return self._exchange is not None
-
-    def _should_stream(self) -> bool:
-        if not self._exchange.takes_streams or not self._is_head_complete or self._is_complete:
-            return False
-        is_long = max(len(self._body), self._announced_bytes) > LONG_BODY_BYTES
-        return is_long and self._stream is None and self._belongs
-
-    def _begin_stream(self) -> None:
-        """Return the response with the body that is still arriving."""
-        self._stream = BodyStream(self._announced_bytes or None, self._on_taken)
-        self._untaken_bytes = 0
-        self._exchange.on_result(HttpResponse(self._status, tuple(self._headers), self._stream))
 
     def _pass_on(self) -> None:
         """Pass on what has arrived of a long body, many small pieces as one."""
@@ -316,6 +319,10 @@
             self._has_body_framing = True
             if lower == b"content-length" and value.isdigit():
                 self._announced_bytes = int(value[:_LENGTH_DIGITS])
+        elif lower == b"keep-alive":
+            self._keep_alive = value
+        elif lower == self._id_header and self._response_id is None:
+            self._response_id = value
 
     def on_headers_complete(self) -> None:
         if self._is_complete:
@@ -325,8 +332,8 @@
         self._is_head_complete = True
         self._belongs = self._is_proven()
         if not self._belongs and self._status >= 200 and self._on_skipped is not None:
-            response_id, expected_id = self._header(self._id_header), self._exchange.expected_id
-            self._on_skipped(SkippedResponse(self._status, response_id, expected_id))
+            expected_id = self._exchange.expected_id
+            self._on_skipped(SkippedResponse(self._status, self._response_id, expected_id))
         if self._exchange.is_head and self._belongs:
             # No body follows the length in a response to HEAD, which the parser doesn't know.
             self._is_complete = True
@@ -345,9 +352,7 @@
         if self._status < 200 or not self._belongs:
             if self._status >= 200:
                 self.is_reusable = False
-            self._headers, self._body = [], BodyBuffer()
-            self._has_body_framing = self._is_head_complete = False
-            self._announced_bytes = 0
+            self._begin_response()
             return
         self._is_complete = True
         if not self._parser.should_keep_alive():
@@ -361,9 +366,16 @@
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        self._is_complete = False
+        self._received_bytes = self._body_bytes = 0
+        self._begin_response()
+
+    def _begin_response(self) -> None:
+        """Forget what is known of a response before the next one."""
         self._headers, self._body = [], BodyBuffer()
-        self._is_complete = self._has_body_framing = self._is_head_complete = False
-        self._received_bytes = self._body_bytes = self._announced_bytes = 0
+        self._has_body_framing = self._is_head_complete = self._belongs = False
+        self._announced_bytes = 0
+        self._keep_alive = self._response_id = None
 
     def _is_proven(self) -> bool:
         """Return whether the response belongs to the request in progress.
@@ -377,19 +389,14 @@
         expected_id = self._exchange.expected_id
         if expected_id is None:
             return is_first
-        response_id = self._header(self._id_header)
-        if response_id is None:
+        if self._response_id is None:
             return is_first and self._status >= FIRST_FAILURE_STATUS
-        return response_id == expected_id
-
-    def _header(self, lower_name: bytes) -> bytes | None:
-        return next((v for name, v in self._headers if name.lower() == lower_name), None)
+        return self._response_id == expected_id
 
     def _deliver(self) -> None:
-        keep_alive = self._header(b"keep-alive")
-        if keep_alive is not None:
-            self.idle_timeout_ms = _keep_alive_timeout_ms(keep_alive)
-        if self._id_header is not None and self._header(self._id_header) is None:
+        if self._keep_alive is not None:
+            self.idle_timeout_ms = _keep_alive_timeout_ms(self._keep_alive)
+        if self._id_header is not None and self._response_id is None:
             # Nothing would tell later copies of this response from the next one.
             self.is_reusable = False
         if self._transport.get_write_buffer_size() > 0:
