Let organisations take turns at a target's queue

Cause: new requests of one rank started by arrival, so that an organisation that sends much filled the queue and the others' requests were refused with its own.

Change: organisations.FairQueue serves one request of each organisation per round. What is evicted or expected to wait for too long is of the organisation with most queued, and the expected wait is one's own.

--- a/src/cottonlink/overload/_target_queue.py
+++ b/src/cottonlink/overload/_target_queue.py
@@ -6,20 +6,23 @@
 refused at once if the expected wait is longer than they may wait. A share of the target is reserved
 for new requests, so that nested calls can't starve them.
 
+New requests of one rank start in turn by organisation. The one with most requests in the queue is
+the first that has some refused. Requests without an organisation count as those of one more.
+
 While the target names a limit on its rate, jobs start only as fast as that allows. Slots are mostly
 free then, so the share of new requests is one of the starts instead.
 """
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
-from collections import Counter
+from bisect import insort
+from collections import defaultdict
 from typing import Any
 
-from attrs import define, frozen
+from attrs import frozen
 
+from cottonlink.organisations import FairQueue, make_fair_queue
 from cottonlink.overload._target_limit import TargetLimit, make_target_limit
 
 # Share of the slots that is used: targets slow down close to their last slot, and need room for
@@ -65,13 +68,15 @@
     """A call that needs a slot of the target, and how long it may wait for one (``max_wait_ms``).
 
     ``tier`` is NESTED_CALL_TIER for a call that a running request makes and NEW_REQUEST_TIER for a
-    new request. Among new requests the lowest ``rank`` starts first.
+    new request. Among new requests the lowest ``rank`` starts first, and among those of one rank
+    that of the ``organisation`` whose turn it is.
     """
 
     key: Any
     tier: int
     rank: int
     max_wait_ms: float
+    organisation: str = ""
 
 
 @frozen
@@ -83,11 +88,52 @@
     retry_after_ms: float
 
 
-@define(eq=False)
+@frozen(eq=False)
 class _QueuedJob:
     job: Job
     expires_at_ms: float
-    is_removed: bool = False
+
+
+class _TierQueue:
+    """The queued jobs of one tier by rank; ``active_ranks`` are those with jobs, lowest first.
+
+    Jobs of one rank start by arrival unless organisations take turns.
+    """
+
+    def __init__(self, *, takes_turns: bool) -> None:
+        self._takes_turns = takes_turns
+        self.ranks: defaultdict[int, FairQueue] = defaultdict(make_fair_queue)
+        self.active_ranks: list[int] = []
+
+    def push(self, queued_job: _QueuedJob) -> None:
+        job = queued_job.job
+        queue = self.ranks[job.rank]
+        if queue.size == 0:
+            insort(self.active_ranks, job.rank)
+        queue.push(job.organisation if self._takes_turns else "", job.key, queued_job)
+
+    def remove(self, job: Job) -> None:
+        queue = self.ranks[job.rank]
+        queue.remove(job.organisation if self._takes_turns else "", job.key)
+        if queue.size == 0:
+            self.active_ranks.remove(job.rank)
+
+    def head(self) -> _QueuedJob | None:
+        return self.ranks[self.active_ranks[0]].first() if self.active_ranks else None
+
+    def count_ahead(self, job: Job, queued: int | None) -> int:
+        """Return how many jobs start before ``job``.
+
+        ``queued`` of them are of its organisation, all that are queued if None.
+        """
+        organisation = job.organisation if self._takes_turns else ""
+        ahead = 0
+        for rank in self.active_ranks:
+            if rank > job.rank:
+                break
+            queue = self.ranks[rank]
+            ahead += queue.size if rank < job.rank else queue.count_ahead(organisation, queued)
+        return ahead
 
 
 class TargetQueue:
@@ -100,11 +146,10 @@
         self._running: dict[Any, tuple[Job, float]] = {}
         self._running_new_count = 0
         self._queued: dict[Any, _QueuedJob] = {}
-        self._heaps: tuple[list, list] = ([], [])
+        self._tiers = (_TierQueue(takes_turns=False), _TierQueue(takes_turns=True))
         self._queued_nested_count = 0
-        # By tier and rank.
-        self._queued_counts: Counter[tuple[int, int]] = Counter()
-        self._sequence = itertools.count()
+        # Whether any job has named its organisation; without, jobs take no turns.
+        self._has_organisations = False
         self.service_ms = INITIAL_SERVICE_MS
         self._pressure = 0.0
         self._pressure_at_ms = 0.0
@@ -145,11 +190,14 @@
     def offer(self, job: Job, now_ms: float) -> tuple[bool, tuple[Refusal, ...]]:
         """Start, queue or refuse ``job``; return whether it started, and all jobs refused.
 
-        Only ``job`` itself, or the least important job of a full queue, is refused. A job that
-        neither starts nor is refused is queued.
+        A job that neither starts nor is refused is queued. Besides ``job`` itself, the least
+        important job of a full queue may be refused, and one of the organisation with most jobs of
+        the same rank whose wait gets too long behind ``job``.
         """
         self._advance(now_ms)
         self._rate_limit.record_arrival(now_ms)
+        if job.organisation:
+            self._has_organisations = True
         may_start = self._has_free_slot(job) and not self._must_wait_behind_queue(job)
         if may_start and self._rate_limit.take(now_ms):
             self._start(job, now_ms)
@@ -161,9 +209,12 @@
             return False, (Refusal(job, self._wait_reason("queue_wait"), wait_ms),)
         queued_job = _QueuedJob(job, now_ms + job.max_wait_ms)
         self._queued[job.key] = queued_job
-        self._adjust_queued_count(job, 1)
-        heapq.heappush(self._heaps[job.tier], (job.rank, next(self._sequence), queued_job))
-        return False, self._evict(now_ms)
+        self._tiers[job.tier].push(queued_job)
+        self._queued_nested_count += job.tier == NESTED_CALL_TIER
+        refused = self._evict(now_ms)
+        if not refused and job.tier == NEW_REQUEST_TIER and self._has_organisations:
+            refused = self._refuse_overtaken(job, now_ms)
+        return False, refused
 
     def finish(self, key: Any, now_ms: float, *, is_sample: bool = True) -> list[Job]:
         """Free the slot of a job that has left the target; return the jobs that start now.
@@ -189,8 +240,9 @@
         queued_job = self._queued.pop(key, None)
         if queued_job is None:
             return False
-        queued_job.is_removed = True
-        self._adjust_queued_count(queued_job.job, -1)
+        job = queued_job.job
+        self._tiers[job.tier].remove(job)
+        self._queued_nested_count -= job.tier == NESTED_CALL_TIER
         return True
 
     def expire(self, now_ms: float) -> list[Refusal]:
@@ -222,11 +274,6 @@
         self.withdraw(job.key)
         return Refusal(job, reason, self._estimated_wait_ms(job, now_ms))
 
-    def _adjust_queued_count(self, job: Job, change: int) -> None:
-        self._queued_counts[job.tier, job.rank] += change
-        if job.tier == NESTED_CALL_TIER:
-            self._queued_nested_count += change
-
     def _has_free_slot(self, job: Job) -> bool:
         usable_slots = self.limit
         if job.tier == NEW_REQUEST_TIER and not self._is_new_request_share_free():
@@ -238,23 +285,20 @@
             return self._queued_nested_count > 0
         if self._queued_nested_count and not self._is_new_request_share_free():
             return True
-        head = self._head(NEW_REQUEST_TIER)
-        return head is not None and head.job.rank <= job.rank
+        active_ranks = self._tiers[NEW_REQUEST_TIER].active_ranks
+        return bool(active_ranks) and active_ranks[0] <= job.rank
 
     def _is_new_request_share_free(self) -> bool:
         if self._is_rate_limited:
             return self._new_start_share < RESERVED_NEW_REQUEST_SHARE
         return self._running_new_count < RESERVED_NEW_REQUEST_SHARE * self.limit
 
-    def _estimated_wait_ms(self, job: Job, now_ms: float) -> float:
+    def _estimated_wait_ms(self, job: Job, now_ms: float, queued: int | None = None) -> float:
+        """Return the expected wait of a job behind ``queued`` ones of its organisation, or all."""
+        ahead = self._tiers[job.tier].count_ahead(job, queued)
         # New requests within their reserved share start before queued nested calls.
-        is_share_free = job.tier == NEW_REQUEST_TIER and self._is_new_request_share_free()
-        tiers = (NEW_REQUEST_TIER,) if is_share_free else (NESTED_CALL_TIER, job.tier)
-        ahead = sum(
-            count
-            for (tier, rank), count in self._queued_counts.items()
-            if tier in tiers and (tier < job.tier or rank <= job.rank)
-        )
+        if job.tier == NEW_REQUEST_TIER and not self._is_new_request_share_free():
+            ahead += self._queued_nested_count
         slot_wait_ms = (ahead + 1) * self.service_ms / self.limit
         return max(slot_wait_ms, self._rate_limit.wait_ms(ahead + 1, now_ms))
 
@@ -267,31 +311,46 @@
         return started
 
     def _next_job(self, now_ms: float) -> Job | None:
-        nested, new = self._head(NESTED_CALL_TIER), self._head(NEW_REQUEST_TIER)
+        nested = self._tiers[NESTED_CALL_TIER].head()
+        new = self._tiers[NEW_REQUEST_TIER].head()
         first, second = (new, nested) if self._is_new_request_share_free() else (nested, new)
         for queued_job in (first, second):
             if queued_job is not None and self._has_free_slot(queued_job.job):
                 return queued_job.job if self._rate_limit.take(now_ms) else None
         return None
 
-    def _head(self, tier: int) -> _QueuedJob | None:
-        heap = self._heaps[tier]
-        while heap and heap[0][2].is_removed:
-            heapq.heappop(heap)
-        return heap[0][2] if heap else None
-
     def _start(self, job: Job, now_ms: float) -> None:
         self._running[job.key] = (job, now_ms)
         is_new = job.tier == NEW_REQUEST_TIER
         self._running_new_count += is_new
+        if is_new and self._has_organisations:
+            self._tiers[NEW_REQUEST_TIER].ranks[job.rank].record_served(job.organisation)
         self._new_start_share += START_SHARE_WEIGHT * (is_new - self._new_start_share)
 
     def _evict(self, now_ms: float) -> tuple[Refusal, ...]:
         if len(self._queued) <= MAX_QUEUED_PER_SLOT * self.limit:
             return ()
-        worst = max(self._queued.values(), key=lambda w: (w.job.tier, w.job.rank, w.expires_at_ms))
+        tier = self._tiers[NEW_REQUEST_TIER]
+        if not tier.active_ranks:
+            tier = self._tiers[NESTED_CALL_TIER]
+        queue = tier.ranks[tier.active_ranks[-1]]
+        worst = max(queue.entries_of(queue.largest()), key=lambda w: w.expires_at_ms)
         return (self._refuse(worst.job, "queue_full", now_ms),)
 
+    def _refuse_overtaken(self, job: Job, now_ms: float) -> tuple[Refusal, ...]:
+        """Refuse the last job of the organisation with most, if ``job`` delays it for too long."""
+        queue = self._tiers[job.tier].ranks[job.rank]
+        if queue.organisation_count < 2:
+            return ()
+        largest = queue.largest()
+        last = queue.last_of(largest)
+        if last.job is job:
+            return ()
+        ahead = len(queue.entries_of(largest)) - 1
+        if self._estimated_wait_ms(last.job, now_ms, ahead) <= last.expires_at_ms - now_ms:
+            return ()
+        return (self._refuse(last.job, self._wait_reason("queue_wait"), now_ms),)
+
 
 def make_target_queue(slots: int, rate_limit: TargetLimit | None = None) -> TargetQueue:
     """Return an empty queue for a target with ``slots`` slots, and with no limit if None."""
