Share a node's retries between organisations

Cause: the retry budget was used by whoever asked first, so that the failures of an organisation that sends much left no retries for the others.

Change: while several organisations ask for retries within the window, one may use at most its max-min share of what the node may use; alone it may use all.

--- a/src/cottonlink/overload/_retry_budget.py
+++ b/src/cottonlink/overload/_retry_budget.py
@@ -10,15 +10,23 @@
 
 In a large fleet the part of one node is a fraction of a retry. Each node rounds it up or down at
 random, so that the sum over all nodes is what the fleet may use.
+
+While several organisations ask for retries, each may use at most its max-min share of what the node
+may use, so that the failures of one leave retries for the others. Fractions of a retry are rounded
+at random there, too: of a single retry the one that asks first would otherwise get all.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 
+import xxhash
 from attrs import define, field
 
+from cottonlink.organisations import FairShare, make_fair_share
+
 # Width of the buckets that make up the sliding window.
 BUCKET_MS = 500.0
 # Part of the bound that retries to a service whose targets make no calls may use, for requests of
@@ -34,6 +42,9 @@
 DEMAND_MS = 2_000.0
 # Calls that a request still needs, if that isn't known.
 UNKNOWN_CALLS_LEFT = 2
+# Weight below which an organisation's requests for retries no longer count: that of one at the
+# start of the window.
+MIN_ASKED = math.exp(-1.0)
 
 
 @define
@@ -54,6 +65,8 @@
     buckets: deque[_Bucket] = field(factory=deque)
     rounding: float = 0.0
     rounded_at_ms: float = float("-inf")
+    # None until an organisation asks for a retry.
+    fair_share: FairShare | None = None
 
 
 class RetryBudget:
@@ -77,11 +90,16 @@
         """Record that a call was sent to ``service`` for the first time."""
         self._current_bucket(service, now_ms).first_sends += 1
 
-    def record_retry(self, service: str, now_ms: float, *, rank: int = 0) -> None:
+    def record_retry(
+        self, service: str, now_ms: float, *, rank: int = 0, organisation: str = ""
+    ) -> None:
         """Record that a call was sent again, or that a retried request made it."""
         bucket = self._current_bucket(service, now_ms)
         bucket.retries += 1
         bucket.other_retries += rank > 0
+        fair_share = self._fair_share(service, organisation)
+        if fair_share is not None:
+            fair_share.record_given(organisation, now_ms)
 
     def allows(
         self,
@@ -91,10 +109,12 @@
         is_leaf: bool,
         rank: int = 1,
         calls_left: int = UNKNOWN_CALLS_LEFT,
+        organisation: str = "",
     ) -> bool:
         """Count a call that should be retried; return whether it may be.
 
-        This holds while retries are within this node's part of the bound.
+        This holds while retries are within this node's part of the bound, and those of
+        ``organisation`` within its share if several ask for some.
 
         ``is_leaf`` is whether the targets of ``service`` make no calls of their own, ``rank`` the
         importance of the request, 0 being the highest, and ``calls_left`` the number of calls that
@@ -102,6 +122,9 @@
         """
         bucket = self._current_bucket(service, now_ms)
         bucket.top_rank_demand += rank == 0
+        fair_share = self._fair_share(service, organisation)
+        if fair_share is not None:
+            fair_share.record_asked(organisation, now_ms)
         state = self._services[service]
         if now_ms - state.rounded_at_ms >= self._window_ms:
             # Drawn once a window: a node that drew for each call would round up before long.
@@ -111,6 +134,12 @@
         share = _share(is_leaf=is_leaf, rank=rank, calls_left=calls_left)
         if sum(b.retries for b in recent) + state.rounding >= share * bound:
             return False
+        if fair_share is not None:
+            retries = math.ceil(share * bound - state.rounding)
+            allowed = fair_share.share(retries, now_ms)
+            used = fair_share.given(organisation, now_ms)
+            if used + _rounding(organisation, state.rounding) >= allowed:
+                return False
         if rank == 0 or not is_leaf:
             return True
         demand = sum(b.top_rank_demand for b in recent if b.started_ms > now_ms - DEMAND_MS)
@@ -118,6 +147,14 @@
         rest = TOP_RANK_LEAF_SHARES[0] * bound - set_aside
         return sum(b.other_retries for b in recent) + state.rounding < rest
 
+    def _fair_share(self, service: str, organisation: str) -> FairShare | None:
+        state = self._services[service]
+        if organisation and state.fair_share is None:
+            # The counts then stand for about one window.
+            half_life_ms = self._window_ms * math.log(2)
+            state.fair_share = make_fair_share(half_life_ms, MIN_ASKED)
+        return state.fair_share
+
     def _first_sends(self, state: _ServiceWindow, now_ms: float) -> int:
         """Return the first sends in this window, or in that half a window or a window ago.
 
@@ -150,6 +187,15 @@
     return shares[min(max(calls_left, 1), len(shares)) - 1]
 
 
+def _rounding(organisation: str, rounding: float) -> float:
+    """Return a number from 0 to 0.5 that is drawn for each organisation along with ``rounding``.
+
+    Numbers up to 1 left a third of the budget of ten nodes unused, since retries of the window
+    before still count in part.
+    """
+    return xxhash.xxh3_64_intdigest(f"{organisation}\0{rounding}".encode()) / 2**65
+
+
 def make_retry_budget(
     ratio: float, allowance: float, window_ms: float, rng: random.Random
 ) -> RetryBudget:
