--- a/src/cottonlink/organisations/__init__.py
+++ b/src/cottonlink/organisations/__init__.py
@@ -15,8 +15,22 @@
 from cottonlink.organisations._fair_queue import FairQueue, make_fair_queue
 from cottonlink.organisations._fair_share import FairShare, make_fair_share
 from cottonlink.organisations._key_questions import KeyQuestions, make_key_questions
+from cottonlink.organisations._quota_leases import (
+    EXCHANGE_TIMEOUT_MS,
+    QuotaExchange,
+    QuotaLeases,
+    make_quota_leases,
+)
+from cottonlink.organisations._quota_ledger import (
+    QuotaAnswer,
+    QuotaGrant,
+    QuotaLedger,
+    QuotaUsage,
+    make_quota_ledger,
+)
 
 __all__ = [
+    "EXCHANGE_TIMEOUT_MS",
     "CurrencyProof",
     "FairQueue",
     "FairShare",
@@ -24,10 +38,18 @@
     "Organisation",
     "OrganisationDirectory",
     "Quota",
+    "QuotaAnswer",
+    "QuotaExchange",
+    "QuotaGrant",
+    "QuotaLeases",
+    "QuotaLedger",
+    "QuotaUsage",
     "key_digest",
     "make_currency_proof",
     "make_fair_queue",
     "make_fair_share",
     "make_key_questions",
     "make_organisation_directory",
+    "make_quota_leases",
+    "make_quota_ledger",
 ]
