--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -57,23 +57,23 @@
         rng, queue = random.Random(1), make_target_queue(10)
         running: list[tuple[float, int]] = []
         asked, served = Counter(), Counter()
+
+        def start(job: Job, now_ms: float) -> None:
+            heapq.heappush(running, (now_ms + rng.uniform(0.5, 1.5) * service_ms, job.key))
+            served[job.organisation] += 1
+
         for key, (now_ms, name) in enumerate(arrivals(rates_per_s, 20, rng)):
             while running and running[0][0] <= now_ms:
                 end_ms, ended = heapq.heappop(running)
                 queue.expire(end_ms)
                 for job in queue.finish(ended, end_ms):
-                    self._start(job, end_ms + rng.uniform(0.5, 1.5) * service_ms, running, served)
+                    start(job, end_ms)
             asked[name] += 1
             job = Job(key, NEW_REQUEST_TIER, 2, MAX_WAIT_MS, name)
             if queue.offer(job, now_ms)[0]:
-                self._start(job, now_ms + rng.uniform(0.5, 1.5) * service_ms, running, served)
+                start(job, now_ms)
         return asked, served
 
-    @staticmethod
-    def _start(job: Job, end_ms: float, running: list, served: Counter) -> None:
-        heapq.heappush(running, (end_ms, job.key))
-        served[job.organisation] += 1
-
     def test_small_organisations_run_beside_a_heavy_one(self) -> None:
         """Guards against small ones refused as a heavy one fills the queue, and unused slots."""
         for heavy in (80.0, 1_600.0):
@@ -286,7 +286,3 @@
                 shares.record_asked(name, 0.0)
         self.assertEqual([shares.share(c, 0.0) for c in (1.5, 9.0, 11.0)], [0.5, 4.0, 6.0])
         self.assertEqual(shares.share(15.0, 0.0), math.inf)
-
-
-if __name__ == "__main__":
-    unittest.main()
