Keep organisations within their quotas over all nodes, and share room fairly between them

Change: the node next to each caller takes a token of the organisation's quota before it admits a request, from tokens leased from a steward; frames 19 and 20 go only to peers that have told that they know them. A request beyond the quota gets 429 with the time at which a token is due. A refusal gives its token back, and a second run takes another one. Rank and organisation reach the route throttle, the retry budget and the target's queue.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -44,6 +44,8 @@
     CurrencyAnswerFrame,
     CurrencyQuestionFrame,
     QuarantineFrame,
+    QuotaAnswerFrame,
+    QuotaRequestFrame,
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
@@ -56,6 +58,7 @@
 from cottonlink.path.peers._peer_notices import PeerNotices
 from cottonlink.path.peers._peer_server import PeerConnection
 from cottonlink.path.peers._quarantine_exchange import QuarantineExchange
+from cottonlink.path.peers._quota_service import QuotaService
 from cottonlink.path.target._crash_guard import CrashGuard
 from cottonlink.path.target._own_target import OwnTarget
 
@@ -153,6 +156,7 @@
         self.dispatcher = self.state.dispatcher = self._target.dispatcher
         self._limit_exchange = LimitExchange(self.state, peers, self._target)
         self._currency_exchange = CurrencyExchange(self.state)
+        self.state.quotas = QuotaService(self.state)
         self._ingress = Ingress(self.state, self._on_response)
         # As registered in the store.
         self._upstreams: list[Upstream] = []
@@ -221,6 +225,7 @@
             return
         self.state.configuration = configuration
         organisations = configuration.organisations
+        self.state.quotas.set_organisations(organisations)
         self.dispatcher.is_currency_proven = (
             None if organisations is None else self.state.is_currency_proven
         )
@@ -252,6 +257,7 @@
         self.state.load_balancer.update(upstreams, self.now_ms())
         self.dispatcher.route_classifier.set_service_count(len({u.service for u in upstreams}))
         self.state.retry_budget.set_node_count(len(vm_ips))
+        self.state.quotas.set_nodes(vm_ips)
         self.state.peer_links.keep_only({(ip, self.state.peer_port) for ip in vm_ips})
         own = [u for u in upstreams if u.address == self.state.target_address]
         takes_calls = self._shutdown is None or self._shutdown.takes_calls
@@ -383,8 +389,12 @@
             self._limit_exchange.receive(frame)
         elif isinstance(frame, CurrencyAnswerFrame):
             self._currency_exchange.receive(frame)
+        elif isinstance(frame, QuotaAnswerFrame):
+            self.state.quotas.receive(frame)
 
-    def answer_question(self, frame: CurrencyQuestionFrame) -> CurrencyAnswerFrame:
+    def answer_question(self, frame: CurrencyQuestionFrame | QuotaRequestFrame) -> Any:
+        if isinstance(frame, QuotaRequestFrame):
+            return self.state.quotas.answer(frame)
         return self._currency_exchange.answer(frame)
 
     def on_peer_error(self, error: CottonlinkError, address: Any) -> None:
@@ -438,6 +448,7 @@
         self.state.log.event(
             "route_limit_changed",
             route=change.route,
+            rank=change.rank,
             limit_per_s=_round_or_none(change.limit_per_s),
             previous_per_s=_round_or_none(change.previous_per_s),
             admitted_per_s=_round_or_none(change.admitted_per_s),
@@ -491,6 +502,7 @@
         self.state.peer_links.sweep()
         self._target.pool.sweep()
         self._currency_exchange.sweep()
+        self.state.quotas.sweep()
         for connection in list(self._peer_connections):
             connection.sweep()
         if self._peer_connections and self._snapshot_request() is not None:
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -30,6 +30,7 @@
 from cottonlink.path.target._crash_guard import CrashGuard
 
 if TYPE_CHECKING:
+    from cottonlink.path.peers._quota_service import QuotaService
     from cottonlink.path.target._target_dispatcher import TargetDispatcher
 
 
@@ -57,6 +58,7 @@
     currency: CurrencyProof
     dispatcher: TargetDispatcher = field(init=False)
     peer_links: PeerLinks = field(init=False)
+    quotas: QuotaService = field(init=False)
     configuration: Configuration | None = None
     nested_routes: dict[str, bool] = field(factory=dict)
     """Whether a route's requests are nested calls, as the nodes next to targets report."""
--- a/src/cottonlink/path/callers/_final_response.py
+++ b/src/cottonlink/path/callers/_final_response.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from cottonlink.overload import RATE_LIMITED
-from cottonlink.path._model import Answered, NotRun, Outcome, Request
+from cottonlink.path._model import Answered, NotRun, Outcome, Request, Route
 from cottonlink.path._state import NodeState
 from cottonlink.path.callers._exchange import Exchange
 from cottonlink.path.callers._ingress_call import IngressCall
@@ -31,6 +31,7 @@
 _UNAVAILABLE = 503
 _NOT_FOUND = 404
 _UNAUTHORIZED = 401
+_TOO_MANY_REQUESTS = 429
 _REVOKED = NotRun("key_revoked")
 
 
@@ -56,6 +57,24 @@
         )
         exchange.respond(_NOT_FOUND, (), b"")
 
+    def refuse_quota(
+        self, exchange: Exchange, route: Route, organisation: str, min_delay_ms: float
+    ) -> None:
+        """Respond 429 because an organisation has used up its quota."""
+        state = self._state
+        delay_ms = min_delay_ms * state.rng.uniform(1.0, RETRY_AFTER_JITTER)
+        state.metrics.count("requests_refused", "quota")
+        state.log.event(
+            "request_refused",
+            request_id=exchange.request.request_id,
+            route=route.name,
+            reason="quota",
+            organisation=organisation,
+            retry_after_ms=round(delay_ms),
+            configuration_version=state.configuration_version,
+        )
+        exchange.respond(_TOO_MANY_REQUESTS, state.header_codec.retry_after(delay_ms), b"")
+
     def answer(self, call: IngressCall, answer: Answered) -> None:
         """Return a target's response to the caller."""
         state = self._state
@@ -122,6 +141,8 @@
         delay_ms = min_retry_ms * state.rng.uniform(1.0, RETRY_AFTER_JITTER)
         if call.parent is not None and reason in _SERVICE_REFUSALS:
             call.parent.turned_away_call_count += 1
+        if call.has_quota:
+            state.quotas.give_back(call.organisation.name)
         self._count_refusal(call.request, call, reason, delay_ms)
         self._on_finished(call)
         call.exchange.respond(_UNAVAILABLE, state.header_codec.retry_after(delay_ms), b"")
@@ -159,6 +180,7 @@
             route=call.route.name if call else None,
             rank=call.rank if call else None,
             is_call=call.is_call if call else None,
+            organisation=call.organisation_name if call else None,
             reason=reason,
             upstream=call.upstream.upstream_id if call and call.upstream else None,
             accepted_share=(state.route_throttle.accepted_share(call.route.name) if call else None),
--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -18,6 +18,7 @@
 from cottonlink.path._http import Headers, end_to_end_headers
 from cottonlink.path._model import (
     Answered,
+    Configuration,
     NotRun,
     Outcome,
     OutcomeUnknown,
@@ -93,9 +94,41 @@
             organisation = self._key_gate.find(exchange, route, configuration)
             if organisation is None:
                 return
-        self._admit(exchange, route, organisation)
-
-    def _admit(self, exchange: Exchange, route: Route, organisation: Organisation | None) -> None:
+            if organisation.quota is not None:
+                self._take_token(exchange, route, configuration, organisation)
+                return
+        self._admit(exchange, route, configuration, organisation)
+
+    def _take_token(
+        self,
+        exchange: Exchange,
+        route: Route,
+        configuration: Configuration,
+        organisation: Organisation,
+    ) -> None:
+        """Admit a request within the quota of its organisation; refuse one beyond it."""
+        quotas = self._state.quotas
+
+        def on_done(has_token: bool) -> None:
+            exchange.cancel = None
+            if has_token:
+                self._admit(exchange, route, configuration, organisation)
+            else:
+                self._final_responses.refuse_quota(
+                    exchange, route, organisation.name, quotas.retry_after_ms(organisation.name)
+                )
+
+        cancel = quotas.take_or_wait(organisation.name, on_done)
+        if cancel is not None:
+            exchange.cancel = cancel
+
+    def _admit(
+        self,
+        exchange: Exchange,
+        route: Route,
+        configuration: Configuration,
+        organisation: Organisation | None,
+    ) -> None:
         state = self._state
         now_ms = state.now_ms()
         request = exchange.request
@@ -116,19 +149,21 @@
             received_ms=exchange.received_ms,
             deadline_ms=now_ms + _allowed_ms(request, route) - waited_ms,
             headers=(),
-            configuration=state.configuration,
+            configuration=configuration,
             organisation=organisation,
         )
         call.headers = self._forwarded_headers(call)
         if tier == NEW_REQUEST_TIER and not state.route_throttle.admits(
-            route.name, call.rank, now_ms
+            route.name, call.rank, now_ms, call.organisation_name
         ):
             self._final_responses.refuse(call, "route_throttled", 0.0)
             return
         if is_nested:
             state.dispatcher.record_nested_call()
         if parent is not None and parent.is_retry:
-            state.retry_budget.record_retry(call.service, now_ms, rank=call.rank)
+            state.retry_budget.record_retry(
+                call.service, now_ms, rank=call.rank, organisation=call.organisation_name
+            )
         else:
             state.retry_budget.record_first_send(call.service, now_ms)
         self._calls.add(call)
@@ -394,23 +429,30 @@
             return False
         if call.deadline_ms - now_ms < MIN_RETRY_TIME_SHARE * route.objective_ms:
             return False
-        if state.route_throttle.accepted_share(route.name) < 1.0 and not call.is_call:
+        if state.route_throttle.accepted_share(route.name, call.rank) < 1.0 and not call.is_call:
             return False
         # Retrying at a target that makes no calls multiplies no load further down the call graph.
         # Targets that have not reported yet are assumed to make calls.
         is_leaf = not state.calling_services.get(call.service, True)
-        return state.retry_budget.allows(
+        is_allowed = state.retry_budget.allows(
             call.service,
             now_ms,
             is_leaf=is_leaf,
             rank=call.rank,
             calls_left=state.dispatcher.call_counts.calls_left(call.parent),
+            organisation=call.organisation_name,
         )
+        if not is_allowed or was_refused or not call.has_quota:
+            return is_allowed
+        # A second run counts towards the quota as well.
+        return state.quotas.try_take(call.organisation.name)
 
     def _retry(self, call: IngressCall, reason: str) -> None:
         state = self._state
         now_ms = state.now_ms()
-        state.retry_budget.record_retry(call.service, now_ms, rank=call.rank)
+        state.retry_budget.record_retry(
+            call.service, now_ms, rank=call.rank, organisation=call.organisation_name
+        )
         state.metrics.count("requests_sent_again", reason)
         state.log.event(
             "request_sent_again",
--- a/src/cottonlink/path/callers/_ingress_call.py
+++ b/src/cottonlink/path/callers/_ingress_call.py
@@ -78,6 +78,11 @@
             return self.organisation.name
         return self.parent.organisation if self.parent is not None else ""
 
+    @property
+    def has_quota(self) -> bool:
+        """Whether it has taken a token of its organisation's quota."""
+        return self.organisation is not None and self.organisation.quota is not None
+
     @property
     def has_reached_all_upstreams(self) -> bool:
         """Whether no further upstream may receive it than those that have."""
--- a/src/cottonlink/path/peers/_frame_reader.py
+++ b/src/cottonlink/path/peers/_frame_reader.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from cottonlink.errors import CottonlinkError, Step
+from cottonlink.organisations import QuotaAnswer, QuotaExchange, QuotaGrant, QuotaUsage
 from cottonlink.overload import (
     NESTED_CALL_TIER,
     NEW_REQUEST_TIER,
@@ -40,6 +41,8 @@
     PONG,
     PRESSURE_SCALE,
     QUARANTINE,
+    QUOTA_ANSWER,
+    QUOTA_REQUEST,
     SNAPSHOT_REQUEST,
     STORE_CHANGES,
     STORE_SNAPSHOT,
@@ -58,6 +61,8 @@
     PingFrame,
     PongFrame,
     QuarantineFrame,
+    QuotaAnswerFrame,
+    QuotaRequestFrame,
     SnapshotRequestFrame,
     StoreChangesFrame,
     StoreSnapshotFrame,
@@ -303,6 +308,27 @@
     return StoreSnapshotFrame(_integer(revision), items, era)
 
 
+def _decode_quota_request(node: Any, number: Any, usages: Any, is_probe: Any) -> QuotaRequestFrame:
+    decoded = tuple(
+        # What a node has used without a lease is negative where it returns tokens.
+        QuotaUsage(_text(organisation), _rank(unleased), _integer(waiting), _integer(ahead))
+        for organisation, unleased, waiting, ahead in _tuple(usages)
+    )
+    exchange = QuotaExchange(_integer(number), "", decoded, _boolean(is_probe))
+    return QuotaRequestFrame(_text(node), exchange)
+
+
+def _decode_quota_answer(
+    number: Any, grants: Any, heard_share: Any, is_probe: Any
+) -> QuotaAnswerFrame:
+    decoded = tuple(
+        QuotaGrant(_text(organisation), _integer(tokens), _integer(overdraft), _number(wait_ms))
+        for organisation, tokens, overdraft, wait_ms in _tuple(grants)
+    )
+    answer = QuotaAnswer(decoded, _number(heard_share))
+    return QuotaAnswerFrame(_integer(number), answer, _boolean(is_probe))
+
+
 _DECODERS: dict[int, Callable[..., Any]] = {
     CALL: _decode_call,
     ANSWERED: _decode_answered,
@@ -328,5 +354,7 @@
     CURRENCY_ANSWER: lambda number, version, age_ms: CurrencyAnswerFrame(
         _integer(number), _integer(version), _optional_integer(age_ms)
     ),
+    QUOTA_REQUEST: _decode_quota_request,
+    QUOTA_ANSWER: _decode_quota_answer,
     END: lambda stream, is_whole: EndFrame(_integer(stream), _boolean(is_whole)),
 }
--- a/src/cottonlink/path/peers/_frames.py
+++ b/src/cottonlink/path/peers/_frames.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from functools import singledispatch
 from typing import Any
 
 import msgpack
 from attrs import frozen
 
+from cottonlink.organisations import QuotaAnswer, QuotaExchange
 from cottonlink.overload import QuarantineReport, TargetStart
 from cottonlink.path._body import WholeBody
 from cottonlink.path._model import Answered, Load, NotRun, OutcomeUnknown, TargetReport
@@ -180,6 +182,23 @@
     age_ms: int | None
 
 
+@frozen
+class QuotaRequestFrame:
+    """Asks the receiver, as the steward of quotas, for tokens; ``node`` is the sender's VM."""
+
+    node: str
+    exchange: QuotaExchange
+
+
+@frozen
+class QuotaAnswerFrame:
+    """Answers a request for tokens, or a probe."""
+
+    number: int
+    answer: QuotaAnswer
+    is_probe: bool = False
+
+
 @frozen
 class StoreChangesFrame:
     """Changes of the store after one revision up to another, as (key, revision, value) each.
@@ -244,7 +263,7 @@
 SNAPSHOT_REQUEST, STORE_SNAPSHOT = range(10, 12)
 # Sent only to peers that know them; earlier builds end a connection at an unknown code.
 LONG_CALL, LONG_ANSWER, PIECE, CREDIT, END = range(12, 17)
-CURRENCY_QUESTION, CURRENCY_ANSWER = range(17, 19)
+CURRENCY_QUESTION, CURRENCY_ANSWER, QUOTA_REQUEST, QUOTA_ANSWER = range(17, 21)
 
 # Numbers of pings and pongs that tell of the frames for long bodies.
 TAKES_PIECES, SENDS_PIECES = 1, 2
@@ -393,6 +412,24 @@
     return msgpack.packb((CURRENCY_ANSWER, frame.number, frame.version, frame.age_ms))
 
 
+@encode.register
+def _(frame: QuotaRequestFrame) -> bytes:
+    exchange = frame.exchange
+    usages = tuple((u.organisation, u.unleased, u.waiting, u.ahead) for u in exchange.usages)
+    return msgpack.packb((QUOTA_REQUEST, frame.node, exchange.number, usages, exchange.is_probe))
+
+
+@encode.register
+def _(frame: QuotaAnswerFrame) -> bytes:
+    grants = tuple(
+        (g.organisation, g.tokens, g.overdraft, math.ceil(g.retry_after_ms))
+        for g in frame.answer.grants
+    )
+    return msgpack.packb(
+        (QUOTA_ANSWER, frame.number, grants, frame.answer.heard_share, frame.is_probe)
+    )
+
+
 @singledispatch
 def _encode_outcome(outcome: Any, _stream: int) -> bytes:
     raise TypeError(f"expected an outcome, got {type(outcome).__name__}")
--- a/src/cottonlink/path/peers/_peer_server.py
+++ b/src/cottonlink/path/peers/_peer_server.py
@@ -24,7 +24,6 @@
     CallFrame,
     CancelFrame,
     CreditFrame,
-    CurrencyAnswerFrame,
     CurrencyQuestionFrame,
     LeavingFrame,
     LongAnswerFrame,
@@ -33,6 +32,7 @@
     PieceFrame,
     PingFrame,
     PongFrame,
+    QuotaRequestFrame,
     encode,
 )
 from cottonlink.path.peers._long_bodies import (
@@ -76,7 +76,7 @@
     def on_peer_frame(self, frame: Any) -> None:
         """Called with a frame that doesn't belong to a call."""
 
-    def answer_question(self, frame: CurrencyQuestionFrame) -> CurrencyAnswerFrame:
+    def answer_question(self, frame: Any) -> Any:
         """Return the answer to a question of another node."""
 
     def on_peer_error(self, error: CottonlinkError, address: Any) -> None:
@@ -168,7 +168,7 @@
             self._cancel(frame.stream)
         elif isinstance(frame, PingFrame):
             self._on_ping(frame)
-        elif isinstance(frame, CurrencyQuestionFrame):
+        elif isinstance(frame, CurrencyQuestionFrame | QuotaRequestFrame):
             self.send(self._handler.answer_question(frame))
         else:
             self._handler.on_peer_frame(frame)
--- a/src/cottonlink/path/target/_target_dispatcher.py
+++ b/src/cottonlink/path/target/_target_dispatcher.py
@@ -172,7 +172,7 @@
         if self.is_currency_proven is not None:
             call.organisation = self._header_codec.organisation(frame.headers)
         wait_ms = allowed_wait_ms(frame.tier, frame.rank, frame.objective_ms, frame.remaining_ms)
-        job = Job(key, frame.tier, frame.rank, wait_ms)
+        job = Job(key, frame.tier, frame.rank, wait_ms, call.organisation)
         self._calls[key] = call
         is_started, refused = self._queue.offer(job, now_ms)
         self._deliver_refusals(refused)
