--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import singledispatchmethod
-from typing import Any
 
 from cottonlink.overload import (
     NESTED_CALL_TIER,
@@ -244,7 +242,11 @@
                 self._record_pressure(call, report)
         if isinstance(outcome, Answered):
             self._on_response(upstream, outcome.headers)
-        self._handle(outcome, call, upstream)
+            self._on_answered(outcome, call, upstream)
+        elif isinstance(outcome, NotRun):
+            self._on_not_run(outcome, call, upstream)
+        else:
+            self._on_outcome_unknown(outcome, call, upstream)
 
     def _apply_report(self, call: IngressCall, upstream: Upstream, report: TargetReport) -> None:
         state = self._state
@@ -262,12 +264,7 @@
                 call.route.name, call.route.rank, report.pressure, state.now_ms()
             )
 
-    @singledispatchmethod
-    def _handle(self, outcome: Any, call: IngressCall, upstream: Upstream) -> None:
-        raise TypeError(f"expected an outcome, got {type(outcome).__name__}")
-
-    @_handle.register
-    def _(self, outcome: Answered, call: IngressCall, upstream: Upstream) -> None:
+    def _on_answered(self, outcome: Answered, call: IngressCall, upstream: Upstream) -> None:
         state = self._state
         now_ms = state.now_ms()
         is_failed_by_calls = outcome.report is not None and outcome.report.is_failed_by_calls
@@ -299,8 +296,7 @@
             return
         self._final_responses.answer(call, outcome)
 
-    @_handle.register
-    def _(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
+    def _on_not_run(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
         state = self._state
         now_ms = state.now_ms()
         if outcome.reached_target:
@@ -339,8 +335,9 @@
             self._record_pressure(call, outcome.report)
         self._final_responses.give_up(call, outcome)
 
-    @_handle.register
-    def _(self, outcome: OutcomeUnknown, call: IngressCall, upstream: Upstream) -> None:
+    def _on_outcome_unknown(
+        self, outcome: OutcomeUnknown, call: IngressCall, upstream: Upstream
+    ) -> None:
         state = self._state
         now_ms = state.now_ms()
         state.load_balancer.record_failure(upstream.upstream_id, now_ms)
