--- a/src/cottonlink/path/_http.py
+++ b/src/cottonlink/path/_http.py
@@ -44,17 +44,17 @@
     Left out are hop-by-hop headers, those that ``Connection`` names, and those in ``drop``, which
     are in lower case.
     """
+    kept = []
     connection_options: set[bytes] = set()
-    for name, value in headers:
-        if name.lower() == b"connection":
-            connection_options.update(token.strip().lower() for token in value.split(b","))
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if (lower := name.lower()) not in CONNECTION_HEADERS
-        and lower not in drop
-        and lower not in connection_options
-    )
+    for header in headers:
+        lower = header[0].lower()
+        if lower == b"connection":
+            connection_options.update(token.strip().lower() for token in header[1].split(b","))
+        elif lower not in CONNECTION_HEADERS and lower not in drop:
+            kept.append(header)
+    if connection_options:
+        kept = [header for header in kept if header[0].lower() not in connection_options]
+    return tuple(kept)
 
 
 def response_bytes(
