--- a/src/cottonlink/path/peers/_frame_reader.py
+++ b/src/cottonlink/path/peers/_frame_reader.py
@@ -181,18 +181,27 @@
     return value
 
 
-_CALL_CHECKS = (
-    _integer, _text, _text, _bytes, _bytes, _bytes, _bytes, _headers, _bytes, _integer, _integer,
-    _tier, _rank, _boolean, _boolean, _text,
+_CALL_TYPES = (
+    int, str, str, bytes, bytes, bytes, bytes, tuple, bytes, int, int,
+    int, int, bool, bool, str,
 )  # fmt: skip
 
-
 # Index of the body among the fields of a call.
 _BODY_FIELD = 8
 
 
 def _decode_call(*fields: Any) -> CallFrame:
-    return CallFrame(*[check(f) for check, f in zip(_CALL_CHECKS, fields, strict=True)])
+    # All types at once, since a call has many fields.
+    if tuple(map(type, fields)) != _CALL_TYPES:
+        for kind, value in zip(_CALL_TYPES, fields, strict=True):
+            _make_check(kind)(value)
+    frame = CallFrame(*fields)
+    _headers(frame.headers)
+    for number in (frame.stream, frame.remaining_ms, frame.objective_ms):
+        _integer(number)
+    _tier(frame.tier)
+    _rank(frame.rank)
+    return frame
 
 
 def _decode_long_call(*fields: Any) -> LongCallFrame:
