--- a/bench/path_python_cost.py
+++ b/bench/path_python_cost.py
@@ -77,6 +77,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
+        self.time = loop.time
         self.pending: deque = deque()
         self.servers: dict[Any, Callable[[], Any]] = {}
 
