Ingress: one timer for the deadlines of all calls

Each call created a timer of the event loop and closed it when it ended, long before it came due. Deadlines are entries of a heap now, and a timer runs for the earliest.

--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -24,6 +24,7 @@
     Upstream,
 )
 from cottonlink.path._state import NodeState
+from cottonlink.path.callers._deadlines import Deadlines
 from cottonlink.path.callers._exchange import Exchange
 from cottonlink.path.callers._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path.callers._ingress_call import IngressCall
@@ -51,6 +52,7 @@
         self._state = state
         self._on_response = on_response
         self._calls: set[IngressCall] = set()
+        self._deadlines = Deadlines(state.loop, self._time_out)
         self._final_responses = FinalResponses(state, self._finish)
 
     @property
@@ -120,8 +122,8 @@
             state.retry_budget.record_first_send(call.service, now_ms)
         self._calls.add(call)
         exchange.cancel = lambda: self._on_caller_gone(call)
-        delay_s = max(0.0, call.deadline_ms + TIMEOUT_GRACE_MS - now_ms) / 1000.0
-        call.timer = state.loop.call_later(delay_s, self._time_out, call)
+        end_ms = max(now_ms, call.deadline_ms + TIMEOUT_GRACE_MS)
+        call.deadline_number = self._deadlines.add(end_ms / 1000.0, call)
         self._place(call, _NO_UPSTREAM)
 
     def _is_nested(self, route: Route, parent_id: bytes | None) -> bool:
@@ -422,8 +424,7 @@
     def _finish(self, call: IngressCall) -> None:
         call.is_done = True
         call.cancel_send = None
-        if call.timer is not None:
-            call.timer.cancel()
+        self._deadlines.remove(call.deadline_number)
         self._calls.discard(call)
 
 
--- a/src/cottonlink/path/callers/_ingress_call.py
+++ b/src/cottonlink/path/callers/_ingress_call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 from attrs import define, field
@@ -22,6 +21,7 @@
     sends that end before any target receives them. ``cancel_send`` cancels
     the send in progress. ``fallback`` is the error response that is returned if a retry yields no
     response. ``has_unknown_outcome`` is set once a send may have run and its response was lost.
+    ``deadline_number`` is that among the deadlines of calls, 0 for a call without.
     """
 
     exchange: Exchange
@@ -39,7 +39,7 @@
     sent_at_ms: float = 0.0
     upstream: Upstream | None = None
     cancel_send: Callable[[], None] | None = None
-    timer: asyncio.TimerHandle | None = None
+    deadline_number: int = 0
     fallback: Answered | None = None
     is_done: bool = False
     has_unknown_outcome: bool = False
