--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from functools import singledispatchmethod
-from typing import Any
 
 from cottonlink.organisations import Organisation
 from cottonlink.overload import (
@@ -28,6 +26,7 @@
     Upstream,
 )
 from cottonlink.path._state import NodeState
+from cottonlink.path.callers._deadlines import Deadlines
 from cottonlink.path.callers._exchange import Exchange
 from cottonlink.path.callers._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path.callers._ingress_call import IngressCall
@@ -57,6 +56,7 @@
         self._on_response = on_response
         self._calls: set[IngressCall] = set()
         self._key_gate = KeyGate(state, self.serve)
+        self._deadlines = Deadlines(state.loop, self._time_out)
         self._final_responses = FinalResponses(state, self._finish)
 
     @property
@@ -168,8 +168,8 @@
             state.retry_budget.record_first_send(call.service, now_ms)
         self._calls.add(call)
         exchange.cancel = lambda: self._on_caller_gone(call)
-        delay_s = max(0.0, call.deadline_ms + TIMEOUT_GRACE_MS - now_ms) / 1000.0
-        call.timer = state.loop.call_later(delay_s, self._time_out, call)
+        end_ms = max(now_ms, call.deadline_ms + TIMEOUT_GRACE_MS)
+        call.deadline_number = self._deadlines.add(end_ms / 1000.0, call)
         self._place(call, _NO_UPSTREAM)
 
     def _forwarded_headers(self, call: IngressCall) -> Headers:
@@ -305,7 +305,11 @@
                 self._record_pressure(call, report)
         if isinstance(outcome, Answered):
             self._on_response(upstream, outcome.headers)
-        self._handle(outcome, call, upstream)
+            self._on_answered(outcome, call, upstream)
+        elif isinstance(outcome, NotRun):
+            self._on_not_run(outcome, call, upstream)
+        else:
+            self._on_outcome_unknown(outcome, call, upstream)
 
     def _apply_report(self, call: IngressCall, upstream: Upstream, report: TargetReport) -> None:
         state = self._state
@@ -323,12 +327,7 @@
                 call.route.name, call.rank, report.pressure, state.now_ms()
             )
 
-    @singledispatchmethod
-    def _handle(self, outcome: Any, call: IngressCall, upstream: Upstream) -> None:
-        raise TypeError(f"expected an outcome, got {type(outcome).__name__}")
-
-    @_handle.register
-    def _(self, outcome: Answered, call: IngressCall, upstream: Upstream) -> None:
+    def _on_answered(self, outcome: Answered, call: IngressCall, upstream: Upstream) -> None:
         state = self._state
         now_ms = state.now_ms()
         is_failed_by_calls = outcome.report is not None and outcome.report.is_failed_by_calls
@@ -360,8 +359,7 @@
             return
         self._final_responses.answer(call, outcome)
 
-    @_handle.register
-    def _(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
+    def _on_not_run(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
         state = self._state
         now_ms = state.now_ms()
         if outcome.reached_target:
@@ -400,8 +398,9 @@
             self._record_pressure(call, outcome.report)
         self._final_responses.give_up(call, outcome)
 
-    @_handle.register
-    def _(self, outcome: OutcomeUnknown, call: IngressCall, upstream: Upstream) -> None:
+    def _on_outcome_unknown(
+        self, outcome: OutcomeUnknown, call: IngressCall, upstream: Upstream
+    ) -> None:
         state = self._state
         now_ms = state.now_ms()
         state.load_balancer.record_failure(upstream.upstream_id, now_ms)
@@ -493,8 +492,7 @@
     def _finish(self, call: IngressCall) -> None:
         call.is_done = True
         call.cancel_send = None
-        if call.timer is not None:
-            call.timer.cancel()
+        self._deadlines.remove(call.deadline_number)
         self._calls.discard(call)
 
 
