--- a/src/cottonlink/organisations/_quota_leases.py
+++ b/src/cottonlink/organisations/_quota_leases.py
@@ -199,7 +199,8 @@
         if lease is None:
             if organisation not in self._quotas:
                 return True
-            lease = self._leases[organisation] = _Lease(organisation, now_ms)
+            # The time before the first request counts, or it would seem to be one of many.
+            lease = self._leases[organisation] = _Lease(organisation, now_ms - RATE_DECAY_MS)
         if not waited:
             lease.arrivals += 1
         if lease.tokens and now_ms < lease.expires_ms:
@@ -214,8 +215,10 @@
         if lease.tokens:
             lease.tokens -= 1
         elif now_ms < lease.overdraft_until_ms:
+            # It is reported with the next exchange: one of its own would cost a message a request.
             lease.overdraft_until_ms = 0.0
             lease.unleased += 1
+            return True
         elif self._floor_since_ms is not None:
             return self._take_floor(lease, now_ms)
         else:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -296,6 +296,15 @@
         again = self.leases.begin_exchange(6_400)
         self.assertEqual((again.steward, again.usages[0].unleased), ("second", 1))
 
+    def test_returned_tokens_in_a_lost_report_are_not_returned_again(self) -> None:
+        """Guards against tokens that are credited twice, as the steward may have got the report."""
+        self.leases.try_take("o", 6_000)
+        self.exchange(6_000)
+        lost = self.leases.begin_exchange(7_000)
+        self.assertEqual(lost.usages[0].unleased, -1)
+        self.leases.record_silence(lost.number, 7_300)
+        self.assertEqual(self.leases.begin_exchange(7_300).usages, ())
+
 
 if __name__ == "__main__":
     unittest.main()
