Charge all that clients make a node hold to one account, and close first who holds most

Cause: only bodies above 128 KiB were counted. 1,200 bodies of 120 KB that stopped 1 KB short took a node of 200 MB to 318 MB, 1,200 unterminated heads of 1,500 fields to 230 MB, and of sound uploads of 300 KB beside 60 stalled bodies of 4 MB one got 503.

Change: each connection on the client, readiness and metrics listeners is charged with what the process needs for it. Above its limit, the address that holds most gives first, and there the connections that hold most and make least progress. Stalled long bodies give their room to those that wait, and small bodies have a share that large ones can't take. Many header fields are kept in one buffer while a request arrives. Requests sent ahead are bounded in bytes, clients' connections by the process's descriptors.

Two fixtures changed: the stand-ins of a node and of a transport lacked what connections now use.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -4,6 +4,19 @@
 that are passed as arguments.
 """
 
+from cottonlink.overload._connection_account import (
+    BODY_FACTOR,
+    CONNECTION_BYTES,
+    FIELD_BYTES,
+    IDLE,
+    LINGERING,
+    SERVING,
+    UNFINISHED,
+    UNREAD,
+    ConnectionAccount,
+    ConnectionCharge,
+    make_connection_account,
+)
 from cottonlink.overload._crash_registry import (
     CountedCrash,
     CrashNotice,
@@ -60,12 +73,22 @@
 )
 
 __all__ = [
+    "BODY_FACTOR",
+    "CONNECTION_BYTES",
+    "FIELD_BYTES",
+    "IDLE",
     "LIMIT_LAPSE_MS",
+    "LINGERING",
     "NESTED_CALL_TIER",
     "NEW_REQUEST_TIER",
     "RATE_LIMITED",
+    "SERVING",
+    "UNFINISHED",
     "UNKNOWN_ERA",
+    "UNREAD",
     "CallCounts",
+    "ConnectionAccount",
+    "ConnectionCharge",
     "CountedCrash",
     "CrashNotice",
     "CrashRegistry",
@@ -100,6 +123,7 @@
     "WatcherElection",
     "allowed_wait_ms",
     "make_call_counts",
+    "make_connection_account",
     "make_crash_registry",
     "make_leaving_targets",
     "make_load_balancer",
--- a/src/cottonlink/path/_connection_end.py
+++ b/src/cottonlink/path/_connection_end.py
@@ -16,7 +16,7 @@
 LONGEST_LINGER_MS = 60_000.0
 
 # Ends that cut off what is in progress, and are the node's own.
-_OWN_CAUSES = frozenset(("aborted", "process_end", "stalled"))
+_OWN_CAUSES = frozenset(("aborted", "process_end", "stalled", "reclaimed"))
 
 
 @frozen
@@ -24,8 +24,9 @@
     """How a caller's connection ended, and what was unfinished.
 
     ``cause`` is a reason code: ``peer_closed``, ``answered``, ``rejected``, ``idle``, ``stalled``,
-    ``aborted``, ``process_end``, ``response_cut_short`` if a long response ended early at its
-    target, or the name of the error that ended the connection.
+    ``aborted``, ``process_end``, ``reclaimed`` if its memory or descriptor was needed,
+    ``response_cut_short`` if a long response ended early at its target, or the name of the error
+    that ended the connection.
     ``unread_bytes`` counts received bytes that were not parsed. ``unanswered_ids`` are requests
     without a response; ``started_count`` of them were being served.
     """
--- a/src/cottonlink/path/_listeners.py
+++ b/src/cottonlink/path/_listeners.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from cottonlink.path._http import parse_address
+from cottonlink.path._sockets import listen_backlog
 
-LISTEN_BACKLOG = 1024
 # Rounds of the event loop in which waiting connections are accepted before the listeners close. New
 # ones may come in each round, so the number is limited.
 ACCEPT_ROUNDS = 100
@@ -33,7 +33,7 @@
         """Listen at ``address``."""
         host, port = parse_address(address)
         server = await self._loop.create_server(
-            make_protocol, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+            make_protocol, host, port, backlog=listen_backlog(), reuse_address=True
         )
         self._servers.append(server)
 
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -35,6 +35,7 @@
 from cottonlink.path._shutdown import Shutdown, report_connection_end
 from cottonlink.path._state import NodeState
 from cottonlink.path.callers._caller_connection import CallerConnection
+from cottonlink.path.callers._client_memory import ClientMemory
 from cottonlink.path.callers._exchange import Exchange
 from cottonlink.path.callers._ingress import Ingress
 from cottonlink.path.callers._status_server import StatusServer
@@ -134,6 +135,8 @@
             turns=Turns(loop),
         )
         self.memory = self.state.memory
+        self._client_memory = ClientMemory(self.state)
+        self.connections = self._client_memory.account
         self.state.peer_links = PeerLinks(self, loop)
         self._caller_connections: set[CallerConnection] = set()
         self._peer_connections: set[PeerConnection] = set()
@@ -168,6 +171,8 @@
                 settings.readiness_path.encode(): self._readiness,
                 b"/metrics": lambda: (200, self.state.metrics.render()),
             },
+            self.connections,
+            self.call_soon,
         )
         for address in dict.fromkeys((settings.ready_address, settings.metrics_address)):
             await self._listeners.open(address, lambda: CallerConnection(self._status_server))
@@ -301,7 +306,9 @@
             retry_after = self._refuse(exchange.request, "node_leaving", LEAVING_RETRY_AFTER_MS)
             exchange.respond(503, retry_after, b"")
             return
-        if self.memory.is_exceeded and not self._may_exceed_memory(exchange.request):
+        is_full = exchange.held_bytes and self.connections.is_exceeded
+        is_full = is_full or self.memory.is_exceeded
+        if is_full and not self._may_exceed_memory(exchange.request):
             retry_after = self._refuse(exchange.request, "memory_full", MEMORY_RETRY_AFTER_MS)
             exchange.respond(503, retry_after, b"")
             return
@@ -470,12 +477,16 @@
             self._quarantine_exchange.spread()
             self._leaving_exchange.spread()
             self.dispatcher.end_overdue()
+        self._client_memory.reclaim_bodies()
         if self._sweep_count % SWEEPS_PER_CALLER_SWEEP == 0:
             now_ms = self.now_ms()
             limits = self.caller_limits()
             for connection in list(self._caller_connections):
                 connection.sweep(now_ms, limits)
             self._status_server.sweep()
+            self._client_memory.sweep(
+                [*self._caller_connections, *self._status_server.open_connections]
+            )
             self._report_memory()
         if self._shutdown is not None:
             self._shutdown.advance()
--- a/src/cottonlink/path/_paced_input.py
+++ b/src/cottonlink/path/_paced_input.py
@@ -88,6 +88,11 @@
         """Number of bytes that haven't been parsed yet."""
         return len(self._rest)
 
+    @property
+    def held_bytes(self) -> int:
+        """Length of the input of which a part hasn't been parsed yet."""
+        return len(self._rest.obj) if self._rest else 0
+
     def feed(self, data: bytes) -> None:
         """Parse input, as much of it as one turn allows."""
         if self._rest:
--- a/src/cottonlink/path/_sockets.py
+++ b/src/cottonlink/path/_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import fcntl
+import resource
 import socket
 import struct
 import termios
@@ -20,6 +21,13 @@
 # may pause while they read.
 CALLER_UNACKNOWLEDGED_TIMEOUT_MS = 15_000
 
+# Descriptors for links to and from 740 peers, for targets, the store, and connections that are
+# accepted in one round before the first of them is refused.
+OTHER_DESCRIPTORS = 3_072
+LARGEST_LISTEN_BACKLOG = 1_024
+# Used if the process has no limit.
+LARGEST_DESCRIPTOR_LIMIT = 65_536
+
 
 def enable_dead_peer_detection(
     transport: asyncio.BaseTransport, unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS
@@ -35,6 +43,31 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_timeout_ms)
 
 
+def peer_ip(transport: asyncio.BaseTransport) -> str:
+    """Return the IP address of the peer, empty if it isn't known."""
+    address = transport.get_extra_info("peername")
+    return address[0] if address else ""
+
+
+def client_connection_limit() -> int:
+    """Return the number of clients' connections that leave descriptors for all else."""
+    descriptors = _descriptor_limit()
+    return descriptors - min(descriptors // 2, OTHER_DESCRIPTORS)
+
+
+def listen_backlog() -> int:
+    """Return how many connections may wait for a listener.
+
+    All of them can be accepted in one round of the event loop, before any is refused.
+    """
+    return min(LARGEST_LISTEN_BACKLOG, min(_descriptor_limit() // 2, OTHER_DESCRIPTORS) // 4)
+
+
+def _descriptor_limit() -> int:
+    descriptors = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return LARGEST_DESCRIPTOR_LIMIT if descriptors == resource.RLIM_INFINITY else descriptors
+
+
 def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
     """Return the number of received bytes that wait in the kernel, None if it can't tell."""
     return _read_fill(transport, termios.FIONREAD)
--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -7,6 +7,16 @@
 
 import httptools
 
+from cottonlink.overload import (
+    CONNECTION_BYTES,
+    FIELD_BYTES,
+    IDLE,
+    LINGERING,
+    SERVING,
+    UNFINISHED,
+    UNREAD,
+    ConnectionCharge,
+)
 from cottonlink.path._body import LONG_BODY_BYTES
 from cottonlink.path._body_stream import BodyStream
 from cottonlink.path._connection_end import ConnectionEnd, Linger, unsent_bytes
@@ -16,6 +26,7 @@
 from cottonlink.path._sockets import (
     CALLER_UNACKNOWLEDGED_TIMEOUT_MS,
     enable_dead_peer_detection,
+    peer_ip,
     unread_bytes,
 )
 from cottonlink.path.callers._exchange import CallerHandler, Exchange
@@ -24,6 +35,11 @@
 
 # Unanswered requests of one connection; at this number reading pauses.
 MAX_PIPELINED_REQUESTS = 16
+# Bytes of unanswered requests of one connection, if there are several; then reading pauses, too.
+REQUESTS_AHEAD_BYTES = 256 * 1024
+# Requests and responses below this aren't charged one by one: the charge of a connection covers
+# them, and ordinary requests don't pay for the account.
+UNCHARGED_BYTES = 4_096
 # Bytes of responses that a slow caller may leave unread before nothing more is written, and reading
 # of its requests pauses.
 WRITE_BUFFER_LIMIT_BYTES = 256 * 1024
@@ -35,7 +51,7 @@
 NEW_CONNECTION_MS = 1_000.0
 # Ends for which the kernel isn't asked what is left of written responses, unless the node stops.
 _ORDERLY_CAUSES = frozenset(("peer_closed", "answered", "rejected", "idle"))
-_OWN_CAUSES = frozenset(("aborted", "stalled", "response_cut_short"))
+_OWN_CAUSES = frozenset(("aborted", "stalled", "response_cut_short", "reclaimed"))
 
 
 class CallerConnection(asyncio.Protocol):
@@ -66,6 +82,9 @@
         self._unsent_bytes = 0
         self._unsent_when_idle_bytes = 0
         self._discarded_bytes = 0
+        self._charge: ConnectionCharge | None = None
+        # Of requests without a response, except what is below UNCHARGED_BYTES.
+        self._ahead_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport  # type: ignore[assignment]
@@ -73,6 +92,11 @@
         enable_dead_peer_detection(transport, CALLER_UNACKNOWLEDGED_TIMEOUT_MS)
         self._last_activity_ms = self._handler.now_ms()
         self._handler.on_caller_connected(self)
+        address = peer_ip(transport)
+        self._charge = self._handler.connections.open(self, address)
+        if self._charge is None:
+            self._is_closing = True
+            transport.abort()
 
     def eof_received(self) -> None:
         self._note_end("peer_closed")
@@ -93,6 +117,8 @@
             if exchange.cancel is not None:
                 exchange.cancel()
         self._exchanges.clear()
+        if self._charge is not None:
+            self._handler.connections.close(self._charge)
         self._handler.on_caller_disconnected(self, end)
 
     def pause_writing(self) -> None:
@@ -108,6 +134,8 @@
 
     def data_received(self, data: bytes) -> None:
         self._input.feed(data)
+        if self._message is not None or self._ahead_bytes:
+            self._update_charge()
 
     def _parse(self, data: memoryview) -> int:
         """Parse the next bytes; return the number of parser events."""
@@ -127,8 +155,11 @@
             self._reject(400)
             return
         message = self._message
+        if message is None:
+            return
+        message.pack_fields()
         # The bytes in which a message began may belong to others before it.
-        if message is None or message is not previous:
+        if message is not previous:
             return
         message.received_bytes += len(data)
         allowed_bytes = self._handler.caller_limits().header_bytes
@@ -144,6 +175,7 @@
         self._is_new = False
         self._message = IncomingRequest()
         self._message_started_ms = self._handler.now_ms()
+        self._charge.progressed_ms = self._message_started_ms
 
     def on_url(self, url: bytes) -> None:
         self._message.target += url
@@ -157,6 +189,8 @@
     def on_headers_complete(self) -> None:
         message = self._message
         message.is_head_complete = True
+        if message.has_packed_fields:
+            message.unpack_fields()
         size = len(message.target) + sum(len(n) + len(v) + 4 for n, v in message.headers)
         limits = self._handler.caller_limits()
         if size > limits.header_bytes:
@@ -198,7 +232,7 @@
         message = self._message
         if message is not None:
             message.waits_for_room_since_ms = None
-            self._last_activity_ms = self._handler.now_ms()
+            self._last_activity_ms = self._charge.progressed_ms = self._handler.now_ms()
             self._send_continue(message)
             self._pause_or_resume_reading()
 
@@ -236,14 +270,17 @@
         # Behind a response that closes the connection in the same bytes, a request isn't read.
         if message is None or self._is_rejecting or self._is_closing or self._is_last_response:
             return
+        if message.has_packed_fields:
+            message.unpack_fields()
         if message.hold is not None:
             # It lives as long as the body, which this connection mustn't depend on.
             message.hold.withdraw()
+        body = message.body.take()
         request = self._handler.parse_request(
             self._parser.get_method(),
             message.target,
             tuple(message.headers),
-            message.body.take(),
+            body,
         )
         if request is None:
             self._reject(400)
@@ -256,12 +293,19 @@
             is_repeatable=self._handler.is_repeatable(request),
             takes_chunks=self._parser.get_http_version() != "1.0",
         )
+        held_bytes = FIELD_BYTES * len(message.headers)
+        if message.hold is None:
+            held_bytes += len(body)
+        if held_bytes > UNCHARGED_BYTES:
+            exchange.held_bytes = held_bytes
+            self._ahead_bytes += held_bytes
         self._exchanges.append(exchange)
         self._start_exchanges()
         self._pause_or_resume_reading()
 
     def flush(self) -> None:
         """Write the responses that are ready, up to the first request that has none yet."""
+        is_charged = False
         while self._exchanges and self._can_write:
             exchange = self._exchanges[0]
             if exchange.response is None:
@@ -284,6 +328,9 @@
                 self._stream.begin(status, headers, close=close)
                 continue
             self._exchanges.popleft()
+            if exchange.held_bytes or len(body) > UNCHARGED_BYTES:
+                self._ahead_bytes -= exchange.held_bytes
+                is_charged = True
             is_head = exchange.request.method == b"HEAD"
             self._transport.write(
                 response_bytes(status, headers, body, close=close, is_head=is_head)
@@ -293,6 +340,8 @@
                 return
         self._start_exchanges()
         self._pause_or_resume_reading()
+        if self._exchanges or is_charged:
+            self._update_charge()
 
     @property
     def _can_write(self) -> bool:
@@ -302,6 +351,7 @@
     def _end_stream(self, is_whole: bool, close: bool) -> None:
         """Go on after a long response; cut off the connection if it isn't whole."""
         exchange = self._exchanges.popleft()
+        self._ahead_bytes -= exchange.held_bytes
         exchange.cancel = self._stream = None
         self._last_activity_ms = self._handler.now_ms()
         if not is_whole:
@@ -311,6 +361,70 @@
         else:
             self.flush()
 
+    # Implements ChargedConnection.
+    def held_bytes(self) -> int:
+        return CONNECTION_BYTES + sum(self.held_by_kind())
+
+    def held_by_kind(self) -> tuple[int, int, int]:
+        """Return what the process needs for unfinished input, for requests and for responses."""
+        message = self._message
+        input_bytes = self._input.held_bytes + (message.held_bytes() if message is not None else 0)
+        response_bytes = 0
+        if self._stream is None:
+            # The hold of a long response counts what is buffered of it.
+            response_bytes = self._transport.get_write_buffer_size()
+        for exchange in self._exchanges:
+            if exchange.response is not None and not isinstance(exchange.response[2], BodyStream):
+                response_bytes += len(exchange.response[2])
+        return input_bytes, self._ahead_bytes, response_bytes
+
+    def held_body_bytes(self) -> int:
+        message = self._message
+        if message is None or message.hold is None or self._must_wait:
+            return 0
+        # What waits to be read isn't missing.
+        is_unread = self._input.unparsed_bytes or unread_bytes(self._transport)
+        return 0 if is_unread else message.hold.count
+
+    def progress_bytes(self) -> int:
+        if self._stream is not None:
+            return self._stream.taken_bytes
+        return self._message.received_bytes if self._message is not None else 0
+
+    def waits_for(self) -> str:
+        if self._is_closing:
+            return LINGERING
+        if not self._is_writable or (self._exchanges and self._exchanges[0].response is not None):
+            return UNREAD
+        if self._message is not None:
+            return UNFINISHED
+        if self._exchanges or self._input.unparsed_bytes:
+            return SERVING
+        return UNREAD if self._transport.get_write_buffer_size() else IDLE
+
+    def reclaim(self, *, is_urgent: bool) -> bool:
+        state, message = self.waits_for(), self._message
+        if state == UNFINISHED:
+            if message.waits_for_room_since_ms is not None:
+                self._reject(503, self._handler.refuse_body(message.head))
+            else:
+                # A request that the node keeps waiting isn't late.
+                self._reject(503 if self._must_wait else 408)
+            if not is_urgent or self._exchanges:
+                return False
+            self._transport.close()
+        elif state == IDLE:
+            self._close("idle")
+        else:
+            # What is in service may have run, so nothing is said of it.
+            self._abort("reclaimed")
+            self._is_closing = True
+        return True
+
+    def _update_charge(self) -> None:
+        if self._charge is not None:
+            self._handler.connections.update(self._charge)
+
     def sweep(self, now_ms: float, limits: CallerLimits) -> None:
         """Close a connection that is idle or sends its request too slowly."""
         if self._is_closing:
@@ -465,6 +579,7 @@
 
     def _set_input_paused(self, is_paused: bool) -> None:
         self._is_input_paused = is_paused
+        self._update_charge()
         self._pause_or_resume_reading()
 
     @property
@@ -473,6 +588,7 @@
         message = self._message
         return (
             len(self._exchanges) >= MAX_PIPELINED_REQUESTS
+            or (self._ahead_bytes >= REQUESTS_AHEAD_BYTES and len(self._exchanges) > 1)
             or not self._is_writable
             or (message is not None and message.waits_for_room_since_ms is not None)
         )
--- a/src/cottonlink/path/callers/_exchange.py
+++ b/src/cottonlink/path/callers/_exchange.py
@@ -7,7 +7,7 @@
 
 from attrs import define
 
-from cottonlink.overload import Hold
+from cottonlink.overload import ConnectionAccount, Hold
 from cottonlink.path._body import Body, WholeBody
 from cottonlink.path._body_stream import BodyStream
 from cottonlink.path._connection_end import ConnectionEnd
@@ -24,7 +24,7 @@
 
     ``cancel`` is set by the code that serves the request, and called when the caller disconnects.
     ``is_last`` tells that the connection closes after the response, ``takes_chunks`` that its
-    caller knows bodies in chunks.
+    caller knows bodies in chunks, ``held_bytes`` what the request needs besides a long body.
     """
 
     request: Request
@@ -34,6 +34,7 @@
     is_started: bool = False
     is_repeatable: bool = False
     takes_chunks: bool = True
+    held_bytes: int = 0
     cancel: Callable[[], None] | None = None
     response: tuple[int, Headers, Body] | None = None
 
@@ -52,6 +53,8 @@
 class CallerHandler(Protocol):
     """Interface through which a caller's connection uses the node that serves it."""
 
+    connections: ConnectionAccount
+
     def now_ms(self) -> float:
         """Return the monotonic time of the event loop."""
 
--- a/src/cottonlink/path/callers/_incoming_request.py
+++ b/src/cottonlink/path/callers/_incoming_request.py
@@ -2,15 +2,52 @@
 
 from __future__ import annotations
 
+from array import array
+
 from attrs import define, field
 
-from cottonlink.overload import Hold
+from cottonlink.overload import BODY_FACTOR, FIELD_BYTES, Hold
 from cottonlink.path._body import BodyBuffer
 from cottonlink.path._model import Request
 
 # Longest wait for room of a request's body, and the share of the time that its caller has left.
 ROOM_WAIT_MS = 3_000.0
 ROOM_WAIT_SHARE = 1 / 3
+# Above this number, header fields are kept in one buffer while the request arrives. As objects,
+# short ones take over ten times their length.
+PACKED_FIELDS = 64
+# A packed field's lengths.
+PACKED_FIELD_BYTES = 8
+
+
+class PackedFields:
+    """Header fields in one buffer."""
+
+    def __init__(self) -> None:
+        self._text = bytearray()
+        self._lengths = array("I")
+
+    @property
+    def held_bytes(self) -> int:
+        """What the buffer takes."""
+        return len(self._text) + PACKED_FIELD_BYTES * len(self._lengths) // 2
+
+    def extend(self, fields: list[tuple[bytes, bytes]]) -> None:
+        """Add fields."""
+        for name, value in fields:
+            self._text += name
+            self._text += value
+            self._lengths.append(len(name))
+            self._lengths.append(len(value))
+
+    def unpack(self) -> list[tuple[bytes, bytes]]:
+        """Return the fields in their order."""
+        text, start = bytes(self._text), 0
+        parts = []
+        for length in self._lengths:
+            parts.append(text[start : start + length])
+            start += length
+        return list(zip(parts[::2], parts[1::2], strict=True))
 
 
 @define
@@ -30,6 +67,34 @@
     head: Request | None = None
     expects_continue: bool = False
     waits_for_room_since_ms: float | None = None
+    has_packed_fields: bool = False
+    _packed: PackedFields | None = None
+
+    def pack_fields(self) -> None:
+        """Keep many header fields in one buffer until ``unpack_fields`` is called."""
+        if len(self.headers) > PACKED_FIELDS:
+            if self._packed is None:
+                self._packed = PackedFields()
+            self._packed.extend(self.headers)
+            self.has_packed_fields = True
+            self.headers.clear()
+
+    def unpack_fields(self) -> None:
+        """Hold all header fields in ``headers``, if some of them are packed."""
+        if self._packed is not None:
+            self.headers[:0] = self._packed.unpack()
+            self._packed = None
+            self.has_packed_fields = False
+
+    def held_bytes(self) -> int:
+        """Return what the process needs for the request, besides the room of a long body."""
+        fields = len(self.headers) + (len(self.head.headers) if self.head is not None else 0)
+        held_bytes = FIELD_BYTES * fields + len(self.target)
+        if self._packed is not None:
+            held_bytes += self._packed.held_bytes
+        if self.hold is None:
+            held_bytes += BODY_FACTOR * len(self.body)
+        return held_bytes
 
     def has_waited(self, now_ms: float) -> bool:
         """Return whether the body has waited for room for too long."""
--- a/src/cottonlink/path/callers/_response_stream.py
+++ b/src/cottonlink/path/callers/_response_stream.py
@@ -58,6 +58,11 @@
         if count:
             self._body.take(count)
 
+    @property
+    def taken_bytes(self) -> int:
+        """Number of bytes that the transport has taken."""
+        return self._body.taken_bytes
+
     def cancel(self) -> None:
         """Drop the rest, as the caller is gone."""
         self._body.cancel()
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -17,7 +17,7 @@
 import httptools
 from attrs import define, field
 
-from cottonlink.overload import make_memory_account
+from cottonlink.overload import make_connection_account, make_memory_account
 from cottonlink.path import CallerLimits, EventLog, Node, NodeSettings, StoreFollower
 from cottonlink.platform._headers import PlatformHeaderCodec
 from cottonlink.platform._process import make_store_follower
@@ -61,7 +61,9 @@
     """
     limits = CallerLimits()
     memory = make_memory_account(200, loop.call_soon)
+    connections = make_connection_account(memory, 100, lambda: 0.0, lambda *_: None)
     defaults = {
+        "connections": connections,
         "now_ms": lambda: 0.0,
         "call_soon": loop.call_soon,
         "caller_limits": lambda: limits,
--- a/tests/test_request_segments.py
+++ b/tests/test_request_segments.py
@@ -60,6 +60,7 @@
         self.connection = CallerConnection(handler)
         transport = mock.Mock(spec=asyncio.Transport)
         transport.get_extra_info.return_value = None
+        transport.get_write_buffer_size.return_value = 0
         transport.write.side_effect = self.written.append
         self.connection.connection_made(transport)
 
