Mend what the review of keys, revocation and quotas found

Among them: an answer to an older question made a proof too young, keys of a malformed configuration travelled between nodes, a restarted node trusted a store that had just returned from a copy, a caller without a key got the organisation of a request with the same deadline, requests with keys could pass as nested calls, a data centre that lost only the store stopped serving keys, an empty key was valid, a steward without a configuration granted everything, tokens returned late exceeded the quota's bound.

Change: one mend each, in the module at fault. Calls of runs inherit an organisation only by the id of the run, and requests with keys are never nested calls. Unknown keys are refused once a watch has shown that no newer configuration exists. While the configuration in the store can't be read, nothing is proven, since it may have taken keys away.

--- a/src/cottonlink/organisations/_currency.py
+++ b/src/cottonlink/organisations/_currency.py
@@ -14,6 +14,8 @@
 # Answers of a store that returned from an older copy of itself prove nothing for this time, in
 # which operators write again what the copy lacks.
 NEW_ERA_SETTLING_MS = 2_000.0
+# Era of a store that has never returned from a copy.
+FIRST_ERA = 1
 
 
 class CurrencyProof:
@@ -26,8 +28,10 @@
     def __init__(self, revocation_ms: float | None) -> None:
         self._revocation_ms = revocation_ms
         self._proven_at_ms = float("-inf")
-        self._era: int | None = None
+        # A node that starts knows nothing of the returns before.
+        self._era = FIRST_ERA
         self._settled_at_ms = float("-inf")
+        self._confirmed_at_ms = float("-inf")
 
     @property
     def is_required(self) -> bool:
@@ -40,11 +44,9 @@
         The answer must not be one that the store may give from an older state. ``era`` counts the
         times that the store returned from a copy.
         """
-        if self._era is None or era > self._era:
-            is_return = self._era is not None
+        if era > self._era:
             self._era = era
-            if is_return:
-                self._settled_at_ms = now_ms + NEW_ERA_SETTLING_MS
+            self._settled_at_ms = now_ms + NEW_ERA_SETTLING_MS
         if asked_at_ms < self._settled_at_ms:
             return False
         self._prove(asked_at_ms)
@@ -54,9 +56,16 @@
         """Record the proof of a peer with the same configuration, of this age when it answered."""
         self._prove(asked_at_ms - age_ms)
 
-    def is_proven_since(self, time_ms: float) -> bool:
-        """Return whether the configuration was the newest at ``time_ms`` or later."""
-        return self._proven_at_ms >= time_ms
+    def record_confirmation(self, now_ms: float) -> None:
+        """Record that no newer configuration was known to the store a moment ago."""
+        self._confirmed_at_ms = now_ms
+
+    def is_confirmed_since(self, time_ms: float) -> bool:
+        """Return whether the configuration is known to be newer than ``time_ms``.
+
+        That is enough to refuse a key as unknown, and not enough to serve one.
+        """
+        return max(self._proven_at_ms, self._confirmed_at_ms) >= time_ms
 
     def age_ms(self, now_ms: float) -> float | None:
         """Return the age of the proof, or None if there is none."""
--- a/src/cottonlink/organisations/_quota_leases.py
+++ b/src/cottonlink/organisations/_quota_leases.py
@@ -190,10 +190,13 @@
             self._due_ms = now_ms
         self._contacts = {n: c for n, c in self._contacts.items() if n in self._stewards}
 
-    def try_take(self, organisation: str, now_ms: float, *, waited: bool = False) -> bool:
+    def try_take(
+        self, organisation: str, now_ms: float, *, waited: bool = False, may_wait: bool = True
+    ) -> bool:
         """Take a token for a request; return whether there was one, or there is no quota.
 
-        ``waited`` is whether this request was refused a token before.
+        ``waited`` is whether this request was refused a token before, ``may_wait`` whether a token
+        is asked for that it would get later.
         """
         lease = self._leases.get(organisation)
         if lease is None:
@@ -208,9 +211,9 @@
             if lease.tokens + lease.next_tokens < lease.low_tokens:
                 self._schedule(self._begun_ms + self._interval_ms)
             return True
-        return self._take_next(lease, now_ms)
+        return self._take_next(lease, now_ms, may_wait=may_wait)
 
-    def _take_next(self, lease: _Lease, now_ms: float) -> bool:
+    def _take_next(self, lease: _Lease, now_ms: float, *, may_wait: bool) -> bool:
         _expire(lease, now_ms)
         if lease.tokens:
             lease.tokens -= 1
@@ -222,7 +225,7 @@
         elif self._floor_since_ms is not None:
             return self._take_floor(lease, now_ms)
         else:
-            if now_ms >= lease.refused_until_ms:
+            if may_wait and now_ms >= lease.refused_until_ms:
                 lease.waiting += 1
                 self._schedule(now_ms)
             else:
@@ -243,10 +246,14 @@
         lease.floor_tokens -= 1.0
         return True
 
-    def give_back(self, organisation: str, now_ms: float) -> None:
-        """Return the token of a request that was rejected before it ran."""
+    def give_back(self, organisation: str, taken_ms: float, now_ms: float) -> None:
+        """Return the token of a request that was rejected before it ran.
+
+        One that was held for longer than tokens are valid stays unused: the hard bound would be
+        exceeded in a later window, in which it would be used in addition.
+        """
         lease = self._leases.get(organisation)
-        if lease is None or not self.has_steward:
+        if lease is None or not self.has_steward or now_ms - taken_ms >= LEASE_MS:
             return
         if lease.tokens and now_ms < lease.expires_ms:
             lease.tokens += 1
@@ -307,6 +314,7 @@
         self._floor_since_ms = None
         asked = {usage.organisation: usage for usage in self._pending.usages}
         self._pending = None
+        self._forget_waiting()
         self._heard_share = answer.heard_share
         for grant in answer.grants:
             lease = self._leases.get(grant.organisation)
@@ -343,6 +351,7 @@
             return
         steward = self._pending.steward
         self._drop_pending()
+        self._forget_waiting()
         self._silent_count += 1
         tried = min(FLOOR_SILENT_COUNT, len(self._stewards))
         if self._silent_count >= tried and self._floor_since_ms is None:
@@ -351,6 +360,11 @@
         self._use(self._stewards[(index + 1) % len(self._stewards)])
         self._moved_ms = self._due_ms = now_ms
 
+    def _forget_waiting(self) -> None:
+        """Forget who waits: each request that still does asks again after an answer."""
+        for lease in self._leases.values():
+            lease.waiting = 0
+
     def _drop_pending(self) -> None:
         self._pending = None
         for lease in self._leases.values():
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -293,6 +293,10 @@
         """Note that an answer of the store, no older than its question, has been applied."""
         self._currency_exchange.record_store_answer(asked_at_ms, era)
 
+    def record_watch_answer(self) -> None:
+        """Note that the store knew no newer configuration a moment ago."""
+        self._currency_exchange.record_watch_answer()
+
     def set_watchers(self, vm_ips: tuple[str, ...]) -> None:
         """Note which nodes watch the store for the data centre."""
         self._currency_exchange.watcher_ips = vm_ips
--- a/src/cottonlink/path/callers/_final_response.py
+++ b/src/cottonlink/path/callers/_final_response.py
@@ -126,6 +126,7 @@
         if call.fallback is not None:
             self.answer(call, call.fallback)
         elif outcome == _REVOKED and not call.has_unknown_outcome:
+            self._give_token_back(call)
             self.fail(call, _UNAUTHORIZED, outcome.reason)
         elif isinstance(outcome, NotRun) and not call.has_unknown_outcome:
             self.refuse(call, outcome.reason, outcome.retry_after_ms)
@@ -141,12 +142,16 @@
         delay_ms = min_retry_ms * state.rng.uniform(1.0, RETRY_AFTER_JITTER)
         if call.parent is not None and reason in _SERVICE_REFUSALS:
             call.parent.turned_away_call_count += 1
-        if call.has_quota:
-            state.quotas.give_back(call.organisation.name)
+        self._give_token_back(call)
         self._count_refusal(call.request, call, reason, delay_ms)
         self._on_finished(call)
         call.exchange.respond(_UNAVAILABLE, state.header_codec.retry_after(delay_ms), b"")
 
+    def _give_token_back(self, call: IngressCall) -> None:
+        """Return the token of a request that hasn't run."""
+        if call.has_quota:
+            self._state.quotas.give_back(call.organisation.name, call.token_taken_at_ms)
+
     def fail(self, call: IngressCall, status: int, reason: str) -> None:
         """Respond with ``status`` because no usable response came; the request may have run."""
         state = self._state
--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -62,7 +62,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress."""
-        return not self._calls
+        return not (self._calls or self._state.currency_waits or self._state.quotas.waiting_count)
 
     def longest_ms(self, request: Request) -> float:
         """Return the longest time that a request may take; without a route it takes none."""
@@ -136,8 +136,16 @@
         waited_ms = now_ms - exchange.received_ms
         caller_deadline_ms = None if remaining_ms is None else exchange.received_ms + remaining_ms
         parent_id = state.header_codec.parent_id(request.request_id)
-        parent = state.dispatcher.running_requests.find_parent(caller_deadline_ms, parent_id)
-        is_nested = self._is_nested(route, parent_id) or parent is not None
+        running_requests = state.dispatcher.running_requests
+        parent = maker = None
+        is_nested = False
+        # Calls of running requests carry no key.
+        if organisation is None:
+            parent = running_requests.find_parent(caller_deadline_ms, parent_id)
+            is_nested = self._is_nested(route, parent_id) or parent is not None
+        if parent is not None and parent.organisation:
+            # The same deadline doesn't tell whose request it is.
+            maker = running_requests.find_parent(None, parent_id)
         tier = NESTED_CALL_TIER if is_nested else NEW_REQUEST_TIER
         weights = [(target.service, target.weight) for target in route.services]
         call = IngressCall(
@@ -148,7 +156,9 @@
             tier=tier,
             received_ms=exchange.received_ms,
             deadline_ms=now_ms + _allowed_ms(request, route) - waited_ms,
+            token_taken_at_ms=now_ms,
             headers=(),
+            maker=maker,
             configuration=configuration,
             organisation=organisation,
         )
@@ -444,7 +454,10 @@
         if not is_allowed or was_refused or not call.has_quota:
             return is_allowed
         # A second run counts towards the quota as well.
-        return state.quotas.try_take(call.organisation.name)
+        if not state.quotas.try_take(call.organisation.name):
+            return False
+        call.token_taken_at_ms = now_ms
+        return True
 
     def _retry(self, call: IngressCall, reason: str) -> None:
         state = self._state
--- a/src/cottonlink/path/callers/_ingress_call.py
+++ b/src/cottonlink/path/callers/_ingress_call.py
@@ -20,7 +20,9 @@
     ``reached_target_count`` counts the sends that a target received or may have received,
     ``reached_upstream_ids`` are the upstreams that they went to, and ``placement`` decides on the
     sends that end before any target receives them. ``configuration`` and ``organisation`` are those
-    with which it was admitted; a nested call needs no key and has no organisation of its own.
+    with which it was admitted; a nested call needs no key and has no organisation of its own, but
+    that of ``maker``, the run that is known by its id to make it. ``token_taken_at_ms`` is when it
+    took its latest token of a quota.
     ``cancel_send`` cancels the send in progress. ``fallback`` is the error response that is
     returned if a retry yields no response. ``has_unknown_outcome`` is set once a send may have run
     and its response was lost. ``deadline_number`` is that among the deadlines of calls, 0
@@ -36,6 +38,7 @@
     deadline_ms: float
     headers: Headers
     configuration: Configuration
+    maker: ParentRun | None = None
     organisation: Organisation | None = None
     tried_upstream_ids: set[str] = field(factory=set)
     reached_target_count: int = 0
@@ -48,6 +51,7 @@
     fallback: Answered | None = None
     is_done: bool = False
     has_unknown_outcome: bool = False
+    token_taken_at_ms: float = 0.0
 
     @property
     def request(self) -> Request:
@@ -76,7 +80,7 @@
         """Whose request it is, empty if that isn't known; a call inherits it as well."""
         if self.organisation is not None:
             return self.organisation.name
-        return self.parent.organisation if self.parent is not None else ""
+        return self.maker.organisation if self.maker is not None else ""
 
     @property
     def has_quota(self) -> bool:
--- a/src/cottonlink/path/callers/_key_gate.py
+++ b/src/cottonlink/path/callers/_key_gate.py
@@ -44,7 +44,7 @@
             self._question(exchange, route, digest)
             return None
         if not self._state.is_currency_proven():
-            self._refuse_unproven(exchange, route)
+            self._await_first_proof(exchange, route)
             return None
         return organisation
 
@@ -61,13 +61,27 @@
             return "key_revoked"
         return None
 
+    def _await_first_proof(self, exchange: Exchange, route: Route) -> None:
+        """Let a request wait for the first proof of a node that has just started.
+
+        A node that had one has lost contact, which no short wait ends.
+        """
+        state = self._state
+        now_ms = state.now_ms()
+        rest_ms = self._max_wait_ms(exchange) - (now_ms - exchange.received_ms)
+        is_first = state.currency.age_ms(now_ms) is None
+        if is_first and rest_ms > 0 and self._questions.begin_wait():
+            self._wait(exchange, rest_ms)
+        else:
+            self._refuse_unproven(exchange, route)
+
     def _question(self, exchange: Exchange, route: Route, digest: bytes | None) -> None:
         """Refuse a request with an unknown key, unless a newer configuration may hold it."""
         state = self._state
         now_ms = state.now_ms()
         if digest is None:
             self._refuse_unknown(exchange, route, "key_missing")
-        elif state.currency.is_proven_since(exchange.received_ms):
+        elif state.currency.is_confirmed_since(exchange.received_ms):
             self._questions.record_unknown(digest, now_ms)
             self._refuse_unknown(exchange, route, "key_unknown")
         elif now_ms - exchange.received_ms >= self._max_wait_ms(exchange):
--- a/src/cottonlink/path/peers/_currency_exchange.py
+++ b/src/cottonlink/path/peers/_currency_exchange.py
@@ -19,9 +19,9 @@
 )
 from cottonlink.path.peers._peer_links import PeerLink
 
-# A proof that is older is renewed. Together with the time between two answers to a watch of the
-# store this keeps proofs younger than two seconds.
-RENEWAL_AGE_MS = 500.0
+# A proof that is older is renewed. The answers of watchers are up to 0.9 s old, the time between
+# two answers of the store, so that a node asks about once a second.
+RENEWAL_AGE_MS = 1_000.0
 # Time after which another peer is asked.
 ANSWER_TIMEOUT_MS = 300.0
 
@@ -36,8 +36,13 @@
     _state: NodeState
     watcher_ips: tuple[str, ...] = ()
     _number: int = 0
+    # When the question with this number was sent, and when a peer was last tried in any way.
     _asked_at_ms: float = float("-inf")
+    _tried_at_ms: float = float("-inf")
     _failed_count: int = 0
+    # The peer to ask next, if the last one helped or has yet to tell that it knows questions.
+    _next_ip: str | None = None
+    _asked_ip: str = ""
     _is_unproven: bool = field(default=False, init=False)
 
     def record_store_answer(self, asked_at_ms: float, era: int) -> None:
@@ -50,6 +55,15 @@
             self._failed_count = 0
             self._resume_waiting()
 
+    def record_watch_answer(self) -> None:
+        """Record that the store knew no newer configuration a moment ago.
+
+        That may be an answer to a watch, or what a watching node has sent of one. It may have been
+        held up, so it is no proof, but it ends the wait of requests with unknown keys.
+        """
+        self._state.currency.record_confirmation(self._state.now_ms())
+        self._resume_waiting()
+
     def sweep(self) -> None:
         """Ask a peer if the proof is to be renewed. To be called periodically."""
         state = self._state
@@ -59,21 +73,28 @@
         now_ms = state.now_ms()
         age_ms = state.currency.age_ms(now_ms)
         self._report(age_ms)
-        if age_ms is not None and age_ms < RENEWAL_AGE_MS and not state.currency_waits:
+        if age_ms is not None and age_ms < RENEWAL_AGE_MS:
             return
-        if now_ms - self._asked_at_ms < ANSWER_TIMEOUT_MS:
+        if now_ms - self._tried_at_ms < ANSWER_TIMEOUT_MS:
             return
         link = self._choose_peer()
         if link is None:
             return
-        # Counted as failed until an answer renews the proof.
-        self._failed_count += 1
-        self._asked_at_ms = now_ms
+        self._tried_at_ms = now_ms
         if link.knows_questions:
+            # Counted as failed until an answer renews the proof.
+            self._failed_count += 1
+            self._next_ip = None
             self._number += 1
+            self._asked_at_ms = now_ms
+            self._asked_ip = link.address[0]
             link.send(CurrencyQuestionFrame(self._number, configuration.version))
+        elif self._next_ip == link.address[0]:
+            self._failed_count += 1
+            self._next_ip = None
         else:
             # Earlier builds end a connection at a frame that they don't know, but answer any ping.
+            self._next_ip = link.address[0]
             link.send_or_open(PingFrame(TAKES_QUESTIONS))
 
     def answer(self, frame: CurrencyQuestionFrame) -> CurrencyAnswerFrame:
@@ -98,17 +119,20 @@
         after_ms = state.currency.age_ms(state.now_ms())
         if before_ms is None or after_ms < before_ms:
             self._failed_count = 0
+            self._next_ip = self._asked_ip
             self._resume_waiting()
 
     def _choose_peer(self) -> PeerLink | None:
         """Return a watcher of the data centre, or any peer once the watchers didn't help."""
         state = self._state
         own_ip = state.target_address[0]
+        if self._next_ip is not None:
+            return state.peer_links.link((self._next_ip, state.peer_port))
         watcher_ips = [vm_ip for vm_ip in self.watcher_ips if vm_ip != own_ip]
-        # The first question to a peer only finds out whether it knows questions.
-        tries = self._failed_count // 2
-        if tries < len(watcher_ips):
-            return state.peer_links.link((watcher_ips[tries], state.peer_port))
+        if self._failed_count < len(watcher_ips):
+            # Each node begins with another one, so that they share the questions.
+            turn = (self._failed_count + hash(own_ip)) % len(watcher_ips)
+            return state.peer_links.link((watcher_ips[turn], state.peer_port))
         links = [link for link in state.peer_links.all() if link.address[0] != own_ip]
         return state.rng.choice(links) if links else None
 
--- a/src/cottonlink/path/peers/_peer_server.py
+++ b/src/cottonlink/path/peers/_peer_server.py
@@ -169,7 +169,9 @@
         elif isinstance(frame, PingFrame):
             self._on_ping(frame)
         elif isinstance(frame, CurrencyQuestionFrame | QuotaRequestFrame):
-            self.send(self._handler.answer_question(frame))
+            answer = self._handler.answer_question(frame)
+            if answer is not None:
+                self.send(answer)
         else:
             self._handler.on_peer_frame(frame)
 
--- a/src/cottonlink/path/peers/_quota_service.py
+++ b/src/cottonlink/path/peers/_quota_service.py
@@ -90,10 +90,7 @@
 
     def try_take(self, organisation: str) -> bool:
         """Take a token without waiting for one; return whether there was one."""
-        has_token = self._leases.try_take(organisation, self._state.now_ms())
-        if not has_token:
-            self._advance()
-        return has_token
+        return self._leases.try_take(organisation, self._state.now_ms(), may_wait=False)
 
     def take_or_wait(
         self, organisation: str, on_done: Callable[[bool], None]
@@ -119,16 +116,26 @@
         self._advance()
         return None if waiting.is_over else cancel
 
-    def give_back(self, organisation: str) -> None:
+    def give_back(self, organisation: str, taken_at_ms: float) -> None:
         """Return the token of a request that was refused before it ran."""
-        self._leases.give_back(organisation, self._state.now_ms())
+        self._leases.give_back(organisation, taken_at_ms, self._state.now_ms())
 
     def retry_after_ms(self, organisation: str) -> float:
         """Return the time after which an organisation may have a token again."""
         return self._leases.retry_after_ms(organisation, self._state.now_ms())
 
-    def answer(self, frame: QuotaRequestFrame) -> QuotaAnswerFrame:
-        """Answer another node's request, as the steward that it has chosen."""
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for a token."""
+        return len(self._waiting)
+
+    def answer(self, frame: QuotaRequestFrame) -> QuotaAnswerFrame | None:
+        """Answer another node's request, as the steward that it has chosen.
+
+        Without a configuration there is no answer: the ledger would know no quota to keep to.
+        """
+        if self._state.configuration is None:
+            return None
         if frame.exchange.is_probe:
             return QuotaAnswerFrame(frame.exchange.number, QuotaAnswer((), 0.0), is_probe=True)
         answer = self._ledger.exchange(frame.node, frame.exchange.usages, self._state.now_ms())
@@ -161,6 +168,10 @@
         self._ledger.set_node_count(len(self._vm_ips))
         order = rendezvous_order(_RENDEZVOUS_KEY, self._vm_ips)
         self._leases.set_stewards(order[:STEWARD_CANDIDATES], self._state.now_ms())
+        if self._pending is not None and self._pending.steward != self._leases.steward:
+            # Its answer would be ignored.
+            self._pending = None
+            self._advance()
 
     def _advance(self) -> None:
         """Begin the exchanges that are due, and serve the requests that wait for them."""
@@ -248,6 +259,8 @@
                 request.on_done(False)
 
     def _end_wait(self, waiting: _Waiting) -> None:
+        if waiting in self._waiting:
+            self._waiting.remove(waiting)
         if not waiting.is_over:
             waiting.is_over = True
             waiting.on_done(False)
--- a/src/cottonlink/path/store/_store_contents.py
+++ b/src/cottonlink/path/store/_store_contents.py
@@ -34,6 +34,8 @@
         self._directory = make_upstream_directory()
         self._items: dict[str, StoreItem] = {}
         self._configuration_version: int | None = None
+        # Whether the configuration in the store can't be read, which the one in force doesn't show.
+        self.is_configuration_unreadable = False
 
     def items(self) -> tuple[StoreItem, ...]:
         """Return the items that weren't removed, without the entries that aren't used."""
@@ -154,6 +156,7 @@
         known = self._items.get(item.key)
         configuration = self._decode_configuration(item)
         if configuration is not None:
+            self.is_configuration_unreadable = False
             self._on_configuration(configuration)
             present = self._configuration_version
             if present is None or configuration.version > present:
@@ -168,6 +171,7 @@
             return self._store.decode_configuration(item)
         except CottonlinkError as error:
             # The previous configuration stays in force.
+            self.is_configuration_unreadable = True
             self._log.event("configuration_invalid", detail=error.detail)
             return None
 
--- a/src/cottonlink/path/store/_store_follower.py
+++ b/src/cottonlink/path/store/_store_follower.py
@@ -79,6 +79,9 @@
         Such an answer isn't older than the question.
         """
 
+    def record_watch_answer(self) -> None:
+        """Note that the store knew no newer configuration a moment ago."""
+
     def set_watchers(self, vm_ips: tuple[str, ...]) -> None:
         """Note which nodes watch the store for the data centre."""
 
@@ -191,6 +194,8 @@
         if self._contents.store_regained(self._now_ms()):
             self._log.event("store_regained", by="watcher")
         if frame.revision <= known.revision:
+            if frame.revision == known.revision:
+                self._node.record_watch_answer()
             return
         if frame.after > known.revision:
             # A change was missed, which only the store still has.
@@ -202,6 +207,7 @@
         self._log_changes("store_changes_received", frame)
         self._contents.apply(unpack_items(frame.items, era), self._now_ms())
         self._position = StorePosition(era, frame.revision)
+        self._node.record_watch_answer()
 
     def snapshot(self) -> StoreSnapshotFrame | None:
         """Return this node's copy of the store, or None if it has none."""
@@ -295,7 +301,7 @@
                 changes = self._contents.changes_to(listing)
                 self._broadcast(previous.revision, position, changes)
         self._apply_listing(listing)
-        self._node.record_store_answer(self._asked_at_ms, position.era)
+        self._record_answer(self._asked_at_ms, position)
 
     async def _read_latest(self) -> Listing:
         self.call_count += 1
@@ -381,10 +387,16 @@
         self._contents.apply(changes.items, self._now_ms())
         # Frames of other watchers may have taken this node further than this answer.
         self._position = max(changes.position, self._position)
-        self._node.record_store_answer(asked_at_s * 1000.0, changes.position.era)
+        self._record_answer(asked_at_s * 1000.0, changes.position)
+        self._node.record_watch_answer()
         if changes.items:
             await self._wait_for_batch(answered_at_s - asked_at_s)
 
+    def _record_answer(self, asked_at_ms: float, position: StorePosition) -> None:
+        # Keys may have been taken away in a configuration that can't be read.
+        if not self._contents.is_configuration_unreadable:
+            self._node.record_store_answer(asked_at_ms, position.era)
+
     def _broadcast(self, after: int, position: StorePosition, items: tuple[StoreItem, ...]) -> None:
         """Send the changes after one revision up to a position, which must be all of them.
 
--- a/src/cottonlink/platform/_headers.py
+++ b/src/cottonlink/platform/_headers.py
@@ -108,10 +108,10 @@
         for name, value in headers:
             if name.lower() != AUTHORIZATION:
                 continue
-            scheme, _, key = value.strip().partition(b" ")
-            if digest is not None or scheme.lower() != KEY_SCHEME:
+            parts = value.split(None, 1)
+            if digest is not None or len(parts) < 2 or parts[0].lower() != KEY_SCHEME:
                 return None
-            digest = key_digest(key.strip())
+            digest = key_digest(parts[1].strip())
         return digest
 
     def without_credentials(self, headers: Headers, *, needs_key: bool) -> Headers:
@@ -130,7 +130,9 @@
     def organisation(self, headers: Headers) -> str:
         """Return the organisation that a node has put behind the headers of a call, or ``""``."""
         if headers and headers[-1][0] == ORGANISATION:
-            return headers[-1][1].decode()
+            value = headers[-1][1]
+            # A node without organisations passes on what its caller has sent.
+            return value.decode() if value.isascii() else ""
         return ""
 
     def is_not_run(self, answer: HttpResponse) -> bool:
@@ -164,7 +166,7 @@
     # Targets behind gateways of the older kind take underscores for hyphens.
     name = name.lower().replace(b"_", b"-")
     if name == AUTHORIZATION:
-        return needs_key or value.strip().partition(b" ")[0].lower() == KEY_SCHEME
+        return needs_key or value.lower().split(None, 1)[:1] == [KEY_SCHEME]
     return name == _ORGANISATION
 
 
--- a/src/cottonlink/platform/_records.py
+++ b/src/cottonlink/platform/_records.py
@@ -38,6 +38,10 @@
 _REPEATABLE_KINDS = ("safe", "download")
 # Stands for an API key behind this module, in a table so that no key can be taken for it.
 _DIGEST = "digest"
+_KEYS = "api_keys"
+# Ranks of organisations: a lower one would take slots that are kept free, and a higher one means
+# nothing.
+_MAX_RANK = 1_000
 _UPSTREAM_STATES = ("ready", "draining")
 # Rank of a route without a priority: other routes can rank above it, with 0, or below it.
 _DEFAULT_RANK = 1
@@ -163,26 +167,29 @@
 def hide_keys(value: bytes) -> bytes:
     """Return a configuration with digests in place of its API keys.
 
-    Nodes send the configuration to each other, and nothing but its digest is needed of a key. What
-    isn't a configuration is returned as it is.
+    Nodes send the configuration to each other, and nothing but its digest is needed of a key. Of
+    what can't be read nothing is kept, as any part of it may be a key.
     """
     try:
         data = orjson.loads(value)
-        tenants = [r for r in data["resources"] if r["resource_type"] == "tenants"]
-        if not tenants:
-            return value
-        for tenant in tenants:
-            keys = tenant["spec"].get("api_keys")
-            if isinstance(keys, list):
-                tenant["spec"]["api_keys"] = [_hide_key(key) for key in keys]
-        return orjson.dumps(data)
-    except (KeyError, TypeError, AttributeError, ValueError):
-        # Decoding it reports what is wrong.
-        return value
+    except ValueError as error:
+        return orjson.dumps({"unreadable": str(error)})
+    resources = data.get("resources") if isinstance(data, dict) else None
+    has_keys = False
+    for resource in resources if isinstance(resources, list) else ():
+        spec = resource.get("spec") if isinstance(resource, dict) else None
+        if isinstance(spec, dict) and _KEYS in spec:
+            has_keys = True
+            keys = spec[_KEYS]
+            spec[_KEYS] = [_hide_key(key) for key in keys] if isinstance(keys, list) else None
+    return orjson.dumps(data) if has_keys else value
 
 
 def _hide_key(key: Any) -> Any:
-    return {_DIGEST: key_digest(key.encode()).hex()} if isinstance(key, str) else key
+    """Return a digest, or None in place of what can't be a key."""
+    if isinstance(key, dict) and key.keys() == {_DIGEST}:
+        return key
+    return {_DIGEST: key_digest(key.encode()).hex()} if isinstance(key, str) and key else None
 
 
 def _decode_organisations(
@@ -198,9 +205,10 @@
     holders: list[tuple[Organisation, tuple[bytes, ...]]] = []
     for resource in resources:
         spec = resource.get("spec")
-        name = (resource.get("metadata") or {}).get("name")
-        if not isinstance(name, str) or not name or not isinstance(spec, dict):
-            problems.append(f"organisation without a name or a spec: {name!r}")
+        metadata = resource.get("metadata")
+        name = metadata.get("name") if isinstance(metadata, dict) else None
+        if not isinstance(spec, dict) or not _is_header_text(name):
+            problems.append(f"organisation without a valid name or a spec: {name!r}")
             continue
         holders.append(
             (
@@ -215,7 +223,7 @@
 
 
 def _decode_keys(name: str, spec: dict[str, Any], problems: list[str]) -> tuple[bytes, ...]:
-    keys = spec.get("api_keys", [])
+    keys = spec.get(_KEYS, [])
     if not isinstance(keys, list):
         problems.append(f"organisation {name!r}: expected a list of keys")
         return ()
@@ -235,14 +243,19 @@
 
 def _decode_rank(name: str, spec: dict[str, Any], problems: list[str]) -> int | None:
     rank = spec.get("priority")
-    if rank is None or _is_integer(rank):
+    if rank is None or (_is_integer(rank) and 0 <= rank <= _MAX_RANK):
         return rank
-    problems.append(f"organisation {name!r}: expected an integer in priority, got {rank!r}")
+    problems.append(
+        f"organisation {name!r}: expected an integer from 0 to {_MAX_RANK} in priority, "
+        f"got {rank!r}"
+    )
     return None
 
 
 def _decode_quota(name: str, spec: dict[str, Any], problems: list[str]) -> Quota | None:
-    rate_per_s, burst = spec.get("rate_per_s") or 0, spec.get("burst") or 0
+    rate_per_s, burst = (
+        0 if spec.get(field) is None else spec[field] for field in ("rate_per_s", "burst")
+    )
     if not all(_is_amount(amount) for amount in (rate_per_s, burst)):
         problems.append(
             f"organisation {name!r}: expected numbers from 0 on in rate_per_s and burst, "
@@ -252,6 +265,11 @@
     return Quota(float(rate_per_s), float(burst)) if rate_per_s else None
 
 
+def _is_header_text(value: Any) -> bool:
+    """Return whether ``value`` can stand in a header as it is."""
+    return isinstance(value, str) and value.isascii() and value.isprintable() and bool(value)
+
+
 def _is_amount(value: Any) -> bool:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     return is_number and 0 <= value < math.inf
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -280,8 +280,8 @@
         self.exchange(6_000)
         self.leases.try_take("o", 6_010, waited=True)
         self.assertTrue(self.leases.try_take("o", 6_020))  # an overdraft
-        self.leases.give_back("o", 6_030)
-        self.leases.give_back("o", 6_030)
+        self.leases.give_back("o", 6_030, 6_030)
+        self.leases.give_back("o", 6_030, 6_030)
         self.assertEqual(self.leases.begin_exchange(6_100).usages[0].unleased, -1)
 
     def test_overdraft_in_a_lost_report_is_reported_again(self) -> None:
