Pace targets that have just started by how they answer

A target that starts again was sent its whole share at once, from its first call on, and measured while cold, after which nodes avoided it for longer than it was cold.

The node next to it now limits its concurrent calls (overload/_start_pace.py): from a tenth of its slots on, growing while run times are within 1.2 times the usual ones of the route (the siblings', or its own before the start), shrinking above 1.5 times or with refusals, and by time where a smaller limit doesn't help. It begins with a new start, a return of the registration or three lost calls in a row. The limit is part of the load that is already reported. Senders don't count latencies that a new target has under its limit. Pressure is still relative to the full limit, so that one target that starts doesn't throttle whole routes.

--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -34,6 +34,7 @@
 from cottonlink.overload._route_classifier import RouteClassifier, make_route_classifier
 from cottonlink.overload._route_throttle import LimitChange, RouteThrottle, make_route_throttle
 from cottonlink.overload._running_requests import RunningRequests, make_running_requests
+from cottonlink.overload._start_pace import SiblingLevels, StartPace, make_start_pace
 from cottonlink.overload._store_position import UNKNOWN_ERA, StorePosition
 from cottonlink.overload._target_limit import (
     LIMIT_LAPSE_MS,
@@ -50,6 +51,7 @@
     TargetQueue,
     allowed_wait_ms,
     make_target_queue,
+    usable_slots,
 )
 from cottonlink.overload._target_start import TargetStart, target_start
 from cottonlink.overload._traffic_split import TrafficSplit, make_traffic_split
@@ -90,6 +92,8 @@
     "RouteClassifier",
     "RouteThrottle",
     "RunningRequests",
+    "SiblingLevels",
+    "StartPace",
     "StorePosition",
     "TargetLimit",
     "TargetLimitChange",
@@ -112,6 +116,7 @@
     "make_route_classifier",
     "make_route_throttle",
     "make_running_requests",
+    "make_start_pace",
     "make_target_limit",
     "make_target_queue",
     "make_traffic_split",
@@ -120,4 +125,5 @@
     "report_of_crash",
     "request_fingerprint",
     "target_start",
+    "usable_slots",
 ]
--- a/src/cottonlink/overload/_load_balancer.py
+++ b/src/cottonlink/overload/_load_balancer.py
@@ -8,11 +8,15 @@
 from __future__ import annotations
 
 import random
+import statistics
 from collections.abc import Collection, Iterable
 from typing import Any
 
 from attrs import Factory, define, frozen
 
+from cottonlink.overload._start_pace import SiblingLevels
+from cottonlink.overload._target_queue import usable_slots
+
 # Cost of an upstream in another data centre, on the scale of (latency / objective) squared: it is
 # chosen once the latency of local upstreams exceeds about half of the objective.
 REMOTE_PENALTY = 0.3
@@ -46,6 +50,10 @@
 FIRST_CALLERS = 3.0
 # Each of them does so after a random delay of up to this.
 FIRST_CALL_JITTER_MS = 2_500.0
+# Siblings of a target from which its usual run times are taken.
+MAX_SIBLINGS = 32
+# A new sibling that has reported no load, as this node doesn't call it, counts as warm afterwards.
+NEW_WITHOUT_LOAD_MS = 15_000.0
 
 
 @frozen
@@ -70,9 +78,10 @@
     """What one node knows of one upstream.
 
     ``upstream`` is a ``path.Upstream`` and ``load`` the latest ``path.Load`` that its node
-    reported. ``first_call_draw``, from 0 to 1, decides whether this node is among the first
-    callers. ``latency_ms`` holds the moving average of the latency by route, and ``full`` the calls
-    for which there is no room, by importance (tier and rank).
+    reported. ``is_new`` holds from the start of a target, if this node learnt of it, until a load
+    without a reduced limit is reported. ``first_call_draw``, from 0 to 1, decides whether this node
+    is among the first callers. ``latency_ms`` holds the moving average of the latency by route, and
+    ``full`` the calls for which there is no room, by importance (tier and rank).
     """
 
     upstream: Any
@@ -80,6 +89,8 @@
     first_call_draw: float
     warm_at_ms: float
     is_local: bool
+    is_new: bool
+    known_since_ms: float
     load: Any = None
     load_reported_at_ms: float = 0.0
     sent_since_load: int = 0
@@ -113,6 +124,17 @@
                 calls = max(calls, self.load.running + self.load.queued + self.sent_since_load)
         return calls / limit
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether its node has reported a limit below that of a target in its usual state."""
+        return self.load is not None and self.load.limit < usable_slots(self.upstream.slots)
+
+    def is_warm(self, now_ms: float) -> bool:
+        """Return whether it isn't starting, as far as is known."""
+        if self.is_new and now_ms - self.known_since_ms < NEW_WITHOUT_LOAD_MS:
+            return False
+        return not self.is_limited
+
     def failure(self, now_ms: float) -> float:
         """Return the failure rate, 0 to 1, decayed since it was last updated."""
         age_ms = now_ms - self.failure_rate_updated_at_ms
@@ -243,7 +265,10 @@
         if state is None:
             return
         old_ms = state.latency_ms.get(route)
-        if old_ms is None:
+        if state.is_new and state.is_limited:
+            # Latencies of a start don't tell what follows; until then its limit bounds the load.
+            pass
+        elif old_ms is None:
             state.latency_ms[route] = latency_ms
         else:
             state.latency_ms[route] = old_ms + LATENCY_WEIGHT * (latency_ms - old_ms)
@@ -298,6 +323,25 @@
             state.load = load
             state.load_reported_at_ms = now_ms
             state.sent_since_load = 0
+            state.is_new = state.is_new and state.is_limited
+
+    def sibling_levels(self, upstream_id: str, now_ms: float) -> SiblingLevels:
+        """Return the usual run times and latencies of the other targets of a target's service."""
+        own = self._states.get(upstream_id)
+        states = self._by_service.get(own.upstream.service, []) if own is not None else []
+        if len(states) > MAX_SIBLINGS:
+            states = self._rng.sample(states, MAX_SIBLINGS)
+        warm = [state for state in states if state is not own and state.is_warm(now_ms)]
+        services_ms = [state.load.service_ms for state in warm if state.load is not None]
+        by_route: dict[str, list[float]] = {}
+        for state in warm:
+            for route, latency_ms in state.latency_ms.items():
+                by_route.setdefault(route, []).append(latency_ms)
+        return SiblingLevels(
+            bool(warm),
+            statistics.median(services_ms) if services_ms else None,
+            {route: statistics.median(latencies) for route, latencies in by_route.items()},
+        )
 
     def upstream(self, upstream_id: str) -> Any | None:
         """Return the known upstream with this id, or None."""
@@ -337,6 +381,8 @@
             first_call_draw=self._rng.random(),
             warm_at_ms=now_ms + upstream.warmup_left_ms,
             is_local=upstream.data_centre == self._data_centre,
+            is_new=bool(self._states),
+            known_since_ms=now_ms,
         )
 
     def _sample(self, states: list[UpstreamState]) -> list[UpstreamState]:
--- a/src/cottonlink/overload/_target_queue.py
+++ b/src/cottonlink/overload/_target_queue.py
@@ -108,7 +108,8 @@
         self.service_ms = INITIAL_SERVICE_MS
         self._pressure = 0.0
         self._pressure_at_ms = 0.0
-        self.limit = 1
+        self._full_limit = 1
+        self._paced_limit: int | None = None
         self.resize(slots)
 
     @property
@@ -121,6 +122,13 @@
         """Number of jobs that wait for a slot."""
         return len(self._queued)
 
+    @property
+    def limit(self) -> int:
+        """Number of jobs that may run at a time."""
+        if self._paced_limit is None:
+            return self._full_limit
+        return min(self._full_limit, self._paced_limit)
+
     def capacity(self, now_ms: float) -> int:
         """Return the number of jobs that the target runs at a time, at most.
 
@@ -138,9 +146,11 @@
 
     def resize(self, slots: int) -> None:
         """Set the number of slots, the jobs that the target can run at the same time."""
-        if slots >= MIN_SLOTS_WITH_RESERVE:
-            slots = int(slots * USABLE_SLOT_SHARE)
-        self.limit = max(1, slots)
+        self._full_limit = usable_slots(slots)
+
+    def pace(self, limit: int | None) -> None:
+        """Set the limit of a target that has just started or recovered; None ends it."""
+        self._paced_limit = limit
 
     def offer(self, job: Job, now_ms: float) -> tuple[bool, tuple[Refusal, ...]]:
         """Start, queue or refuse ``job``; return whether it started, and all jobs refused.
@@ -210,7 +220,8 @@
 
     def _advance(self, now_ms: float) -> None:
         self._is_rate_limited = self._rate_limit.rate_per_s(now_ms) < math.inf
-        load = (len(self._running) + len(self._queued)) / self.limit
+        # Nodes throttle whole routes by the pressure, and one target that starts is no reason to.
+        load = (len(self._running) + len(self._queued)) / self._full_limit
         keep = 0.5 ** ((now_ms - self._pressure_at_ms) / PRESSURE_HALF_LIFE_MS)
         self._pressure = load + keep * (self._pressure - load)
         self._pressure_at_ms = now_ms
@@ -228,10 +239,10 @@
             self._queued_nested_count += change
 
     def _has_free_slot(self, job: Job) -> bool:
-        usable_slots = self.limit
+        limit = self.limit
         if job.tier == NEW_REQUEST_TIER and not self._is_new_request_share_free():
-            usable_slots = max(1, round(self.limit * (1.0 - RESERVE_PER_RANK * job.rank)))
-        return len(self._running) < usable_slots
+            limit = max(1, round(self.limit * (1.0 - RESERVE_PER_RANK * job.rank)))
+        return len(self._running) < limit
 
     def _must_wait_behind_queue(self, job: Job) -> bool:
         if job.tier == NESTED_CALL_TIER:
@@ -298,6 +309,13 @@
     return TargetQueue(slots, make_target_limit() if rate_limit is None else rate_limit)
 
 
+def usable_slots(slots: int) -> int:
+    """Return the number of jobs that may run at a time at a target with ``slots`` slots."""
+    if slots >= MIN_SLOTS_WITH_RESERVE:
+        slots = int(slots * USABLE_SLOT_SHARE)
+    return max(1, slots)
+
+
 def allowed_wait_ms(tier: int, rank: int, objective_ms: float, remaining_ms: float) -> float:
     """Return how long a job may wait for a slot, in ms.
 
--- a/src/cottonlink/path/target/_own_target.py
+++ b/src/cottonlink/path/target/_own_target.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from cottonlink.overload import TargetLimitChange, TargetStart, target_start
+from cottonlink.overload import SiblingLevels, TargetLimitChange, TargetStart, target_start
 from cottonlink.path._http_client import SkippedResponse
 from cottonlink.path.peers._leaving_exchange import LeavingExchange
 from cottonlink.path._model import Upstream
@@ -39,6 +39,9 @@
         self._limited_start: TargetStart | None = None
         # What the latest line on an invalid limit said, as each response may name the same.
         self._invalid_limit = ""
+        self._is_paced = False
+        # Whether registrations were known without one of the target.
+        self._was_absent = False
 
     def _on_skipped(self, response: SkippedResponse) -> None:
         reason = "without_id" if response.response_id is None else "other_id"
@@ -77,6 +80,20 @@
             upstream_id = self._upstream and self._upstream.upstream_id
             self._state.log.event("target_limit_invalid", upstream=upstream_id, detail=detail)
 
+    def sibling_levels(self) -> SiblingLevels:
+        if self._upstream is None:
+            return SiblingLevels()
+        state = self._state
+        return state.load_balancer.sibling_levels(self._upstream.upstream_id, state.now_ms())
+
+    def on_pace_changed(self, limit: int | None) -> None:
+        self._state.metrics.set_gauge("target_paced_limit", limit)
+        if (limit is None) == self._is_paced:
+            self._is_paced = limit is not None
+            event = "target_pace_began" if self._is_paced else "target_pace_ended"
+            upstream_id = self._upstream and self._upstream.upstream_id
+            self._state.log.event(event, upstream=upstream_id, limit=limit)
+
     def adopt_limit(self, start: TargetStart, limit_per_s: float, age_ms: float) -> None:
         """Apply a limit that a response of the target named at another node."""
         if self._upstream is None:
@@ -98,16 +115,22 @@
                 self.dispatcher.close("target_leaving")
                 self._state.log.event("target_gone", upstream=previous.upstream_id)
             self._upstream = None
+            self._was_absent = True
             return
         newest = max(registered, key=lambda upstream: upstream.started_at_ms or 0)
+        # A target that was there before its node is taken for warm, unless it says that it isn't.
+        is_new = previous is None and (self._was_absent or newest.warmup_left_ms > 0.0)
         if previous is not None and newest.started_at_ms != previous.started_at_ms:
             self.pool.drop_idle()
             self.dispatcher.detect_restart()
+            is_new = True
         elif previous is None and self._limited_start not in (None, target_start(newest)):
             self.dispatcher.forget_limit()
         self._limited_start = None
         self._upstream = newest
         self.dispatcher.resize(newest.slots)
+        if is_new:
+            self.dispatcher.begin_pace()
         if newest.is_draining:
             self.dispatcher.close("target_leaving")
             self._state.log.event("target_draining", upstream=newest.upstream_id)
--- a/src/cottonlink/path/target/_target_dispatcher.py
+++ b/src/cottonlink/path/target/_target_dispatcher.py
@@ -19,14 +19,18 @@
     Refusal,
     RouteClassifier,
     RunningRequests,
+    SiblingLevels,
+    StartPace,
     TargetLimitChange,
     allowed_wait_ms,
     make_call_counts,
     make_parent_hints,
     make_route_classifier,
     make_running_requests,
+    make_start_pace,
     make_target_limit,
     make_target_queue,
+    usable_slots,
 )
 from cottonlink.path._body_stream import BodyStream
 from cottonlink.path._connection_end import LONGEST_LINGER_MS, STALLED_MS
@@ -63,6 +67,8 @@
 OVERDUE_MS = 2_000.0
 # Interval of the check for queued jobs that have waited too long, or for the target's limit.
 EXPIRY_INTERVAL_S = 0.02
+# Interval in which the usual run times of the target's siblings are read while it is paced.
+SIBLINGS_INTERVAL_MS = 500.0
 
 
 @define(eq=False)
@@ -73,6 +79,7 @@
     deadline_ms: float
     number: int
     is_running: bool = False
+    started_at_ms: float = 0.0
     sent_deadline_ms: float = 0.0
     connection: Any = None
     run: ParentRun | None = None
@@ -117,6 +124,12 @@
     def on_target_limit_invalid(self, detail: str) -> None:
         """A response of the target named a limit that means nothing."""
 
+    def sibling_levels(self) -> SiblingLevels:
+        """Return the usual run times of the other targets of the service."""
+
+    def on_pace_changed(self, limit: int | None) -> None:
+        """The limit of a target that has started or recovered has changed; None if it ended."""
+
 
 class TargetDispatcher:
     """Queues and runs the calls of one target, and reports their outcomes with its load."""
@@ -138,6 +151,10 @@
         self._loop = loop
         self._limit = make_target_limit()
         self._queue = make_target_queue(DEFAULT_SLOTS, self._limit)
+        self._pace: StartPace = make_start_pace()
+        self._pace.resize(usable_slots(DEFAULT_SLOTS))
+        self._paced_limit: int | None = None
+        self._siblings_read_at_ms = float("-inf")
         self.running_requests: RunningRequests = make_running_requests()
         self.call_counts: CallCounts = make_call_counts()
         self.parent_hints: ParentHints = make_parent_hints()
@@ -247,6 +264,15 @@
     def resize(self, slots: int) -> None:
         """Set the number of calls that the target can run concurrently."""
         self._queue.resize(slots)
+        self._pace.resize(usable_slots(slots))
+
+    def begin_pace(self) -> None:
+        """Pace the target, which has started or recovered."""
+        now_ms = self._now_ms()
+        self._siblings_read_at_ms = float("-inf")
+        self._read_siblings(now_ms)
+        self._pace.begin(now_ms)
+        self._apply_pace()
 
     def close(self, reason: str) -> None:
         """Refuse new and queued calls with ``reason``; running calls continue."""
@@ -309,6 +335,10 @@
 
     def _run(self, call: _Call) -> None:
         call.is_running = True
+        call.started_at_ms = self._now_ms()
+        self._pace.record_start(
+            call.key, call.frame.route, self._queue.running_count, call.started_at_ms
+        )
         self._run_count += 1
         self._pool.acquire(
             must_be_fresh=not call.frame.is_repeatable,
@@ -346,6 +376,7 @@
     def _on_connect_failed(self, call: _Call, reason: str) -> None:
         if reason == "target_unreachable":
             self._crash_detector.detect()
+            self._record_lost(call)
         self._deliver(call, NotRun(reason))
         self._release(call, is_sample=False)
 
@@ -359,6 +390,7 @@
             outcome = self._classify(call, result)
             if isinstance(outcome, Answered):
                 self._record_completion(call, result.status)
+            self._record_pace(call, outcome)
         else:
             outcome = self._on_exchange_failed(call, result)
         self._deliver(call, outcome)
@@ -367,6 +399,7 @@
     def _begin_long_response(self, call: _Call, response: HttpResponse, stream: BodyStream) -> None:
         """Return a response whose body is still arriving; the run ends with it."""
         outcome = self._classify(call, response)
+        self._record_pace(call, outcome)
         if not isinstance(outcome, Answered):
             call.connection.abort()
             self._deliver(call, outcome)
@@ -437,7 +470,39 @@
             self._on_connection_lost(call)
         return OutcomeUnknown(failure.reason)
 
+    def _record_pace(self, call: _Call, outcome: Outcome) -> None:
+        """Record a response of the target, the outcome of ``call``."""
+        now_ms = self._now_ms()
+        if self._pace.is_active:
+            self._read_siblings(now_ms)
+        is_error = isinstance(outcome, Answered) and outcome.status >= FIRST_SERVER_ERROR_STATUS
+        if isinstance(outcome, NotRun) or (is_error and not _is_failed_by_calls(call, outcome)):
+            self._pace.record_refusal(call.key, now_ms)
+        elif not is_error:
+            self._pace.record_answer(call.key, call.frame.route, call.started_at_ms, now_ms)
+        self._apply_pace()
+
+    def _record_lost(self, call: _Call) -> None:
+        """Record that the target couldn't be reached or lost ``call``."""
+        now_ms = self._now_ms()
+        self._read_siblings(now_ms)
+        self._pace.record_lost(call.key, now_ms)
+        self._apply_pace()
+
+    def _read_siblings(self, now_ms: float) -> None:
+        if now_ms >= self._siblings_read_at_ms + SIBLINGS_INTERVAL_MS:
+            self._siblings_read_at_ms = now_ms
+            self._pace.update_siblings(self._listener.sibling_levels())
+
+    def _apply_pace(self) -> None:
+        limit = self._pace.limit()
+        if limit != self._paced_limit:
+            self._paced_limit = limit
+            self._queue.pace(limit)
+            self._listener.on_pace_changed(limit)
+
     def _on_connection_lost(self, call: _Call) -> None:
+        self._record_lost(call)
         self._crash_detector.record(call.frame)
         self._log.event("target_connection_lost", request_id=call.frame.request_id)
         self._crash_detector.check_target()
@@ -449,6 +514,7 @@
         """
         if self._calls.pop(call.key, None) is None:
             return
+        self._pace.record_dropped(call.key)
         self.running_requests.remove(call.number, call.sent_deadline_ms, call.frame.request_id)
         now_ms = self._now_ms()
         self._run_all(self._queue.finish(call.key, now_ms, is_sample=is_sample))
