Hold the pace of a cold target below 1.5 times the usual latency

The mean of the calls that end first lacks the longest, so a limit that was too large was seen late; one high mean of five calls held a warm target for seconds; and the limit went back to one that had just been too large.

--- a/src/cottonlink/overload/_start_pace.py
+++ b/src/cottonlink/overload/_start_pace.py
@@ -24,17 +24,25 @@
 # since run times of a route differ by half of their mean, and no more than a mean needs.
 MIN_CALLS = 5
 MAX_CALLS = 12
-# Part of them that must have ended. The others count as if they ended now, or as usual.
+# Part of them that must have ended.
 ENDED_SHARE = 0.8
-# Multiples of the usual run time up to which the limit grows, and above which it shrinks.
+# The others count with the time that they have run and this multiple of the usual one, but at least
+# with the usual one. Without it the mean lacks its longest run times.
+RESIDUAL_RATIO = 0.4
+# Multiples of the usual run time up to which the limit grows, and above which it shrinks. The
+# latter is below the 1.5 that are allowed, as a mean of few calls errs by more than a tenth.
 GOOD_RATIO = 1.2
-BAD_RATIO = 1.5
+BAD_RATIO = 1.4
+# Above this, one result of fewer than MAX_CALLS is enough to shrink the limit; else two in a row
+# are, since one may be chance.
+CLEARLY_BAD_RATIO = 1.8
 # A call that the target refused or failed counts as a run of this multiple of the usual time.
 FAILURE_RATIO = 4.0
-# Growth of the limit with each good result. A target that is full at the former limit answers in
-# that multiple of the usual time, so it must not exceed BAD_RATIO.
+# Growth of the limit with each good result. A target that is full at the former limit answers in up
+# to that multiple of the usual time, which must not exceed 1.5.
 FAST_GROWTH = 1.5
-# Growth in each CAREFUL_MS after a limit was too large, from below it on.
+# Growth in each CAREFUL_MS after a limit was too large, from below it on. Its power rises with each
+# step, so that a target that has become warmer isn't held back for long.
 CAREFUL_GROWTH = 1.15
 CAREFUL_MS = 1_000.0
 # Largest shrinkage at once, so that one high mean of few answers doesn't cost most of the limit.
@@ -118,7 +126,7 @@
     def ratio(self, now_ms: float) -> float:
         """Return the mean run time in multiples of the usual one."""
         known = [(now_ms - ms, usual) for ms, usual in self.running.values() if usual is not None]
-        unended = sum(max(1.0, run_ms / usual_ms) for run_ms, usual_ms in known)
+        unended = sum(max(1.0, run_ms / usual_ms + RESIDUAL_RATIO) for run_ms, usual_ms in known)
         return (self.ratio_sum + unended) / (self.ended_count + len(known))
 
 
@@ -137,8 +145,11 @@
         self._sample = _Sample(0)
         # The latest limit that was good or too large, and the ratio there, to compare others with.
         self._other: tuple[int, float] | None = None
-        # The limit from which it grows carefully.
+        # The limit from which it grows carefully, until as many calls as were too many run well.
         self._knee = math.inf
+        self._too_many = math.inf
+        self._careful_steps = 0
+        self._was_bad = False
         self._unbound_since_ms: float | None = None
         self._full_count = 0
         self._base_ratio: float | None = None
@@ -169,7 +180,7 @@
         self._change_limit(max(self._lowest_limit, int(share * self._full_limit)))
         self._changed_at_ms = now_ms
         self._other = None
-        self._knee = math.inf
+        self._knee = self._too_many = math.inf
         self._unbound_since_ms = None
         self._full_count = 0
         self._base_ratio = None
@@ -260,6 +271,7 @@
 
     def _judge(self, limit: int, used: float, ratio: float, now_ms: float) -> None:
         self._change_limit(limit)
+        was_bad, self._was_bad = self._was_bad, ratio > BAD_RATIO
         if ratio <= GOOD_RATIO:
             self._judge_good(limit, used, ratio, now_ms)
             return
@@ -272,13 +284,18 @@
                 self._move(_grown(limit, CAREFUL_GROWTH), now_ms)
             return
         if is_limit_the_cause and limit > self._lowest_limit:
+            is_certain = limit >= MAX_CALLS or ratio > CLEARLY_BAD_RATIO
+            if not (was_bad or is_certain):
+                return
             self._other = (limit, ratio)
+            self._too_many = used
+            self._careful_steps = 0
             shrunk = int(used * max(SHRINKAGE, GOOD_RATIO / ratio))
             self._knee = max(self._lowest_limit, shrunk)
             self._move(self._knee, now_ms)
             return
-        self._knee = math.inf
         if waited_ms >= STALL_MS:
+            self._knee = math.inf
             if limit >= self._full_limit:
                 self._end()
                 return
@@ -298,9 +315,13 @@
         elif now_ms - self._unbound_since_ms >= UNBOUND_MS:
             self._end()
             return
+        if used >= self._too_many:
+            # It was a chance result of few calls, or the target has become warmer.
+            self._knee = self._too_many = math.inf
         if limit >= self._knee:
             if now_ms - self._changed_at_ms >= CAREFUL_MS:
-                self._move(_grown(limit, CAREFUL_GROWTH), now_ms)
+                self._careful_steps += 1
+                self._move(_grown(limit, CAREFUL_GROWTH**self._careful_steps), now_ms)
             return
         # Results tell nothing of many more calls than have been running.
         most = _grown(math.ceil(used), FAST_GROWTH)
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -22,7 +22,7 @@
 from cottonlink.path._model import Load
 from cottonlink.path.target._own_target import OwnTarget
 
-SHAPE = FleetShape(60, 8, 60, 2, 32, 0.6)
+SHAPE = FleetShape(60, 8, 60, 2, 32, 0.75)
 START_MS = 5_000.0
 # A target of speed 1, as most.
 NUMBER = 1
