Pace starts only where the settings ask for it

Change: setting paces_starts, off by default. Without it nothing is paced, and the load balancer judges new upstreams as before.

--- a/src/cottonlink/overload/_load_balancer.py
+++ b/src/cottonlink/overload/_load_balancer.py
@@ -144,8 +144,9 @@
 class LoadBalancer:
     """The upstreams of all services, as one node sees them."""
 
-    def __init__(self, data_centre: str, rng: random.Random) -> None:
+    def __init__(self, data_centre: str, rng: random.Random, *, paces_starts: bool) -> None:
         self._data_centre = data_centre
+        self._paces_starts = paces_starts
         self._rng = rng
         self._states: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
@@ -381,7 +382,7 @@
             first_call_draw=self._rng.random(),
             warm_at_ms=now_ms + upstream.warmup_left_ms,
             is_local=upstream.data_centre == self._data_centre,
-            is_new=bool(self._states),
+            is_new=self._paces_starts and bool(self._states),
             known_since_ms=now_ms,
         )
 
@@ -424,9 +425,14 @@
         state.failure_rate_updated_at_ms = now_ms
 
 
-def make_load_balancer(data_centre: str, rng: random.Random) -> LoadBalancer:
-    """Return a load balancer that knows no upstreams yet."""
-    return LoadBalancer(data_centre, rng)
+def make_load_balancer(
+    data_centre: str, rng: random.Random, *, paces_starts: bool = False
+) -> LoadBalancer:
+    """Return a load balancer that knows no upstreams yet.
+
+    ``paces_starts`` tells whether the nodes next to targets limit those that have just started.
+    """
+    return LoadBalancer(data_centre, rng, paces_starts=paces_starts)
 
 
 def _is_same_instance(old: Any, new: Any) -> bool:
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -128,7 +128,9 @@
             header_codec=header_codec,
             log=log,
             metrics=PathMetrics(),
-            load_balancer=make_load_balancer(settings.data_centre, rng),
+            load_balancer=make_load_balancer(
+                settings.data_centre, rng, paces_starts=settings.paces_starts
+            ),
             retry_budget=make_retry_budget(
                 settings.repeat_ratio,
                 settings.repeat_allowance,
@@ -143,6 +145,7 @@
             memory=make_memory_account(settings.memory_mb, loop.call_soon),
             turns=Turns(loop),
             currency=make_currency_proof(settings.revocation_s * 1000.0 or None),
+            paces_starts=settings.paces_starts,
         )
         self.memory = self.state.memory
         self._client_memory = ClientMemory(self.state)
--- a/src/cottonlink/path/_settings.py
+++ b/src/cottonlink/path/_settings.py
@@ -28,6 +28,11 @@
         raise ValueError(f"{attribute.name}: expected ip:port, got {value!r}")
 
 
+def _true_or_false(_instance: Any, attribute: Any, value: Any) -> None:
+    if not isinstance(value, bool):
+        raise ValueError(f"{attribute.name}: expected true or false, got {value!r}")
+
+
 def _number_between(lowest: float, highest: float) -> Callable[[Any, Any, Any], None]:
     def check(_instance: Any, attribute: Any, value: Any) -> None:
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
@@ -64,6 +69,8 @@
     # Time within which a revoked API key must no longer work anywhere, also without any contact; 0
     # if no such time is promised.
     revocation_s: float = field(default=0, validator=_number_between(0, _MAX_SECONDS))
+    # Whether calls of a target that has just started are limited by how it answers.
+    paces_starts: bool = field(default=False, validator=_true_or_false)
     connection_share: float = field(default=0.9, validator=_number_between(0.01, 1))
 
 
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -59,6 +59,8 @@
     dispatcher: TargetDispatcher = field(init=False)
     peer_links: PeerLinks = field(init=False)
     quotas: QuotaService = field(init=False)
+    paces_starts: bool = False
+    """Whether targets that have just started are paced."""
     configuration: Configuration | None = None
     nested_routes: dict[str, bool] = field(factory=dict)
     """Whether a route's requests are nested calls, as the nodes next to targets report."""
--- a/src/cottonlink/path/target/_own_target.py
+++ b/src/cottonlink/path/target/_own_target.py
@@ -31,7 +31,13 @@
             state.target_address, state.header_codec.id_header, loop, state.turns
         )
         self.dispatcher = TargetDispatcher(
-            self.pool, state.header_codec, state.crash_guard, self, state.log, loop
+            self.pool,
+            state.header_codec,
+            state.crash_guard,
+            self,
+            state.log,
+            loop,
+            paces_starts=state.paces_starts,
         )
         self.pool.on_skipped = self._on_skipped
         self._upstream: Upstream | None = None
--- a/src/cottonlink/path/target/_target_dispatcher.py
+++ b/src/cottonlink/path/target/_target_dispatcher.py
@@ -143,6 +143,8 @@
         listener: TargetListener,
         log: EventLog,
         loop: asyncio.AbstractEventLoop,
+        *,
+        paces_starts: bool = False,
     ) -> None:
         self._pool = pool
         self._header_codec = header_codec
@@ -152,8 +154,7 @@
         self._loop = loop
         self._limit = make_target_limit()
         self._queue = make_target_queue(DEFAULT_SLOTS, self._limit)
-        self._pace: StartPace = make_start_pace()
-        self._pace.resize(usable_slots(DEFAULT_SLOTS))
+        self._pace: StartPace | None = make_start_pace() if paces_starts else None
         self._paced_limit: int | None = None
         self._siblings_read_at_ms = float("-inf")
         self.running_requests: RunningRequests = make_running_requests()
@@ -269,10 +270,13 @@
     def resize(self, slots: int) -> None:
         """Set the number of calls that the target can run concurrently."""
         self._queue.resize(slots)
-        self._pace.resize(usable_slots(slots))
+        if self._pace is not None:
+            self._pace.resize(usable_slots(slots))
 
     def begin_pace(self) -> None:
-        """Pace the target, which has started or recovered."""
+        """Pace the target, which has started or recovered, if starts are paced."""
+        if self._pace is None:
+            return
         now_ms = self._now_ms()
         self._siblings_read_at_ms = float("-inf")
         self._read_siblings(now_ms)
@@ -348,9 +352,10 @@
     def _run(self, call: _Call) -> None:
         call.is_running = True
         call.started_at_ms = self._now_ms()
-        self._pace.record_start(
-            call.key, call.frame.route, self._queue.running_count, call.started_at_ms
-        )
+        if self._pace is not None:
+            self._pace.record_start(
+                call.key, call.frame.route, self._queue.running_count, call.started_at_ms
+            )
         self._run_count += 1
         self._pool.acquire(
             must_be_fresh=not call.frame.is_repeatable,
@@ -484,6 +489,8 @@
 
     def _record_pace(self, call: _Call, outcome: Outcome) -> None:
         """Record a response of the target, the outcome of ``call``."""
+        if self._pace is None:
+            return
         now_ms = self._now_ms()
         if self._pace.is_active:
             self._read_siblings(now_ms)
@@ -496,6 +503,8 @@
 
     def _record_lost(self, call: _Call) -> None:
         """Record that the target couldn't be reached or lost ``call``."""
+        if self._pace is None:
+            return
         now_ms = self._now_ms()
         self._read_siblings(now_ms)
         self._pace.record_lost(call.key, now_ms)
@@ -526,7 +535,8 @@
         """
         if self._calls.pop(call.key, None) is None:
             return
-        self._pace.record_dropped(call.key)
+        if self._pace is not None:
+            self._pace.record_dropped(call.key)
         self.running_requests.remove(call.number, call.sent_deadline_ms, call.frame.request_id)
         now_ms = self._now_ms()
         self._run_all(self._queue.finish(call.key, now_ms, is_sample=is_sample))
--- a/tests/test_start_pace.py
+++ b/tests/test_start_pace.py
@@ -194,7 +194,7 @@
 
     def test_latencies_of_a_start_do_not_count_afterwards(self) -> None:
         """Guards against a warm target that stays idle because it has been measured cold."""
-        balancer = make_load_balancer("a", random.Random(1))
+        balancer = make_load_balancer("a", random.Random(1), paces_starts=True)
         old, new = (Upstream(n, "s", (n, 80), "a", 32, False, 0.0, 1) for n in ("old", "new"))
         balancer.update([old], 0.0)
         balancer.update_load("old", Load(1, 0, FULL_LIMIT, 90.0), 0.0)
@@ -216,7 +216,7 @@
     def test_node_paces_a_target_that_it_saw_start(self) -> None:
         """Guards against a pace after a restart of the node only, and none after a target's."""
         upstream = Upstream("t", "s", ("10.0.0.1", 80), "a", 32, False, 0.0, 1)
-        balancer = make_load_balancer("a", random.Random(1))
+        balancer = make_load_balancer("a", random.Random(1), paces_starts=True)
         state = MagicMock(load_balancer=balancer, target_address=upstream.address)
         state.now_ms.return_value = 0.0
         state.crash_guard.has_entries = False
