Collect every fault of the operator's configuration

Cause: decode_configuration stopped at the first fault and named no place, so a check before a change would have needed a second copy of its rules.

Change: _configuration_reader reads entry by entry and collects faults with their paths; a node raises the first one and applies the rest as before. Conflicts between organisations tell which one they are about. Log lines of faults name the place, and show no text of an organisation's entry.

--- a/src/cottonlink/organisations/__init__.py
+++ b/src/cottonlink/organisations/__init__.py
@@ -6,6 +6,7 @@
 
 from cottonlink.organisations._currency import CurrencyProof, make_currency_proof
 from cottonlink.organisations._directory import (
+    KeyConflict,
     Organisation,
     OrganisationDirectory,
     Quota,
@@ -34,6 +35,7 @@
     "CurrencyProof",
     "FairQueue",
     "FairShare",
+    "KeyConflict",
     "KeyQuestions",
     "Organisation",
     "OrganisationDirectory",
--- a/src/cottonlink/organisations/_directory.py
+++ b/src/cottonlink/organisations/_directory.py
@@ -37,6 +37,18 @@
     quota: Quota | None = None
 
 
+@frozen
+class KeyConflict:
+    """Why a part of an organisation doesn't count: its name or a key of it is used already.
+
+    ``position`` is that of the organisation in what the directory was made from.
+    """
+
+    position: int
+    detail: str
+    is_of_key: bool
+
+
 class OrganisationDirectory:
     """Finds the organisation that holds a key."""
 
@@ -57,6 +69,13 @@
         """Whether any organisation has a quota."""
         return any(organisation.quota is not None for organisation in self.organisations)
 
+    def digests_by_name(self) -> dict[str, set[bytes]]:
+        """Return the digests of the keys that are in force, by the name of their organisation."""
+        digests: dict[str, set[bytes]] = {name: set() for name in self._by_name}
+        for digest, organisation in self._by_digest.items():
+            digests[organisation.name].add(digest)
+        return digests
+
     def find(self, digest: bytes | None) -> Organisation | None:
         """Return the organisation that holds the key with this digest, or None."""
         return None if digest is None else self._by_digest.get(digest)
@@ -68,28 +87,28 @@
 
 def make_organisation_directory(
     holders: Iterable[tuple[Organisation, Iterable[bytes]]],
-) -> tuple[OrganisationDirectory, tuple[str, ...]]:
-    """Return a directory of organisations with the digests of their keys, and the problems found.
+) -> tuple[OrganisationDirectory, tuple[KeyConflict, ...]]:
+    """Return a directory of organisations with the digests of their keys, and the conflicts found.
 
     Of two organisations with one name the first counts. A key that several hold is nobody's:
     whichever was chosen, requests of the other one would run under its name.
     """
     organisations: dict[str, Organisation] = {}
     by_digest: dict[bytes, Organisation] = {}
-    problems: list[str] = []
+    conflicts: list[KeyConflict] = []
     shared: set[bytes] = set()
-    for organisation, digests in holders:
+    for position, (organisation, digests) in enumerate(holders):
+        subject = f"organisation {organisation.name!r}"
         if organisation.name in organisations:
-            problems.append(f"organisation {organisation.name!r}: defined more than once")
+            conflicts.append(KeyConflict(position, f"{subject}: defined more than once", False))
             continue
         organisations[organisation.name] = organisation
         for digest in digests:
             holder = by_digest.setdefault(digest, organisation)
             if holder is not organisation:
                 shared.add(digest)
-                problems.append(
-                    f"organisation {organisation.name!r}: holds a key of {holder.name!r}"
-                )
+                detail = f"{subject}: holds a key of {holder.name!r}"
+                conflicts.append(KeyConflict(position, detail, True))
     for digest in shared:
         del by_digest[digest]
-    return OrganisationDirectory(tuple(organisations.values()), by_digest), tuple(problems)
+    return OrganisationDirectory(tuple(organisations.values()), by_digest), tuple(conflicts)
--- /dev/null
+++ b/src/cottonlink/platform/_fields.py
@@ -0,0 +1,165 @@
+"""Reads the fields of records; collects every fault instead of stopping at the first."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+
+REQUIRED = object()
+_MAX_SHOWN_CHARACTERS = 60
+_TYPE_NAMES = {
+    dict: "a mapping",
+    list: "a list",
+    str: "a string",
+    bool: "a boolean",
+    type(None): "null",
+}
+
+
+class FieldError(ValueError):
+    """A value isn't what is expected of it."""
+
+    def __init__(self, expected: str, value: Any) -> None:
+        super().__init__(f"expected {expected}, got {describe(value)}")
+        self.expected = expected
+
+
+@frozen
+class Fault:
+    """A part of a record that can't be used. ``owner`` is an organisation, or empty."""
+
+    path: str
+    expected: str
+    found: str
+    rule: str = "field"
+    owner: str = ""
+    line: int | None = None
+
+    def __str__(self) -> str:
+        place = f"organisation {self.owner!r} ({self.path})" if self.owner else self.path
+        return f"{place}: expected {self.expected}, got {self.found}"
+
+
+@frozen
+class Fields:
+    """The fields of one mapping at ``path``; faults are added to ``faults``.
+
+    With ``is_secret``, faults show no text that was found, as it may be a misplaced key.
+    """
+
+    path: str
+    values: dict[str, Any]
+    faults: list[Fault]
+    owner: str = ""
+    is_secret: bool = False
+
+    def read(self, name: str, check: Callable[[Any], Any], default: Any = REQUIRED) -> Any:
+        """Return what ``check`` makes of a field, or ``default`` if the field is absent.
+
+        If the field is invalid, or absent without a default, adds a fault and returns None.
+        """
+        if name not in self.values and default is not REQUIRED:
+            return default
+        try:
+            return check(self.values[name])
+        except KeyError:
+            self.report(name, "this field", "nothing")
+        except FieldError as error:
+            self.report(name, error.expected, self.describe(self.values[name]))
+        return None
+
+    def report(self, name: str, expected: str, found: str, rule: str = "field") -> None:
+        """Add a fault of a field."""
+        self.faults.append(Fault(f"{self.path}.{name}", expected, found, rule, self.owner))
+
+    def describe(self, value: Any) -> str:
+        """Return a description of ``value`` for a fault."""
+        return describe_type(value) if self.is_secret else describe(value)
+
+
+def describe_type(value: Any) -> str:
+    """Return a description that doesn't show texts; numbers are shown."""
+    if value == "" and isinstance(value, str):
+        return "an empty string"
+    return _TYPE_NAMES.get(type(value)) or repr(value)
+
+
+def describe(value: Any) -> str:
+    """Return a description of bounded length that shows texts, too."""
+    if not isinstance(value, str) or not value:
+        return describe_type(value)
+    text = repr(value)
+    return text if len(text) <= _MAX_SHOWN_CHARACTERS else f"{text[:_MAX_SHOWN_CHARACTERS]}..."
+
+
+def is_integer(value: Any) -> bool:
+    """Return whether ``value`` is an integer; booleans aren't."""
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def is_amount(value: Any) -> bool:
+    """Return whether ``value`` is a finite number from 0 on."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and 0 <= value < math.inf
+
+
+def check_mapping(value: Any) -> dict[str, Any]:
+    """Return ``value`` if it is a mapping."""
+    if not isinstance(value, dict):
+        raise FieldError("a mapping", value)
+    return value
+
+
+def check_string(value: Any) -> str:
+    """Return ``value`` if it is a non-empty string."""
+    if not isinstance(value, str) or not value:
+        raise FieldError("a non-empty string", value)
+    return value
+
+
+def check_integer(value: Any) -> int:
+    """Return ``value`` if it is an integer."""
+    if not is_integer(value):
+        raise FieldError("an integer", value)
+    return value
+
+
+def check_slots(value: Any) -> int:
+    """Return ``value`` if it is a number of slots."""
+    if not is_integer(value) or value < 1:
+        raise FieldError("an integer of at least 1", value)
+    return value
+
+
+def to_integer(value: Any) -> int:
+    """Return the whole part of a number, which may be written as a string."""
+    try:
+        return int(value)
+    except (TypeError, ValueError, OverflowError):
+        raise FieldError("a whole number", value) from None
+
+
+def to_weight(value: Any) -> float:
+    """Return a number from 0 on, which may be written as a string."""
+    try:
+        weight = float(value)
+    except (TypeError, ValueError, OverflowError):
+        weight = math.nan
+    if not weight >= 0:
+        raise FieldError("a number from 0 on", value)
+    return weight
+
+
+def seconds_to_ms(value: Any) -> float:
+    """Return a duration in seconds as milliseconds."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
+        raise FieldError("a duration in seconds", value)
+    return value * 1000.0
+
+
+def accept_any(value: Any) -> Any:
+    """Return ``value`` whatever it is."""
+    return value
