Add cottonlink config check

Cause: an operator learned of a fault in a configuration from the logs of nodes, of a route that never matches not at all, and of what a change takes away from whom after it was sent.

Change: the command reports all errors of a policy record or of the platform's document with path and line, entries that can't match, limits that contradict each other, and what differs from the version in force, in the store or in a file. Errors are what nodes refuse or leave out, found by their own reader; load_policy takes the number of problems that it reports. Keys are only counted.

--- a/src/cottonlink/cli/__init__.py
+++ b/src/cottonlink/cli/__init__.py
@@ -3,6 +3,7 @@
 import click
 
 from cottonlink.cli._commands import node_group
+from cottonlink.cli._config_check import config_group
 from cottonlink.cli._queries import (
     explain,
     explain_logs,
@@ -27,6 +28,7 @@
     node_group,
     settings_group,
     policy_group,
+    config_group,
     status,
     limits,
     peers,
--- a/src/cottonlink/cli/_output.py
+++ b/src/cottonlink/cli/_output.py
@@ -33,6 +33,7 @@
     "node_unreachable": "check that the address is the node's control_address",
     "answer_malformed": "check that the address is a control listener, not a caller listener",
     "request_not_found": "nodes keep their latest events only; the id is the trace id",
+    "in_force_unreadable": "check the address; a store is named without a path",
     "file_unreadable": "check the path and its permissions",
 }
 
--- a/src/cottonlink/cli/_queries.py
+++ b/src/cottonlink/cli/_queries.py
@@ -11,7 +11,6 @@
 from cottonlink.cli._files import read_text
 from cottonlink.cli._output import json_option, node_option, print_result, reports_errors
 from cottonlink.errors import CottonlinkError, Step
-from cottonlink.node._settings import dump_settings, load_settings
 from cottonlink.observe import (
     Timeline,
     events_to_json,
@@ -40,6 +39,8 @@
 @reports_errors
 def check_settings(settings_file: str, as_json: bool) -> None:
     """Report every fault of a settings file at once."""
+    from cottonlink.node._settings import load_settings
+
     settings = load_settings(settings_file)
     print_result({"valid": True, "node": settings.node}, as_json=as_json)
 
@@ -50,6 +51,8 @@
 @reports_errors
 def show_settings(settings_file: str, as_json: bool) -> None:
     """Print the effective settings, defaults included."""
+    from cottonlink.node._settings import dump_settings, load_settings
+
     print_result(dump_settings(load_settings(settings_file)), as_json=as_json)
 
 
--- a/src/cottonlink/overload/__init__.py
+++ b/src/cottonlink/overload/__init__.py
@@ -19,7 +19,12 @@
     make_leaving_targets,
 )
 from cottonlink.overload._load_balancer import LoadBalancer, Patience, make_load_balancer
-from cottonlink.overload._memory_account import Hold, MemoryAccount, make_memory_account
+from cottonlink.overload._memory_account import (
+    Hold,
+    MemoryAccount,
+    make_memory_account,
+    memory_limit_bytes,
+)
 from cottonlink.overload._parent_hints import ParentHints, make_parent_hints
 from cottonlink.overload._parent_run import CallCounts, ParentRun, make_call_counts
 from cottonlink.overload._placement import Placement, make_placement
@@ -117,6 +122,7 @@
     "make_traffic_split",
     "make_upstream_directory",
     "make_watcher_election",
+    "memory_limit_bytes",
     "report_of_crash",
     "request_fingerprint",
     "target_start",
--- a/src/cottonlink/platform/_fields.py
+++ b/src/cottonlink/platform/_fields.py
@@ -66,7 +66,7 @@
         try:
             return check(self.values[name])
         except KeyError:
-            self.report(name, "this field", "nothing")
+            self.report(name, _expectation_of(check), "nothing")
         except FieldError as error:
             self.report(name, error.expected, self.describe(self.values[name]))
         return None
@@ -80,6 +80,14 @@
         return describe_type(value) if self.is_secret else describe(value)
 
 
+def _expectation_of(check: Callable[[Any], Any]) -> str:
+    try:
+        check(None)
+    except FieldError as error:
+        return error.expected
+    return "a value"
+
+
 def describe_type(value: Any) -> str:
     """Return a description that doesn't show texts; numbers are shown."""
     if value == "" and isinstance(value, str):
--- a/src/cottonlink/policy/__init__.py
+++ b/src/cottonlink/policy/__init__.py
@@ -9,6 +9,7 @@
     encode_policy,
     load_policy,
 )
+from cottonlink.policy._record_check import check_record
 from cottonlink.policy._records import Policy, RequestKind, RetryPolicy, Service, Upstream
 
 __all__ = [
@@ -20,6 +21,7 @@
     "RetryPolicy",
     "Service",
     "Upstream",
+    "check_record",
     "decode_policy",
     "diff_policies",
     "dump_policy",
--- a/src/cottonlink/policy/_loading.py
+++ b/src/cottonlink/policy/_loading.py
@@ -40,18 +40,25 @@
 )
 
 
-def load_policy(record: str | bytes | Mapping[str, Any], *, source: str = "") -> Policy:
+def load_policy(
+    record: str | bytes | Mapping[str, Any],
+    *,
+    source: str = "",
+    max_problems: int | None = MAX_PROBLEMS,
+) -> Policy:
     """Return the policy in ``record``: JSON text, YAML text or a mapping, of any known schema.
 
-    Raises PolicyError with every fault and its path. Its code is ``policy_too_large``,
-    ``policy_malformed`` (neither JSON nor YAML), ``policy_schema_newer`` or ``policy_invalid``.
+    Raises PolicyError with every fault and its path, up to ``max_problems``. Its code is
+    ``policy_too_large``, ``policy_malformed`` (neither JSON nor YAML), ``policy_schema_newer`` or
+    ``policy_invalid``.
     """
     try:
         data = record if isinstance(record, Mapping) else _parse(record)
         policy = _structure(data)
         canonical = _canonical_json(data)
     except PolicyError as error:
-        raise PolicyError(error.code, error.problems, peer=source) from error
+        problems = _limit_problems(error.problems, max_problems)
+        raise PolicyError(error.code, problems, peer=source) from error
     return attrs.evolve(
         policy,
         digest=xxhash.xxh3_128_hexdigest(canonical),
@@ -145,9 +152,9 @@
     try:
         structured = _CONVERTER.structure(fields, _RECORD_CLASSES[schema])
     except (BaseValidationError, ValueError) as error:
-        raise _invalid_record(list_problems(error) + problems) from error
+        raise PolicyError("policy_invalid", list_problems(error) + problems) from error
     if problems:
-        raise _invalid_record(problems)
+        raise PolicyError("policy_invalid", problems)
     return upgrade(structured)
 
 
@@ -164,8 +171,8 @@
     return PolicyError("policy_malformed", (f"record: {reason[:300]}",), peer=source)
 
 
-def _invalid_record(problems: tuple[str, ...]) -> PolicyError:
-    hidden_count = len(problems) - MAX_PROBLEMS
-    if hidden_count > 0:
-        problems = (*problems[:MAX_PROBLEMS], f"record: {hidden_count} more faults")
-    return PolicyError("policy_invalid", problems)
+def _limit_problems(problems: tuple[str, ...], max_problems: int | None) -> tuple[str, ...]:
+    if max_problems is None or len(problems) <= max_problems:
+        return problems
+    hidden_count = len(problems) - max_problems
+    return (*problems[:max_problems], f"record: {hidden_count} more faults")
