--- a/src/cottonlink/_document_lines.py
+++ b/src/cottonlink/_document_lines.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import re
 from bisect import bisect_left
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from json.decoder import WHITESPACE, scanstring
 from typing import Any
 
@@ -34,9 +35,10 @@
         node = tree
         for step in steps:
             node = node.setdefault(step, {})
-    positions: dict[Steps, int] = {}
+    start = _skip_space(text, 0)
+    positions: dict[Steps, int] = {(): start}
     try:
-        _walk(text, _skip_space(text, 0), tree, (), positions)
+        _walk(text, start, tree, (), positions)
     except (ValueError, IndexError, AttributeError):
         # The text was parsed already, so this is a text that another parser takes for valid.
         return {}
@@ -47,6 +49,7 @@
     }
 
 
+@functools.lru_cache(maxsize=1 << 16)
 def split_path(path: str) -> Steps:
     """Return the names and indices of a path."""
     return tuple(name or int(index) for name, index in _STEP.findall(path))
@@ -59,15 +62,47 @@
     return steps
 
 
-def _walk(text: str, start: int, tree: dict, steps: Steps, positions: dict[Steps, int]) -> int:
-    """Record the positions of the parts of a value that are in ``tree``; return its end."""
-    positions.setdefault(steps, start)
-    if not tree or text[start] not in "{[":
-        # Values without a wanted part are skipped at the speed of the C scanner.
-        return _DECODER.raw_decode(text, start)[1]
+def find_repeated_fields(text: str, skipped: str = "") -> list[str]:
+    """Return the paths of objects of a JSON text in which a field is given more than once.
+
+    Parsers keep the last one and drop the others without a word. Values of fields with the name
+    ``skipped`` aren't searched.
+    """
+    repeating: set[int] = set()
+
+    def collect(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        fields = dict(pairs)
+        if len(fields) != len(pairs):
+            repeating.add(id(fields))
+        return fields
+
+    try:
+        data = json.loads(text, object_pairs_hook=collect)
+    except ValueError:
+        return []
+    # Nearly all documents end here, before any path is built.
+    return list(_iter_paths(data, "", repeating, skipped)) if repeating else []
+
+
+def _iter_paths(value: Any, path: str, wanted: set[int], skipped: str) -> Iterator[str]:
+    if id(value) in wanted:
+        yield path or "document"
+    if isinstance(value, list):
+        for index, inner in enumerate(value):
+            yield from _iter_paths(inner, f"{path}[{index}]", wanted, skipped)
+    elif isinstance(value, dict):
+        for name, inner in value.items():
+            if name != skipped:
+                yield from _iter_paths(inner, f"{path}.{name}".lstrip("."), wanted, skipped)
+
+
+def _walk(text: str, start: int, tree: dict, steps: Steps, positions: dict[Steps, int]) -> None:
+    """Record the positions of the parts of a value that are in ``tree``."""
+    if text[start] not in "{[":
+        return
     is_object = text[start] == "{"
     position = _skip_space(text, start + 1)
-    index = 0
+    index, left = 0, len(tree)
     while text[position] not in "}]":
         step: str | int = index
         begin = position
@@ -75,14 +110,16 @@
             step, position = scanstring(text, position + 1)
             position = _COLON.match(text, position).end()
         inner = tree.get(step)
-        if inner is None:
-            end = _DECODER.raw_decode(text, position)[1]
-        else:
+        if inner is not None:
             positions[(*steps, step)] = begin
-            end = _walk(text, position, inner, (*steps, step), positions)
-        position = _COMMA.match(text, end).end()
+            if inner:
+                _walk(text, position, inner, (*steps, step), positions)
+            left -= 1
+            if not left:
+                return
+        # The C scanner finds the end of a value faster than a walk through it.
+        position = _COMMA.match(text, _DECODER.raw_decode(text, position)[1]).end()
         index += 1
-    return position + 1
 
 
 def _skip_space(text: str, position: int) -> int:
@@ -95,9 +132,10 @@
     find: Callable[[str, Iterable[str]], dict[str, int]] = find_lines,
 ) -> tuple[Finding, ...]:
     """Return ``findings`` about a text with the lines that ``find`` tells, ordered by path."""
-    lines = find(text, {finding.path for finding in findings}) if findings else {}
+    paths = {finding.path for finding in findings if finding.line is None}
+    lines = find(text, paths) if paths else {}
     placed = [
-        finding if finding.line else attrs.evolve(finding, line=lines.get(finding.path))
+        attrs.evolve(finding, line=lines[finding.path]) if finding.path in lines else finding
         for finding in findings
     ]
     return tuple(sorted(placed, key=lambda finding: _to_sort_key(finding.path)))
--- a/src/cottonlink/_findings.py
+++ b/src/cottonlink/_findings.py
@@ -67,10 +67,12 @@
     return Finding(Severity.WARNING, rule, path, message)
 
 
-def make_field_error(rule: str, path: str, expected: str, found: str) -> Finding:
+def make_field_error(
+    rule: str, path: str, expected: str, found: str, *, subject: str = "", line: int | None = None
+) -> Finding:
     """Return the error of a field that holds something else than ``expected``."""
-    message = f"expected {expected}, got {found}"
-    return Finding(Severity.ERROR, rule, path, message, expected, found)
+    message = f"{subject}expected {expected}, got {found}"
+    return Finding(Severity.ERROR, rule, path, message, expected, found, line)
 
 
 def list_version_faults(version: int | None, in_force: int | None) -> list[Finding]:
--- a/src/cottonlink/cli/__init__.py
+++ b/src/cottonlink/cli/__init__.py
@@ -1,39 +1,39 @@
 """The command line: commands that run a node, and queries that change nothing."""
 
-import click
+from __future__ import annotations
+
+import importlib
 
-from cottonlink.cli._commands import node_group
-from cottonlink.cli._config_check import config_group
-from cottonlink.cli._queries import (
-    explain,
-    explain_logs,
-    limits,
-    peers,
-    policy_group,
-    settings_group,
-    status,
-    timeline,
-)
+import click
 
 __all__ = ["main"]
 
+# Module and attribute of each command. A command loads only what it needs, as that of a node takes
+# longer to load than 10,000 entries of a configuration to check.
+_COMMANDS = {
+    "node": ("_commands", "node_group"),
+    "settings": ("_queries", "settings_group"),
+    "policy": ("_queries", "policy_group"),
+    "config": ("_config_check", "config_group"),
+    "status": ("_queries", "status"),
+    "limits": ("_queries", "limits"),
+    "peers": ("_queries", "peers"),
+    "timeline": ("_queries", "timeline"),
+    "explain": ("_queries", "explain"),
+    "logs": ("_queries", "explain_logs"),
+}
+
 
-@click.group()
+class _Commands(click.Group):
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        if name not in _COMMANDS:
+            return None
+        module, attribute = _COMMANDS[name]
+        return getattr(importlib.import_module(f"cottonlink.cli.{module}"), attribute)
+
+
+# Given the names, click lists them and suggests one that resembles a wrong name.
+@click.group(cls=_Commands, commands=dict.fromkeys(_COMMANDS))
 @click.version_option(package_name="cottonlink")
 def main() -> None:
     """Overload control layer for service call graphs."""
-
-
-for _command in (
-    node_group,
-    settings_group,
-    policy_group,
-    config_group,
-    status,
-    limits,
-    peers,
-    timeline,
-    explain,
-    explain_logs,
-):
-    main.add_command(_command)
--- a/src/cottonlink/cli/_config_check.py
+++ b/src/cottonlink/cli/_config_check.py
@@ -11,7 +11,6 @@
 import attrs
 import click
 import orjson
-import urllib3
 
 from cottonlink._findings import Finding, Report, Severity, make_field_error
 from cottonlink.cli._files import read_text
@@ -132,6 +131,8 @@
     """Return the version in force; None if the store has none. Raises CottonlinkError."""
     if not source.startswith(("http://", "https://")):
         return read_text(source)
+    import urllib3
+
     from cottonlink.platform import IN_FORCE_TARGET, decode_in_force
 
     is_store = urllib3.util.parse_url(source).path in (None, "", "/")
@@ -146,6 +147,8 @@
 
 
 def _fetch(url: str) -> bytes | None:
+    import urllib3
+
     try:
         with urllib3.PoolManager(retries=False, timeout=READ_TIMEOUT_S) as http:
             response = http.request("GET", url, preload_content=False)
--- a/src/cottonlink/platform/_configuration_check.py
+++ b/src/cottonlink/platform/_configuration_check.py
@@ -6,10 +6,9 @@
 import binascii
 from urllib.parse import urlencode
 
-import attrs
 import orjson
 
-from cottonlink._document_lines import place_findings
+from cottonlink._document_lines import find_repeated_fields, place_findings
 from cottonlink._findings import (
     Finding,
     Report,
@@ -66,6 +65,10 @@
     findings = [_to_finding(fault) for fault in (*draft.faults, *draft.organisation_faults)]
     findings += _list_conflicts(draft)
     findings += list_warnings(draft, memory_mb)
+    findings += [
+        make_warning("field-repeated", path, "a field is given twice: only the last one counts")
+        for path in find_repeated_fields(text, skipped="api_keys")
+    ]
     changes = None
     if in_force is not None:
         old = read_configuration(in_force.encode())
@@ -88,9 +91,14 @@
         # Taking all keys from an organisation is the way to lock it out.
         message = f"organisation {fault.owner!r}: no keys, so it can send no requests"
         return make_warning(fault.rule, fault.path, message)
-    finding = make_field_error(fault.rule, fault.path, fault.expected, fault.found)
-    owner = f"organisation {fault.owner!r}: " if fault.owner else ""
-    return attrs.evolve(finding, message=owner + finding.message, line=fault.line)
+    return make_field_error(
+        fault.rule,
+        fault.path,
+        fault.expected,
+        fault.found,
+        subject=f"organisation {fault.owner!r}: " if fault.owner else "",
+        line=fault.line,
+    )
 
 
 def _list_conflicts(draft: Draft) -> list[Finding]:
--- a/src/cottonlink/platform/_fields.py
+++ b/src/cottonlink/platform/_fields.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import frozen
+from attrs import define, frozen
 
 REQUIRED = object()
 _MAX_SHOWN_CHARACTERS = 60
@@ -43,7 +43,7 @@
         return f"{place}: expected {self.expected}, got {self.found}"
 
 
-@frozen
+@define(eq=False)
 class Fields:
     """The fields of one mapping at ``path``; faults are added to ``faults``.
 
