--- a/src/cottonlink/_document_lines.py
+++ b/src/cottonlink/_document_lines.py
@@ -17,7 +17,7 @@
 _STEP = re.compile(r"([^.\[\]]+)|\[(\d+)\]")
 _COLON = re.compile(r"[ \t\n\r]*:[ \t\n\r]*")
 _COMMA = re.compile(r"[ \t\n\r]*,?[ \t\n\r]*")
-_DECODER = json.JSONDecoder()
+_SCAN = json.JSONDecoder().scan_once
 Steps = tuple[str | int, ...]
 
 
@@ -39,7 +39,7 @@
     positions: dict[Steps, int] = {(): start}
     try:
         _walk(text, start, tree, (), positions)
-    except (ValueError, IndexError, AttributeError):
+    except (ValueError, IndexError, AttributeError, StopIteration):
         # The text was parsed already, so this is a text that another parser takes for valid.
         return {}
     line_ends = [match.start() for match in re.finditer("\n", text)]
@@ -103,22 +103,24 @@
     is_object = text[start] == "{"
     position = _skip_space(text, start + 1)
     index, left = 0, len(tree)
+    scan, skip_colon, skip_comma = _SCAN, _COLON.match, _COMMA.match
     while text[position] not in "}]":
         step: str | int = index
         begin = position
         if is_object:
             step, position = scanstring(text, position + 1)
-            position = _COLON.match(text, position).end()
+            position = skip_colon(text, position).end()
         inner = tree.get(step)
         if inner is not None:
-            positions[(*steps, step)] = begin
+            inner_steps = (*steps, step)
+            positions[inner_steps] = begin
             if inner:
-                _walk(text, position, inner, (*steps, step), positions)
+                _walk(text, position, inner, inner_steps, positions)
             left -= 1
             if not left:
                 return
         # The C scanner finds the end of a value faster than a walk through it.
-        position = _COMMA.match(text, _DECODER.raw_decode(text, position)[1]).end()
+        position = skip_comma(text, scan(text, position)[1]).end()
         index += 1
 
 
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -78,6 +78,16 @@
     ("timeout-below-latency", [route(timeout_s=0.9)], [route(timeout_s=1)]),
     ("attempts-exceed-timeout", [route(max_attempts=3)], [route(max_attempts=2)]),
     ("limit-of-zero", [route(timeout_s=0)], [route(timeout_s=0.001)]),
+    (
+        "limit-of-zero",
+        [ROUTE, resource("limits", "", max_header_bytes=0)],
+        [ROUTE, resource("limits", "", max_header_bytes=1)],
+    ),
+    (
+        "limit-of-zero",
+        [ROUTE, resource("limits", "", idle_timeout_s=0)],
+        [ROUTE, resource("limits", "", idle_timeout_s=1)],
+    ),
     (
         "connection-limit",
         [ROUTE, resource("services", "browse", max_connections="9")],
@@ -245,6 +255,18 @@
         ):
             self.assertIn(expected, texts)
 
+    def test_traffic_of_a_service(self) -> None:
+        """Guards against a lowered limit whose traffic isn't told, or fills the screen."""
+        routes = [route(f"r{n}", f"/{n}/") for n in range(6)]
+        limits = (resource("services", "browse", max_connections=limit) for limit in (10, 9))
+        old, new = (document([limit, *routes], version) for version, limit in enumerate(limits))
+        for count, more in ((2, ""), (5, ""), (6, " and 1 more")):
+            new["resources"][1:] = old["resources"][1:] = routes[:count]
+            (change,) = check(new, old).changes
+            self.assertEqual(change.text, "connections to a target lowered from 10 to 9")
+            places = ", ".join(f"shop.example/{n}/" for n in range(min(count, 5)))
+            self.assertEqual(change.touches, f"requests of {places}{more}")
+
     def test_same_content_is_no_change(self) -> None:
         """Guards against changes reported for another order of the entries."""
         resources = [
@@ -261,14 +283,29 @@
             report = check_record(text, json.dumps(make_record(version=old)))
             self.assertEqual("version-not-newer" in rules_of(report), is_found)
 
+    def test_version_that_cannot_be_read(self) -> None:
+        """Guards against an exception where there is no version to compare."""
+        report = check(document([ROUTE], version=None), document([ROUTE]))
+        self.assertEqual(rules_of(report), {"field"})
+
+    def test_invalid_version_in_force(self) -> None:
+        """Guards against changes from a document that no node has applied."""
+        report = check(document([ROUTE]), document([route(timeout_s="2")], 3))
+        self.assertEqual((rules_of(report), report.changes), ({"in-force-invalid"}, None))
+        report = check_record(json.dumps(policy()), "{}")
+        self.assertEqual((rules_of(report), report.changes), ({"in-force-invalid"}, None))
+
     def test_lowered_limit_of_a_policy_record(self) -> None:
         """Guards against a change of the project's own record that isn't shown."""
-        new = {**policy(upstreams=[{**UPSTREAM, "slots": 30}]), "version": 8}
+        upstream = {**UPSTREAM, "slots": 30, "data_centre": "Uppsala"}
+        new = {**policy(upstreams=[upstream]), "version": 8}
         changes = check_record(yaml.safe_dump(new), json.dumps(policy())).changes
         texts = {change.name: (change.text, change.touches) for change in changes}
         expected = ("lowered from 40 to 30", "requests to booking")
         self.assertEqual(texts["services.booking.upstreams.booking-0.slots"], expected)
         self.assertEqual(texts["services.booking.upstreams.booking-1"][0], "removed")
+        place = "services.booking.upstreams.booking-0.data_centre"
+        self.assertEqual(texts[place][0], "changed from Västerås to Uppsala")
 
 
 class TestCommand(unittest.IsolatedAsyncioTestCase):
