--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -189,7 +189,7 @@
     def on_headers_complete(self) -> None:
         message = self._message
         message.is_head_complete = True
-        if message.has_packed_fields:
+        if message.packed is not None:
             message.unpack_fields()
         size = len(message.target) + sum(len(n) + len(v) + 4 for n, v in message.headers)
         limits = self._handler.caller_limits()
@@ -270,7 +270,7 @@
         # Behind a response that closes the connection in the same bytes, a request isn't read.
         if message is None or self._is_rejecting or self._is_closing or self._is_last_response:
             return
-        if message.has_packed_fields:
+        if message.packed is not None:
             message.unpack_fields()
         if message.hold is not None:
             # It lives as long as the body, which this connection mustn't depend on.
--- a/src/cottonlink/path/callers/_incoming_request.py
+++ b/src/cottonlink/path/callers/_incoming_request.py
@@ -67,31 +67,28 @@
     head: Request | None = None
     expects_continue: bool = False
     waits_for_room_since_ms: float | None = None
-    has_packed_fields: bool = False
-    _packed: PackedFields | None = None
+    packed: PackedFields | None = None
 
     def pack_fields(self) -> None:
         """Keep many header fields in one buffer until ``unpack_fields`` is called."""
         if len(self.headers) > PACKED_FIELDS:
-            if self._packed is None:
-                self._packed = PackedFields()
-            self._packed.extend(self.headers)
-            self.has_packed_fields = True
+            if self.packed is None:
+                self.packed = PackedFields()
+            self.packed.extend(self.headers)
             self.headers.clear()
 
     def unpack_fields(self) -> None:
         """Hold all header fields in ``headers``, if some of them are packed."""
-        if self._packed is not None:
-            self.headers[:0] = self._packed.unpack()
-            self._packed = None
-            self.has_packed_fields = False
+        if self.packed is not None:
+            self.headers[:0] = self.packed.unpack()
+            self.packed = None
 
     def held_bytes(self) -> int:
         """Return what the process needs for the request, besides the room of a long body."""
         fields = len(self.headers) + (len(self.head.headers) if self.head is not None else 0)
         held_bytes = FIELD_BYTES * fields + len(self.target)
-        if self._packed is not None:
-            held_bytes += self._packed.held_bytes
+        if self.packed is not None:
+            held_bytes += self.packed.held_bytes
         if self.hold is None:
             held_bytes += BODY_FACTOR * len(self.body)
         return held_bytes
