--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -188,7 +188,7 @@
     def on_headers_complete(self) -> None:
         message = self._message
         message.is_head_complete = True
-        if message.has_packed_fields:
+        if message.packed is not None:
             message.unpack_fields()
         size = len(message.target) + sum(len(n) + len(v) + 4 for n, v in message.headers)
         limits = self._handler.caller_limits()
@@ -269,7 +269,7 @@
         # Behind a response that closes the connection in the same bytes, a request isn't read.
         if message is None or self._is_rejecting or self._is_closing or self._is_last_response:
             return
-        if message.has_packed_fields:
+        if message.packed is not None:
             message.unpack_fields()
         if message.hold is not None:
             # It lives as long as the body, which this connection mustn't depend on.
@@ -376,6 +376,10 @@
         return input_bytes, self._ahead_bytes, response_bytes
 
     def held_body_bytes(self) -> int:
+        if self._is_closing:
+            return 0
+        if self._stream is not None:
+            return self._stream.held_bytes
         message = self._message
         if message is None or message.hold is None or self._must_wait:
             return 0
