Let every second seed of the soak have organisations

The soak played no keys, organisations or quotas, so faults could break their promises unseen. Configurations of even seeds hold organisations whose keys come and go, each connection uses one key, some of them a removed or unknown one, and X-Tenant is forged now and then. organisation_checks compares what callers and targets saw with UNASKED, ROUTE, CONFIG, QUOTA and DENIED.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
 from soak.configuration_series import ConfigurationSeries
 from soak.lag import LagMeter
 from soak.observations import ObservedRequest
+from soak.organisations import Credentials, Organisations
 from soak.vm import SoakVm
 
 # A caller that reads slowly waits this long after each chunk of 64 KiB.
@@ -38,20 +39,26 @@
     """Sends requests to nodes and records each with its response in ``observed``."""
 
     def __init__(
-        self, rng: random.Random, lag_meter: LagMeter, stop_event: asyncio.Event, pause_s: float
+        self,
+        rng: random.Random,
+        lag_meter: LagMeter,
+        stop_event: asyncio.Event,
+        pause_s: float,
+        organisations: Organisations | None = None,
     ) -> None:
         self._rng = rng
         self._lag_meter = lag_meter
         self._stop_event = stop_event
         self._pause_s = pause_s
+        self._organisations = organisations
         self._request_numbers = itertools.count()
         self.observed: list[ObservedRequest] = []
 
-    async def keep_connection(self, vm: SoakVm) -> None:
+    async def keep_connection(self, vm: SoakVm, credentials: Credentials | None = None) -> None:
         """Send one request after another on a connection, as long as it stays open."""
         connection = None
         while not self._stop_event.is_set():
-            connection = connection or await connect(vm, self._lag_meter)
+            connection = connection or await self._connect(vm, credentials=credentials)
             if connection is not None:
                 await self._exchange(connection, self._new_request("reads", "bookings"))
                 if not connection.is_open or connection.is_closing:
@@ -64,7 +71,7 @@
         """Send several reads before the first of them is answered."""
         connection = None
         while not self._stop_event.is_set():
-            connection = connection or await connect(vm, self._lag_meter)
+            connection = connection or await self._connect(vm)
             if connection is not None:
                 count = self._rng.randint(2, MAX_PIPELINED)
                 requests = [self._new_request("reads") for _ in range(count)]
@@ -80,9 +87,8 @@
         """Read large responses slowly, and send the next request while doing so."""
         connection = None
         while not self._stop_event.is_set():
-            connection = connection or await connect(
+            connection = connection or await self._connect(
                 vm,
-                self._lag_meter,
                 read_pause_s=SLOW_READ_PAUSE_S,
                 receive_buffer_bytes=SLOW_RECEIVE_BUFFER_BYTES,
             )
@@ -119,9 +125,8 @@
     async def stop_reading(self, vm: SoakVm) -> None:
         """Ask for large responses, read no more of them than their start, and leave."""
         while not self._stop_event.is_set():
-            connection = await connect(
+            connection = await self._connect(
                 vm,
-                self._lag_meter,
                 read_pause_s=STOPPED_READ_S,
                 receive_buffer_bytes=SLOW_RECEIVE_BUFFER_BYTES,
             )
@@ -137,7 +142,7 @@
         """Send requests that run for long, on a connection that is kept as long as it is open."""
         connection = None
         while not self._stop_event.is_set():
-            connection = connection or await connect(vm, self._lag_meter)
+            connection = connection or await self._connect(vm)
             if connection is not None:
                 kind = self._rng.choice(("reads", "bookings"))
                 longest_ms = min(SLOW_RUN_MS[1], int(vm.grace_s * 1000 * SLOW_RUN_SHARE))
@@ -153,7 +158,7 @@
     async def stream_reads(self, vm: SoakVm) -> None:
         """Send many reads behind each other, in the segments of a network."""
         while not self._stop_event.is_set():
-            connection = await connect(vm, self._lag_meter)
+            connection = await self._connect(vm)
             if connection is not None:
                 requests = [self._new_request("reads") for _ in range(STREAMED_READS)]
                 self.observed += requests
@@ -165,7 +170,7 @@
         while not self._stop_event.is_set():
             await asyncio.gather(
                 *(
-                    self.send_on_new_connection(vm, "reads", "bookings")
+                    self._send_on_new_connection(vm, self._new_request("reads", "bookings"))
                     for _ in range(CONNECTIONS_AT_A_TIME)
                 )
             )
@@ -176,7 +181,7 @@
         connection = None
         while not self._stop_event.is_set():
             prefix = series.choose_changed_prefix()
-            connection = connection or await connect(vm, self._lag_meter)
+            connection = connection or await self._connect(vm)
             if prefix is not None and connection is not None:
                 await self._exchange(connection, self._new_request(prefix.strip("/")))
                 if not connection.is_open or connection.is_closing:
@@ -194,20 +199,32 @@
             await self._send_on_new_connection(vm, request)
             await asyncio.sleep(pause_s)
 
-    async def send_on_new_connection(self, vm: SoakVm, *kinds: str) -> ObservedRequest | None:
-        """Send one request on a new connection; return None if the node can't be reached."""
-        return await self._send_on_new_connection(vm, self._new_request(*kinds))
+    async def send_lasting(self, vm: SoakVm, kind: str) -> ObservedRequest | None:
+        """Send one request on a new connection, with a key that is valid throughout.
+
+        Returns None if the node can't be reached.
+        """
+        organisations = self._organisations
+        credentials = organisations.lasting_credentials() if organisations else None
+        return await self._send_on_new_connection(vm, self._new_request(kind), credentials)
 
     async def _send_on_new_connection(
-        self, vm: SoakVm, request: ObservedRequest
+        self, vm: SoakVm, request: ObservedRequest, credentials: Credentials | None = None
     ) -> ObservedRequest | None:
-        connection = await connect(vm, self._lag_meter)
+        connection = await self._connect(vm, credentials=credentials)
         if connection is None:
             return None
         await self._exchange(connection, request)
         connection.close()
         return request
 
+    async def _connect(
+        self, vm: SoakVm, credentials: Credentials | None = None, **options: object
+    ) -> ClientConnection | None:
+        if credentials is None and self._organisations is not None:
+            credentials = self._organisations.choose_credentials()
+        return await connect(vm, self._lag_meter, credentials=credentials, **options)
+
     async def _exchange(self, connection: ClientConnection, request: ObservedRequest) -> None:
         self.observed.append(request)
         await connection.exchange(request)
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -14,6 +14,7 @@
 from soak.fleet import HOST
 from soak.lag import LagMeter
 from soak.observations import ObservedRequest
+from soak.organisations import Credentials
 from soak.vm import SoakVm
 
 DEADLINE_MS = 3_000
@@ -39,6 +40,7 @@
     _reader: asyncio.StreamReader
     _writer: asyncio.StreamWriter
     read_pause_s: float = 0.0
+    credentials: Credentials | None = None
     # Whether a response has said that the node closes the connection.
     is_closing: bool = False
     is_open: bool = True
@@ -55,11 +57,7 @@
 
     def send(self, observed: ObservedRequest) -> asyncio.Future:
         """Send a request; the future is done once it has ended, whether answered or not."""
-        ended = asyncio.get_running_loop().create_future()
-        observed.vm, observed.connection_id = self.vm.number, self._id
-        observed.is_behind = bool(self._pending)
-        self._pending.append((observed, ended))
-        observed.sent_s = self.vm.now_s()
+        ended = self._add(observed)
         if self.is_open:
             self._writer.write(_serialize(observed))
         else:
@@ -70,15 +68,8 @@
         """Send requests behind each other, in pieces that arrive one by one, and wait for them."""
         sock = self._writer.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        ends = [self._add(observed) for observed in requests]
         data = b"".join(_serialize(observed) for observed in requests)
-        ends: list[asyncio.Future] = []
-        for observed in requests:
-            ended = asyncio.get_running_loop().create_future()
-            observed.vm, observed.connection_id = self.vm.number, self._id
-            observed.is_behind = bool(self._pending)
-            observed.sent_s = self.vm.now_s()
-            self._pending.append((observed, ended))
-            ends.append(ended)
         for start in range(0, len(data), SEGMENT_BYTES):
             if not self.is_open or self.is_closing:
                 break
@@ -123,6 +114,16 @@
             self.is_closing = True
         self._end(observed, ended, "answered")
 
+    def _add(self, observed: ObservedRequest) -> asyncio.Future:
+        ended = asyncio.get_running_loop().create_future()
+        observed.vm, observed.connection_id = self.vm.number, self._id
+        observed.is_behind = bool(self._pending)
+        if self.credentials is not None:
+            self.credentials.add_to(observed)
+        self._pending.append((observed, ended))
+        observed.sent_s = self.vm.now_s()
+        return ended
+
     async def _read(self) -> None:
         ending = "closed"
         try:
@@ -161,10 +162,11 @@
         starts = range(0, len(body), observed.sent_chunk_bytes)
         parts = [body[start : start + observed.sent_chunk_bytes] for start in starts]
         body = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+    headers = "".join(f"{name}: {value}\r\n" for name, value in observed.sent_headers)
     head = (
         f"{'POST' if observed.is_booking else 'GET'} {observed.path} HTTP/1.1\r\n"
         f"Host: {HOST}\r\nX-Attempt-Id: {observed.request_id}\r\n"
-        f"X-Request-Deadline-Ms: {DEADLINE_MS}\r\n{framing}\r\n\r\n"
+        f"X-Request-Deadline-Ms: {DEADLINE_MS}\r\n{headers}{framing}\r\n\r\n"
     )
     return head.encode() + body
 
@@ -175,6 +177,7 @@
     *,
     read_pause_s: float = 0.0,
     receive_buffer_bytes: int | None = None,
+    credentials: Credentials | None = None,
 ) -> ClientConnection | None:
     """Connect to the node of a VM; return None if it can't be reached."""
     client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -189,4 +192,4 @@
     except (OSError, TimeoutError):
         client.close()
         return None
-    return ClientConnection(vm, lag_meter, reader, writer, read_pause_s)
+    return ClientConnection(vm, lag_meter, reader, writer, read_pause_s, credentials)
--- a/soak/configuration_series.py
+++ b/soak/configuration_series.py
@@ -43,12 +43,14 @@
             await asyncio.sleep(self.rng.uniform(*PAUSE_BETWEEN_BURSTS_S))
 
     async def publish_next(self) -> None:
-        """Change a route or two and publish."""
+        """Change a route or two, and perhaps a key, and publish."""
         changed = [self._add()]
         if len(self._changing) > 2 and self.rng.random() < 0.5:
             changed.append(self._move())
         if len(self._changing) > MAX_CHANGING_ROUTES or self.rng.random() < 0.3:
             changed.append(self._remove())
+        if self.writers.organisations is not None:
+            self.writers.organisations.change_keys()
         await self.writers.publish(*self.lasting, *self._changing.values())
         for prefix in changed:
             self._changed_at_s[prefix] = self.writers.now_s()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,7 @@
 from soak.lag import LagMeter
 from soak.memory import MemoryLimit
 from soak.observations import expected_body
+from soak.organisations import REVOCATION_S, Organisations
 from soak.proxy import FaultyProxy
 from soak.runs import Run
 from soak.store_writers import StoreWriters
@@ -68,6 +69,7 @@
         vm_count: int,
         rng: random.Random,
         checkouts: Sequence[Path] = (ROOT,),
+        organisations: Organisations | None = None,
     ) -> None:
         self._folder = folder
         self._answer_seed = rng.getrandbits(32)
@@ -79,7 +81,7 @@
         self.now_s = asyncio.get_running_loop().time
         # Entries come in three pages or less, however large the fleet is.
         self.store = PlatformStore(page_items=max(2, vm_count // 2))
-        self.writers = StoreWriters(self.store, rng, self.now_s)
+        self.writers = StoreWriters(self.store, rng, self.now_s, organisations)
         self.disturbances = Disturbances(self.now_s)
         self.lag_meter = LagMeter(self.now_s, self.disturbances.add_stall)
         self.vms: list[SoakVm] = []
@@ -184,6 +186,8 @@
         now_s = self.now_s()
         run = Run(request_id, vm.number, target.service, started_at_ms, now_s)
         run.body_bytes = len(request.body)
+        run.organisations = tuple(value for name, value in request.headers if name == "x-tenant")
+        run.received_head = f"{request.target} {request.headers}"
         run.is_body_padding = request.body.count(b"x") == len(request.body)
         run.lag_s = self.lag_meter.largest_since(now_s - 1.0)
         self.runs.append(run)
@@ -242,6 +246,8 @@
             "store_address": f"{node_host}:{store_port}",
             "grace_s": self._grace_s,
         }
+        if self.writers.organisations is not None:
+            settings["revocation_s"] = REVOCATION_S
         settings_path = self._folder / f"node-{number}.yaml"
         settings_path.write_text(json.dumps(settings))
         vm = SoakVm(
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -24,6 +24,9 @@
     # Length of the request's body, and of its chunks if it is sent in some.
     sent_body_bytes: int = 0
     sent_chunk_bytes: int = 0
+    # Its API key, empty without one, and the headers that name it or forge an organisation.
+    key: str = ""
+    sent_headers: list[tuple[str, str]] = field(factory=list)
     vm: int = 0
     # The starts of the node's process at the time of the connection and at the end.
     incarnations: tuple[int, int] = (0, 0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,8 @@
 from soak.limit_checks import find_excess
 from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest
+from soak.organisation_checks import OrganisationCheck
+from soak.organisations import Organisations
 from soak.runs import group_by_request
 from soak.trace import describe_all
 from soak.vm import SoakVm
@@ -60,6 +62,7 @@
     faults: tuple[PlannedFault, ...]
     vm_count: int = DEFAULT_VM_COUNT
     checkouts: tuple[Path, ...] = (ROOT,)
+    has_organisations: bool = False
 
 
 @frozen
@@ -83,7 +86,9 @@
 ) -> SoakPlan:
     """Return the plan of a seed."""
     faults = tuple(plan_faults(seed, vm_count, FAULT_PHASE_S))
-    return SoakPlan(seed, faults, vm_count, tuple(checkouts))
+    # A build beside this one may not know organisations.
+    has_organisations = seed % 2 == 0 and len(checkouts) == 1
+    return SoakPlan(seed, faults, vm_count, tuple(checkouts), has_organisations)
 
 
 async def run_plan(plan: SoakPlan, folder: Path, address_block: int) -> SoakResult:
@@ -91,9 +96,11 @@
 
     Settings and logs of the nodes are kept in ``folder``.
     """
-    fleet = SoakFleet(
-        folder, address_block, plan.vm_count, random.Random(f"{plan.seed}-writers"), plan.checkouts
-    )
+    organisations = None
+    if plan.has_organisations:
+        organisations = Organisations(random.Random(f"{plan.seed}-organisations"))
+    rng = random.Random(f"{plan.seed}-writers")
+    fleet = SoakFleet(folder, address_block, plan.vm_count, rng, plan.checkouts, organisations)
     run = SoakRun(plan, fleet)
     try:
         await run.play()
@@ -128,7 +135,13 @@
         # A large fleet gets about as many requests in all.
         pause_s = REQUEST_PAUSE_S * max(1.0, self.plan.vm_count / DEFAULT_VM_COUNT)
         rng = random.Random(f"{self.plan.seed}-callers")
-        self.callers = Callers(rng, self.fleet.lag_meter, self._stop_event, pause_s)
+        self.callers = Callers(
+            rng,
+            self.fleet.lag_meter,
+            self._stop_event,
+            pause_s,
+            self.fleet.writers.organisations,
+        )
         self._series = ConfigurationSeries(
             self.fleet.writers,
             random.Random(f"{self.plan.seed}-configurations"),
@@ -173,6 +186,13 @@
             *find_closed_unanswered(requests, runs, fleet.vms, fleet.disturbances),
             *find_denied(requests),
         ]
+        if fleet.writers.organisations is not None:
+            check = OrganisationCheck(
+                fleet.writers.configurations,
+                fleet.writers.organisations.owners,
+                fleet.writers.organisations.quotas(),
+            )
+            violations += check.find_violations(requests, runs)
         return [
             *fleet.memory_limit.problems,
             *find_unasked(requests, runs),
@@ -192,13 +212,16 @@
             yield self.callers.wait_long(vm)
             yield self.callers.reconnect(vm)
             yield self.callers.probe(vm, self._series)
+        if self.plan.has_organisations:
+            unknown = self.fleet.writers.organisations.unknown_credentials()
+            yield self.callers.keep_connection(self.fleet.vms[0], unknown)
         # A request comes again from the same service, whose nodes are every second one.
         yield self.callers.resend(CRASH_PATH, self.fleet.vms[::2], CRASHING_REQUEST_PAUSE_S)
 
     async def _wait_until_served(self) -> None:
         async def wait_for_node(vm: SoakVm) -> None:
             while True:
-                request = await self.callers.send_on_new_connection(vm, "reads")
+                request = await self.callers.send_lasting(vm, "reads")
                 if request is not None and request.status == 200:
                     return
                 await asyncio.sleep(0.1)
@@ -211,7 +234,7 @@
         responses: list[ObservedRequest | None] = []
         for vm in self.fleet.vms:
             for kind in ("reads", "bookings", "added"):
-                responses.append(await self.callers.send_on_new_connection(vm, kind))
+                responses.append(await self.callers.send_lasting(vm, kind))
         return responses
 
     async def _return_store_in_calm(self) -> None:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -28,6 +28,9 @@
     # Of the request as the target received it.
     body_bytes: int = 0
     is_body_padding: bool = True
+    # The values of X-Tenant, and all names and values of headers.
+    organisations: tuple[str, ...] = ()
+    received_head: str = ""
 
 
 def group_by_request(runs: Iterable[Run]) -> dict[str, list[Run]]:
--- a/soak/store_writers.py
+++ b/soak/store_writers.py
@@ -13,6 +13,7 @@
 
 from emulator.platform_store import PlatformStore
 from emulator.platform_target import PlatformTarget, configuration
+from soak.organisations import Organisations
 
 CONFIGURATION_KEY = "op/config"
 # The store has all entries of living targets again within about two seconds of its return.
@@ -28,12 +29,13 @@
 class PublishedConfiguration:
     """A configuration with the time at which the store acknowledged it.
 
-    ``services`` maps the prefix of each route to its service.
+    ``services`` maps the prefix of each route to its service; ``keys`` are those of organisations.
     """
 
     version: int
     services: dict[str, str]
     acknowledged_s: float
+    keys: frozenset[str] = frozenset()
 
 
 @frozen
@@ -63,6 +65,7 @@
     store: PlatformStore
     rng: random.Random
     now_s: Callable[[], float]
+    organisations: Organisations | None = None
     configurations: list[PublishedConfiguration] = field(factory=list)
     entry_writes: list[EntryWrite] = field(factory=list)
     _newest_configuration: dict = field(factory=dict)
@@ -87,12 +90,16 @@
         await self._wait_for_store()
         newest = self.configurations[-1].version if self.configurations else 0
         version = newest + self.rng.randint(1, MAX_VERSION_STEP)
+        resources, keys = list(routes), frozenset()
+        if self.organisations is not None:
+            resources += self.organisations.resources()
+            keys = frozenset(self.organisations.keys_in_force())
         self._newest_configuration = configuration(
-            version, *routes, max_body_bytes=BODY_LIMIT_BYTES
+            version, *resources, max_body_bytes=BODY_LIMIT_BYTES
         )
         await self.store.put(CONFIGURATION_KEY, self._newest_configuration)
         services = {route["spec"]["prefix"]: route["spec"]["service"] for route in routes}
-        published = PublishedConfiguration(version, services, self.now_s())
+        published = PublishedConfiguration(version, services, self.now_s(), keys)
         self.configurations.append(published)
         return published
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -18,6 +18,7 @@
 from soak.limit_checks import find_excess
 from soak.loss_checks import find_closed_unanswered, find_losses
 from soak.observations import ObservedRequest, expected_body
+from soak.organisation_checks import OrganisationCheck
 from soak.runs import Run
 from soak.store_writers import EntryWrite, PublishedConfiguration, StoreWriters
 from soak.vm import NamedLimit, Stop
@@ -395,6 +396,77 @@
         self.assertEqual(find_denied([make_request(status=400), make_request()]), [])
 
 
+class TestOrganisations(unittest.TestCase):
+    """Guards against a soak that misses broken promises about keys, organisations and quotas."""
+
+    def setUp(self) -> None:
+        published = [
+            PublishedConfiguration(4, {}, 80.0, frozenset({"lasting"})),
+            PublishedConfiguration(6, {}, 90.0, frozenset({"lasting", "added"})),
+            PublishedConfiguration(9, {}, 100.0, frozenset({"lasting"})),
+        ]
+        # Allows (2 x 5 + 6) x 1.25 + 20 = 40 requests in 5 s.
+        owners = {"lasting": "acme", "added": "acme"}
+        self.check = OrganisationCheck(published, owners, {"acme": (2.0, 6.0)})
+
+    def find(self, request: ObservedRequest, *runs: Run) -> list[str]:
+        found = self.check.find_violations([request], {request.request_id: runs})
+        return [violation.rule for violation in found]
+
+    def test_run_for_another_organisation(self) -> None:
+        request = make_request(key="lasting")
+        self.assertEqual(self.find(request, make_run(organisations=("acme",))), [])
+        for organisations in ((), ("beta",), ("acme", "beta"), ("acme", "acme")):
+            run = make_run(organisations=organisations)
+            self.assertEqual(self.find(request, run), ["UNASKED"], organisations)
+
+    def test_key_shown_to_the_target(self) -> None:
+        run = make_run(organisations=("acme",), received_head="/reads/1 (('x', 'Token lasting'),)")
+        self.assertEqual(self.find(make_request(key="lasting"), run), ["UNASKED"])
+        self.assertEqual(self.find(make_request(key="added", sent_s=95.0), run), [])
+
+    def test_run_with_a_key_that_was_never_held(self) -> None:
+        request = make_request(key="never", status=401, seal="")
+        self.assertEqual(self.find(request), [])
+        self.assertEqual(self.find(request, make_run()), ["ROUTE"])
+
+    def test_run_with_a_key_that_was_taken_away(self) -> None:
+        run = make_run(organisations=("acme",))
+        self.assertEqual(self.find(make_request(key="added", sent_s=104.9), run), [])
+        self.assertEqual(self.find(make_request(key="added", sent_s=105.1), run), ["CONFIG"])
+        self.assertEqual(self.find(make_request(key="lasting", sent_s=105.1), run), [])
+
+    def test_denial_of_a_key_that_is_in_force(self) -> None:
+        def find(key: str, sent_s: float, status: int = 401) -> list[str]:
+            return self.find(make_request(key=key, sent_s=sent_s, status=status, seal=""))
+
+        self.assertEqual(find("lasting", 85.0), ["DENIED"])
+        self.assertEqual(find("lasting", 91.0, 403), ["DENIED"])
+        self.assertEqual(find("lasting", 91.0, 429), [])
+        self.assertEqual(find("added", 92.4), [])
+        self.assertEqual(find("added", 92.6), ["DENIED"])
+        # Taken away while the request waits.
+        self.assertEqual(find("added", 99.95), [])
+
+    def test_quota_exceeded(self) -> None:
+        def find(count: int, pause_s: float, run_delay_s: float = 0.02) -> list[str]:
+            requests = [
+                make_request(request_id=f"r{i}", key="lasting", sent_s=110.0 + i * pause_s)
+                for i in range(count)
+            ]
+            runs = {
+                r.request_id: [make_run(arrived_s=r.sent_s + run_delay_s, organisations=("acme",))]
+                for r in requests
+            }
+            return [violation.rule for violation in self.check.find_violations(requests, runs)]
+
+        self.assertEqual(find(41, 0.1), ["QUOTA"])
+        self.assertEqual(find(40, 0.1), [])
+        self.assertEqual(find(80, 0.13), [])
+        # Sent within 5 s, but the last of them ran later.
+        self.assertEqual(find(41, 0.1, 1.5), [])
+
+
 class TestLagMeter(unittest.TestCase):
     """Without the lag of the soak itself, a busy machine would look like a slow node."""
 
