Shorten the organisations of the soak and their checks

The quotas came from the specs of organisations by a method of its own; the check now reads the specs. Sent and run times are compared as before.

--- a/soak/run.py
+++ b/soak/run.py
@@ -135,13 +135,8 @@
         # A large fleet gets about as many requests in all.
         pause_s = REQUEST_PAUSE_S * max(1.0, self.plan.vm_count / DEFAULT_VM_COUNT)
         rng = random.Random(f"{self.plan.seed}-callers")
-        self.callers = Callers(
-            rng,
-            self.fleet.lag_meter,
-            self._stop_event,
-            pause_s,
-            self.fleet.writers.organisations,
-        )
+        organisations = self.fleet.writers.organisations
+        self.callers = Callers(rng, self.fleet.lag_meter, self._stop_event, pause_s, organisations)
         self._series = ConfigurationSeries(
             self.fleet.writers,
             random.Random(f"{self.plan.seed}-configurations"),
@@ -187,11 +182,8 @@
             *find_denied(requests),
         ]
         if fleet.writers.organisations is not None:
-            check = OrganisationCheck(
-                fleet.writers.configurations,
-                fleet.writers.organisations.owners,
-                fleet.writers.organisations.quotas(),
-            )
+            owners = fleet.writers.organisations.owners
+            check = OrganisationCheck(fleet.writers.configurations, owners)
             violations += check.find_violations(requests, runs)
         return [
             *fleet.memory_limit.problems,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -407,7 +407,9 @@
         ]
         # Allows (2 x 5 + 6) x 1.25 + 20 = 40 requests in 5 s.
         owners = {"lasting": "acme", "added": "acme"}
-        self.check = OrganisationCheck(published, owners, {"acme": (2.0, 6.0)})
+        self.check = OrganisationCheck(
+            published, owners, {"acme": {"rate_per_s": 2.0, "burst": 6.0}}
+        )
 
     def find(self, request: ObservedRequest, *runs: Run) -> list[str]:
         found = self.check.find_violations([request], {request.request_id: runs})
