Keep in a regression entry of the soak whether it has organisations

A failed seed prints its plan as a regression entry, which lost the organisations: the repeated run would have been another one.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -90,6 +90,7 @@
             tuple(PlannedFault(**fault) for fault in entry["faults"]),
             entry.get("vms", DEFAULT_VM_COUNT),
             tuple(checkouts),
+            entry.get("organisations", False),
         )
         for entry in json.loads(REGRESSION_SEEDS_FILE.read_text())
     ]
@@ -109,7 +110,7 @@
         finally:
             address_blocks.put(address_block)
         if result.problems:
-            _print_failure(result)
+            _print_failure(plan, result)
         else:
             shutil.rmtree(folder)
         return result
@@ -118,10 +119,11 @@
         return list(threads.map(run_in_free_block, plans))
 
 
-def _print_failure(result: SoakResult) -> None:
+def _print_failure(plan: SoakPlan, result: SoakResult) -> None:
     """Print the plan, which can be kept as a regression case, and the problems."""
     faults = [attrs.asdict(fault) for fault in result.faults]
-    lines = [json.dumps({"seed": result.seed, "faults": faults}), f"logs: {result.folder}"]
+    entry = {"seed": plan.seed, "organisations": plan.has_organisations, "faults": faults}
+    lines = [json.dumps(entry), f"logs: {result.folder}"]
     click.echo("\n".join([*lines, *result.problems]))
 
 
