--- a/soak/trace.py
+++ b/soak/trace.py
@@ -58,5 +58,6 @@
         f" {at(request.sent_s)} to {at(request.ended_s)} (lag {request.lag_s:.3f} s),"
         f" runs: {own_runs or 'none'}, newest version {acknowledged[-1] if acknowledged else '-'},"
         f" store era {fleet.era_at(request.sent_s)}, {request.body_bytes} bytes"
-        f" received, {request.sent_body_bytes} in its body{f', key {request.key}' if request.key else ''}"
+        f" received, {request.sent_body_bytes} in its body"
+        f"{f', key {request.key}' if request.key else ''}"
     )
