Refuse requests that haven't been read when a node ends, and keep exit statuses in the soak

Once a status of 255 was reported for a node that had ended well: Popen.send_signal had reaped the process before asyncio did.

Change: shortly before its end a node answers 503 with Retry-After to requests of which not everything has been read; none of them has run. The soak signals processes by their ids.

--- a/soak/vm.py
+++ b/soak/vm.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import os
 import signal
@@ -88,8 +89,11 @@
 
     def signal_node(self, signal_number: signal.Signals) -> None:
         """Send a signal to the node's process, if it runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal_number)
+        if self.process is None or self.process.returncode is not None:
+            return
+        # Popen.send_signal would reap a process that has just ended, whose status is then lost.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.process.pid, signal_number)
 
     async def kill_node(self) -> None:
         """End the node's process with SIGKILL and wait until it has exited."""
--- a/src/cottonlink/path/_shutdown.py
+++ b/src/cottonlink/path/_shutdown.py
@@ -40,6 +40,8 @@
 # than this share of the time until SIGKILL: up to it callers may count on their runs.
 LAST_RESPONSES_MS = 250.0
 CUT_SHARE = 0.84
+# Retry-After of requests that haven't been read when the node ends: others can serve them at once.
+UNFINISHED_RETRY_AFTER_MS = 50.0
 # Longest time for which the connections of peers that have everything may take to close.
 PEER_LINGER_MS = 500.0
 # Request ids in one line of the log.
@@ -123,6 +125,7 @@
             return
         if self._last_responses_ms <= elapsed_ms < self._end_ms:
             self._ingress.give_up_all("node_stopped")
+            self._refuse_unfinished()
         is_work_done = self._ingress.is_idle and dispatcher.is_idle
         # Long responses may still be on their way from other nodes.
         is_work_done = is_work_done and not self._state.peer_links.pending_count()
@@ -142,6 +145,14 @@
             self._report_stop(elapsed_ms, is_idle)
             self._on_done()
 
+    def _refuse_unfinished(self) -> None:
+        """Refuse the requests of which not everything has been read: none of them has run."""
+        for connection in list(self._caller_connections):
+            if connection.refuse_unfinished(
+                self._state.header_codec.retry_after(UNFINISHED_RETRY_AFTER_MS)
+            ):
+                self._state.metrics.count("requests_refused", "node_stopped")
+
     def _end_peers(self) -> bool:
         """End the connections to and from peers; return whether all of them have everything."""
         links = self._state.peer_links.all()
--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -422,6 +422,13 @@
             self._is_closing = True
         return True
 
+    def refuse_unfinished(self, headers: Headers) -> bool:
+        """Refuse a request that hasn't been read as a whole; return whether there is one."""
+        if self._message is None or self._is_closing or self._is_rejecting:
+            return False
+        self._reject(503, headers)
+        return True
+
     def _update_charge(self) -> None:
         if self._charge is not None:
             self._handler.connections.update(self._charge)
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -253,6 +253,22 @@
         (failure,) = self.fields_of("request_failed")
         self.assertEqual((failure["reason"], failure["request_id"]), ("node_stopped", b"a1"))
 
+    async def test_request_that_has_not_been_read_is_refused_before_the_end(self) -> None:
+        """A booking whose body was still arriving was cut off without a response."""
+        caller = await self.connect(self.first)
+        whole = request_bytes("/bookings/1", method="POST", body=b"x" * 1_000)
+        caller.writer.write(whole[:-1])
+        await self.wait_until(
+            lambda: any(c.held_bytes() > 9_000 for c in self.first.node._caller_connections)
+        )
+        done = self.stop(6)
+        self.advance_shutdown(self.first, 5_000)
+        response = await caller.response()
+        self.assertEqual((response.status, response.headers["connection"]), (503, "close"))
+        self.assertIn("retry-after", response.headers)
+        await asyncio.wait_for(done.wait(), WAIT_TIMEOUT_S)
+        self.assertEqual(self.first.target.runs, [])
+
     async def test_stop_with_a_short_grace_ends_in_time(self) -> None:
         """With 2 s the process was still there at SIGKILL, which cut off what was in progress."""
         done = self.stop(2)
