--- a/src/cottonlink/organisations/_quota_ledger.py
+++ b/src/cottonlink/organisations/_quota_ledger.py
@@ -28,6 +28,9 @@
 MIN_BURST_MS = 100.0
 # Nodes of one organisation that may overdraw at a time: half of the slack of the hard bound.
 MAX_OVERDRAFTS = 10
+# Added to each burst, from the other half of that slack: tokens that lie at nodes are missing
+# elsewhere, and small organisations would be refused requests within their quota.
+STRANDED_TOKENS = 8.0
 # Time for which a node may use an overdraft; the ledger adds what an answer may take.
 OVERDRAFT_MS = 5_000.0
 OVERDRAFT_GRACE_MS = 1_000.0
@@ -180,7 +183,8 @@
             return QuotaGrant(organisation, usage.waiting + usage.ahead)
         bucket = self._buckets.get(organisation)
         if bucket is None:
-            start = quota[1] * self._settled_share + quota[0] * START_MS / 1000.0
+            burst = quota[1] + STRANDED_TOKENS
+            start = burst * self._settled_share + quota[0] * START_MS / 1000.0
             bucket = self._buckets[organisation] = _Bucket(start, self._scaled_ms)
         bucket.tokens -= usage.unleased
         self._refill(organisation, bucket)
@@ -216,7 +220,8 @@
     def _refill(self, organisation: str, bucket: _Bucket) -> None:
         rate_per_s, burst = self._quotas[organisation]
         gained = rate_per_s * (self._scaled_ms - bucket.refilled_ms) / 1000.0
-        size = max(1.0, self._share * max(burst, rate_per_s * MIN_BURST_MS / 1000.0))
+        burst = max(burst, rate_per_s * MIN_BURST_MS / 1000.0) + STRANDED_TOKENS
+        size = max(1.0, self._share * burst)
         bucket.tokens = min(size, bucket.tokens + gained)
         bucket.refilled_ms = self._scaled_ms
 
@@ -228,7 +233,7 @@
         for organisation, bucket in list(self._buckets.items()):
             self._refill(organisation, bucket)
             is_idle = all(until_ms <= now_ms for until_ms in bucket.overdrafts.values())
-            if is_idle and bucket.tokens >= self._quotas[organisation][1]:
+            if is_idle and bucket.tokens >= self._quotas[organisation][1] + STRANDED_TOKENS:
                 del self._buckets[organisation]
 
 
