--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -21,20 +21,17 @@
     PlatformTarget,
     configuration,
     organisation_resource,
-    route_resource,
 )
-from tests.platform_fixtures import WAIT_TIMEOUT_S, FleetCase, Response, Vm
-
-OPEN = {"auth_exempt": True}
-READS = route_resource("reads", "shop.example", "/reads/", "browse")
-LOOKUPS = route_resource("lookups", "shop.example", "/lookups/", "stock", **OPEN)
-ACME = organisation_resource("acme", "acme-key-1", "acme-key-2", priority=0)
-BETA = organisation_resource("beta", "beta-key-1")
-REVOCATION_MS = 5_000.0
-
-
-def authorization(key: str) -> str:
-    return f"Authorization: Token {key}"
+from tests.organisation_fixtures import (
+    ACME,
+    BETA,
+    LOOKUPS,
+    READS,
+    REVOCATION_MS,
+    OrganisationCase,
+    authorization,
+)
+from tests.platform_fixtures import WAIT_TIMEOUT_S, Response, Vm
 
 
 class TestCurrencyProof(unittest.TestCase):
@@ -172,28 +169,8 @@
         self.assertEqual(codec.without_credentials(headers, needs_key=True), ())
 
 
-class OrganisationCase(FleetCase):
-    """Two VMs of one service and one of another, with keys."""
-
-    revocation_s = 5.0
-
-    async def asyncSetUp(self) -> None:
-        await super().asyncSetUp()
-        self.first = await self.add_vm("browse", "i-1")
-        self.second = await self.add_vm("browse", "i-2")
-        self.other = await self.add_vm("stock", "i-3")
-        await self.publish(1, ACME, BETA)
-
-    def node_settings(self) -> dict:
-        return {"revocation_s": self.revocation_s}
-
-    async def publish(self, version: int, *organisations: dict) -> None:
-        """Write a configuration, and wait until all nodes have applied it."""
-        data = configuration(version, READS, LOOKUPS)
-        data["resources"] += organisations
-        await self.store.put("op/config", data)
-        await self.wait_until_version(version)
-        await self.wait_until(lambda: all(vm.node.state.is_currency_proven() for vm in self.vms))
+class KeyCase(OrganisationCase):
+    """Requests with keys, and what targets get of them."""
 
     def runs(self) -> list[ReceivedRequest]:
         return [run for vm in self.vms for run in vm.target.runs]
@@ -203,7 +180,7 @@
         return await self.call(vm, "/reads/1", *lines, **options)
 
 
-class TestKeys(OrganisationCase):
+class TestKeys(KeyCase):
     """Whose request it is."""
 
     async def test_target_gets_the_name_and_not_the_key(self) -> None:
@@ -302,7 +279,7 @@
         self.assertEqual(ranks, [0, 1])
 
 
-class TestRevocation(OrganisationCase):
+class TestRevocation(KeyCase):
     """Keys that are taken away while nodes hear nothing."""
 
     revocation_s = 2.5
