--- a/src/cottonlink/overload/_connection_account.py
+++ b/src/cottonlink/overload/_connection_account.py
@@ -18,11 +18,11 @@
 
 from cottonlink.overload._memory_account import MB, MemoryAccount
 
-# Measured: an open connection with its transport, parser and buffers, without a request.
+# An open connection with its transport, parser and buffers, without a request.
 CONNECTION_BYTES = 8_000
 # A header field as objects, in addition to its bytes.
 FIELD_BYTES = 130
-# Bodies grow in steps, which leaves gaps in the heap: measured at 1.9 times their length.
+# Bodies grow in steps, which leaves gaps in the heap of about their own length.
 BODY_FACTOR = 2
 # Below this a connection holds little more than an idle one.
 LARGE_CHARGE_BYTES = CONNECTION_BYTES + 16_384
--- a/src/cottonlink/overload/_route_throttle.py
+++ b/src/cottonlink/overload/_route_throttle.py
@@ -75,8 +75,7 @@
 # Burst size of the token bucket in seconds at the limit, so that arrivals needn't be evenly spaced.
 BURST_S = 0.3
 # Largest debt of the token bucket in seconds at the limit, and its minimum in tokens. It covers the
-# random arrivals of organisations below their fair share. With a minimum of 2 tokens 60 nodes that
-# each admit 1.3 requests a second refused 19% of what such organisations sent, with 4 tokens 10%.
+# random arrivals of organisations below their fair share, of which a node may see one in seconds.
 DEBT_S = 1.0
 MIN_DEBT = 4.0
 # Time without requests after which the limit of one rank is forgotten, if the route has others.
