--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -193,7 +193,10 @@
             await self._listeners.open(address, lambda: CallerConnection(self._status_server))
         self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         self.state.log.event(
-            "node_started", service=settings.service, data_centre=settings.data_centre
+            "node_started",
+            service=settings.service,
+            data_centre=settings.data_centre,
+            revocation_s=settings.revocation_s,
         )
 
     def begin_shutdown(self, on_done: Callable[[], None]) -> None:
--- a/src/cottonlink/platform/_process.py
+++ b/src/cottonlink/platform/_process.py
@@ -30,6 +30,10 @@
 SETTINGS_VARIABLE = "COTTONLINK_NODE_FILE"
 # Environment variable with the memory that the process may hold, in MB.
 MEMORY_VARIABLE = "COTTONLINK_MEMORY_MB"
+# Environment variables that tell whether revoked keys must stop working without any contact, and
+# after how many seconds.
+STRICT_REVOCATION_VARIABLE = "COTTONLINK_STRICT_REVOCATION"
+REVOCATION_VARIABLE = "COTTONLINK_REVOCATION_S"
 # The platform may rewrite the settings file without sending SIGHUP, so it is checked this often.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 EXIT_BAD_SETTINGS = 2
@@ -54,14 +58,20 @@
 
 def _load_settings(path: str) -> NodeSettings:
     """Return the settings of the file and the environment. Raises SettingsError."""
-    memory_mb = os.environ.get(MEMORY_VARIABLE)
-    if not memory_mb:
-        return load_node_settings(path)
-    try:
-        return load_node_settings(path, {"memory_mb": float(memory_mb)})
-    except ValueError as error:
-        problem = f"{MEMORY_VARIABLE}: expected a number of MB, got {memory_mb!r}"
-        raise SettingsError((problem,), peer=path) from error
+    defaults = {}
+    variables = {"memory_mb": MEMORY_VARIABLE}
+    if os.environ.get(STRICT_REVOCATION_VARIABLE, "").lower() == "true":
+        variables["revocation_s"] = REVOCATION_VARIABLE
+    for name, variable in variables.items():
+        text = os.environ.get(variable)
+        if not text:
+            continue
+        try:
+            defaults[name] = float(text)
+        except ValueError as error:
+            problem = f"{variable}: expected a number, got {text!r}"
+            raise SettingsError((problem,), peer=path) from error
+    return load_node_settings(path, defaults)
 
 
 async def _run(settings: NodeSettings, path: str, modified_ns: int) -> None:
