--- a/review/6/case.py
+++ b/review/6/case.py
@@ -49,9 +49,7 @@
         body = f"booking={number}&amount={1000 + number}".encode() * (1 + number % 4 * 20)
         offers = lab.is_troubled and number % OFFERING_SHARE == 0
         sent[request_id] = (f"POST {path} HTTP/1.1", body)
-        data = request_bytes(
-            path, request_id, *(OFFER if offers else ()), method="POST", body=body
-        )
+        data = request_bytes(path, request_id, *(OFFER if offers else ()), method="POST", body=body)
         lab.note("send", id=request_id, bytes=len(body), offers=offers)
         await _exchange(lab, caller, request_id, data)
 
--- a/review/stand_ins_2/lab.py
+++ b/review/stand_ins_2/lab.py
@@ -434,7 +434,8 @@
             "service": machine.upstream.service,
             "ip": machine.ip,
             "listen_addrs": {
-                name: f"{machine.ip}:{self.ports[name]}" for name in ("inbound", "outbound", "ready")
+                name: f"{machine.ip}:{self.ports[name]}"
+                for name in ("inbound", "outbound", "ready")
             },
             "app_addr": f"{machine.ip}:{self.ports['app']}",
             "platform": {"address": self.store.address},
