--- a/review/stand_ins_2/lab.py
+++ b/review/stand_ins_2/lab.py
@@ -45,7 +45,7 @@
 READINESS_REQUEST = b"GET /-/readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n"
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case couldn't be played; this says nothing of the rule."""
 
 
@@ -487,7 +487,7 @@
             if self.now_s() > end_s:
                 for machine in machines:
                     print(machine.settings_path.with_suffix(".log").read_text()[-2000:])
-                raise CannotRun("the nodes aren't ready")
+                raise CannotRunError("the nodes aren't ready")
             await asyncio.sleep(0.1)
 
     async def close(self) -> None:
@@ -523,7 +523,7 @@
             await lab.store.start()
             async with asyncio.timeout(110):
                 is_kept = await case(lab)
-        except (CannotRun, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError) as error:
             lab.note("could-not-run", error=repr(error))
             print(f"could not run: {error!r}")
             return NOT_RUN
