--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 [ -f target/app/run_node.py ] || sh deploy/build.sh
-PYTHONPATH=target/deps python3 -m compileall -q emulator review/stand_ins_2 review/[0-9]*/case.py
+PYTHONPATH=target/deps python3 -m compileall -q emulator review/stand_ins_2 review/[6-9]/case.py review/10/case.py
 PYTHONPATH=target/deps:review/stand_ins_2 python3 -c "import lab"
