--- a/review/6/case.py
+++ b/review/6/case.py
@@ -81,4 +81,4 @@
     writer.close()
 
 
-play(str(FOLDER), case)
+play(FOLDER / "record.txt", case)
--- a/review/stand_ins_2/lab.py
+++ b/review/stand_ins_2/lab.py
@@ -403,12 +403,12 @@
 class Lab:
     """The deployment of one case, and its record."""
 
-    def __init__(self, folder: Path, *, is_troubled: bool, bounds: dict | None = None) -> None:
+    def __init__(self, record: Path, *, is_troubled: bool, bounds: dict | None = None) -> None:
         self.is_troubled = is_troubled
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.store = PlatformStore(page_items=500)
         self.machines: list[Machine] = []
-        self._record = (folder / "record.txt").open("w", buffering=1)
+        self._record = record.open("w", buffering=1)
         self._tmp = Path(tempfile.mkdtemp(prefix="cottonlink-review-"))
         rng = random.Random()
         self._block = f"127.{rng.randrange(20, 250)}.{rng.randrange(1, 250)}"
@@ -513,12 +513,12 @@
     return sock
 
 
-def play(folder: str, case: Callable[[Lab], Awaitable[bool]], bounds: dict | None = None) -> None:
+def play(record: Path, case: Callable[[Lab], Awaitable[bool]], bounds: dict | None = None) -> None:
     """Play a case and exit with 0 if the rule held, 1 if it was broken, 2 if it couldn't run."""
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
-        lab = Lab(Path(folder), is_troubled=is_troubled, bounds=bounds)
+        lab = Lab(record, is_troubled=is_troubled, bounds=bounds)
         try:
             await lab.store.start()
             async with asyncio.timeout(110):
