Read the body of a request that offers another protocol

What callers saw: a POST with "Connection: Upgrade" and "Upgrade: h2c" ran with an empty body and was answered 200. Behind the answer came a 400 that no request had asked for, which the next request of the connection took.

Cause: httptools ends a message that offers a protocol behind its head and then raises HttpParserUpgrade. The connection served the request in the callback for a complete message, and took the exception for a parse error.

Change: on the exception, the head is parsed again without its Upgrade fields and the bytes behind it follow, so the framing alone says where the body ends. CONNECT gets one answer, 501. A counter of declined offers and a log line for each rejected request tell this cause from others.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -33,6 +33,8 @@
 # it is stopped.
 SLOW_RUN_SHARE = 0.5
 CONNECTIONS_AT_A_TIME = 4
+# One request in this number offers another protocol.
+REQUESTS_PER_OFFER = 7
 
 
 class Callers:
@@ -234,4 +236,10 @@
         number = next(self._request_numbers)
         kind = kinds[number % len(kinds)]
         is_booking = kind.partition("/")[0] == "bookings"
-        return ObservedRequest(f"r{number}", f"/{kind}/{number}", is_booking, int(is_booking))
+        return ObservedRequest(
+            f"r{number}",
+            f"/{kind}/{number}",
+            is_booking,
+            int(is_booking),
+            offers_protocol=number % REQUESTS_PER_OFFER == 0,
+        )
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -25,6 +25,7 @@
 # What one packet of a network carries.
 SEGMENT_BYTES = 1_460
 SEGMENT_PAUSE_S = 0.001
+PROTOCOL_OFFER = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
 _connection_ids: Iterator[int] = itertools.count(1)
 
 
@@ -135,7 +136,7 @@
                     await asyncio.sleep(self.read_pause_s)
         except OSError:
             ending = "reset"
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             ending = f"not a response: {error}"
         self._end_all(ending)
 
@@ -163,6 +164,8 @@
         parts = [body[start : start + observed.sent_chunk_bytes] for start in starts]
         body = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
     headers = "".join(f"{name}: {value}\r\n" for name, value in observed.sent_headers)
+    if observed.offers_protocol:
+        headers += PROTOCOL_OFFER
     head = (
         f"{'POST' if observed.is_booking else 'GET'} {observed.path} HTTP/1.1\r\n"
         f"Host: {HOST}\r\nX-Attempt-Id: {observed.request_id}\r\n"
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -24,6 +24,8 @@
     # Length of the request's body, and of its chunks if it is sent in some.
     sent_body_bytes: int = 0
     sent_chunk_bytes: int = 0
+    # Whether the request offers another protocol, which nodes decline.
+    offers_protocol: bool = False
     # Its API key, empty without one, and the headers that name it or forge an organisation.
     key: str = ""
     sent_headers: list[tuple[str, str]] = field(factory=list)
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -188,6 +188,7 @@
             },
             self.connections,
             self.call_soon,
+            self.on_request_rejected,
         )
         for address in dict.fromkeys((settings.ready_address, settings.metrics_address)):
             await self._listeners.open(address, lambda: CallerConnection(self._status_server))
@@ -370,6 +371,13 @@
         )
         return self.state.header_codec.retry_after(delay_ms)
 
+    def on_request_rejected(self, status: int) -> None:
+        self.state.metrics.count("requests_rejected", str(status))
+        self.state.log.event("request_rejected", status=status)
+
+    def on_offer_declined(self) -> None:
+        self.state.metrics.count("protocol_offers_declined")
+
     def is_shutting_down(self) -> bool:
         return self._shutdown is not None
 
--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -146,8 +146,8 @@
         self._last_activity_ms = self._handler.now_ms()
         previous = self._message
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._feed_parser(data)
+        except httptools.HttpParserError:
             self._reject(400)
             return self._event_count
         message = self._message
@@ -158,6 +158,37 @@
                 self._check_size(message, len(data))
         return self._event_count
 
+    def _feed_parser(self, data: bytes | memoryview) -> None:
+        """Feed the parser, which stops behind the head of a request that offers a protocol."""
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                (parsed_count,) = upgrade.args
+                data = data[parsed_count:]
+            message = self._message
+            if message is None or self._is_rejecting or self._is_closing:
+                return
+            if self._parser.get_method() == b"CONNECT":
+                # What follows isn't HTTP.
+                self._reject(501)
+                return
+            self._decline_offer(message)
+
+    def _decline_offer(self, message: IncomingRequest) -> None:
+        """Parse the head of a request again without the protocol that it offers.
+
+        The parser takes an offer for accepted, and the request for complete. Without the offer, the
+        framing tells where the body ends (RFC 9110, section 7.8).
+        """
+        self._handler.on_offer_declined()
+        head = message.head_without_offer(
+            self._parser.get_method(), self._parser.get_http_version()
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(head)
+
     def _check_size(self, message: IncomingRequest, count: int) -> None:
         """Reject a request of which too much has come besides its body."""
         message.received_bytes += count
@@ -195,6 +226,8 @@
         if size > limits.header_bytes:
             self._reject(431)
             return
+        if self._parser.should_upgrade():
+            return
         length = 0
         for name, value in message.headers:
             lower = name.lower()
@@ -264,6 +297,9 @@
             self._ask_for_room(message, ROOM_STEP_BYTES)
 
     def on_message_complete(self) -> None:
+        if self._message is not None and self._parser.should_upgrade():
+            # _feed_parser goes on with it.
+            return
         message, self._message = self._message, None
         self._input.piece_bytes = PARSED_BYTES
         # Behind a response that closes the connection in the same bytes, a request isn't read.
@@ -550,6 +586,7 @@
         if self._is_rejecting or self._is_closing:
             return
         self._is_rejecting = True
+        self._handler.on_request_rejected(status)
         request = Request(b"", b"GET", b"", b"", b"", (), b"", None)
         exchange = Exchange(request, self, 0.0, is_last=True, is_started=True)
         self._exchanges.append(exchange)
--- a/src/cottonlink/path/callers/_exchange.py
+++ b/src/cottonlink/path/callers/_exchange.py
@@ -81,6 +81,12 @@
     def serve(self, exchange: Exchange) -> None:
         """Start serving a request; ``exchange.respond`` is called with its response."""
 
+    def on_request_rejected(self, status: int) -> None:
+        """Called when a request that wasn't read as a whole is rejected with ``status``."""
+
+    def on_offer_declined(self) -> None:
+        """Called when a request offers another protocol; it is served as if it didn't."""
+
     def is_shutting_down(self) -> bool:
         """Return whether the node is shutting down."""
 
--- a/src/cottonlink/path/callers/_incoming_request.py
+++ b/src/cottonlink/path/callers/_incoming_request.py
@@ -83,6 +83,12 @@
             self.headers[:0] = self.packed.unpack()
             self.packed = None
 
+    def head_without_offer(self, method: bytes, version: str) -> bytes:
+        """Return the head of the request without the protocols that it offers."""
+        lines = [b"%b %b HTTP/%b" % (method, self.target, version.encode())]
+        lines += [b"%b: %b" % header for header in self.headers if header[0].lower() != b"upgrade"]
+        return b"\r\n".join([*lines, b"", b""])
+
     def held_bytes(self) -> int:
         """Return what the process needs for the request, besides the room of a long body."""
         fields = len(self.headers) + (len(self.head.headers) if self.head is not None else 0)
--- a/src/cottonlink/path/callers/_status_server.py
+++ b/src/cottonlink/path/callers/_status_server.py
@@ -30,8 +30,10 @@
         pages: dict[bytes, Page],
         connections: ConnectionAccount,
         call_soon: Callable[[Callable[[], None]], None],
+        on_request_rejected: Callable[[int], None],
     ) -> None:
         self.connections = connections
+        self.on_request_rejected = on_request_rejected
         self.call_soon = call_soon
         self._loop = loop
         self._pages = pages
@@ -74,6 +76,9 @@
             self._rendered[path] = now_ms, response
         return response
 
+    def on_offer_declined(self) -> None:
+        """Nothing else tells of requests for pages."""
+
     def is_shutting_down(self) -> bool:
         return False
 
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -70,6 +70,8 @@
         "is_shutting_down": lambda: False,
         "is_repeatable": lambda _request: True,
         "on_caller_connected": lambda _connection: None,
+        "on_request_rejected": lambda _status: None,
+        "on_offer_declined": lambda: None,
         "hold_body": lambda _head: memory.open("caller_requests", 0),
     }
     return SimpleNamespace(**{**defaults, **methods})
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -12,18 +12,15 @@
 from cottonlink.path._http_client import (
     RESPONSE_BODY_LIMIT_BYTES,
     ExchangeFailed,
-    HttpConnection,
 )
 from cottonlink.path._model import CallerLimits
 from cottonlink.path.callers._caller_connection import CallerConnection
 from emulator.http_stand_in import ReceivedRequest
 from emulator.platform_target import PlatformTarget, configuration, route_resource
+from tests.connection_fixtures import HEAD, ConnectionCase
 from tests.platform_fixtures import FleetCase, TurnLoop
 
 PIECE_BYTES = 64 * 1024
-# Far above any bound; what is fed without an end of the connection counts as unbounded.
-FED_LIMIT_BYTES = 64 * 1024 * 1024
-HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
@@ -58,32 +55,6 @@
 }
 
 
-class ConnectionCase(unittest.TestCase):
-    """A connection to a target, whose transport is a stand-in."""
-
-    def setUp(self) -> None:
-        self.results: list[object] = []
-        self.loop = TurnLoop()
-        self.connection = HttpConnection(b"x-attempt-id", self.loop)
-        self.transport = mock.Mock(spec=asyncio.Transport)
-        self.transport.is_closing.return_value = False
-        self.transport.get_extra_info.return_value = None
-        self.transport.get_write_buffer_size.return_value = 0
-        self.connection.connection_made(self.transport)
-        self.connection.send(b"GET / HTTP/1.1\r\n\r\n", self.results.append, expected_id=b"a1")
-
-    def feed(self, pieces: Iterator[bytes]) -> int:
-        """Feed pieces until the connection is aborted; return the number of bytes."""
-        fed_bytes = 0
-        for piece in pieces:
-            self.connection.data_received(piece)
-            self.loop.run()
-            fed_bytes += len(piece)
-            if self.transport.abort.called or fed_bytes > FED_LIMIT_BYTES:
-                return fed_bytes
-        return fed_bytes
-
-
 class TestEndlessResponses(ConnectionCase):
     """Guards against a node that grows without bound, or reads on until the deadline."""
 
