Tell faults of the node from malformed requests

What callers saw: if the node itself failed while it read or served a request, 400 (malformed) came for a proper request; if that one was already being served, it came as a second answer behind it.

Cause: httptools turns each exception of a callback into a parse error, and requests are served inside its callbacks.

Change: an exception while serving ends this request with 500 and closes the connection behind it; one while reading is answered with 500 once. Both are counted and logged as node_part_failed.

--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -189,6 +189,7 @@
             self.connections,
             self.call_soon,
             self.on_request_rejected,
+            self.on_failure,
         )
         for address in dict.fromkeys((settings.ready_address, settings.metrics_address)):
             await self._listeners.open(address, lambda: CallerConnection(self._status_server))
@@ -378,6 +379,9 @@
     def on_offer_declined(self) -> None:
         self.state.metrics.count("protocol_offers_declined")
 
+    def on_failure(self, part: str, error: BaseException) -> None:
+        self.state.report_failure(part, error)
+
     def is_shutting_down(self) -> bool:
         return self._shutdown is not None
 
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -22,7 +22,7 @@
     TrafficSplit,
 )
 from cottonlink.path._header_codec import HeaderCodec
-from cottonlink.path._log import EventLog
+from cottonlink.path._log import EventLog, describe_error
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import Configuration, Request, Route
 from cottonlink.path._paced_input import Turns
@@ -84,6 +84,11 @@
             return True
         return self.currency.valid_for_ms(time.monotonic() * 1000.0) > 0
 
+    def report_failure(self, part: str, error: BaseException) -> None:
+        """Count and log an unexpected error, which ``part`` of the node has survived."""
+        self.metrics.count("failures", part)
+        self.log.event("node_part_failed", part=part, error=describe_error(error))
+
     def next_stream(self) -> int:
         """Return a stream number, unique within this node."""
         return next(self._streams)
--- a/src/cottonlink/path/callers/_caller_connection.py
+++ b/src/cottonlink/path/callers/_caller_connection.py
@@ -147,6 +147,11 @@
         previous = self._message
         try:
             self._feed_parser(data)
+        except httptools.HttpParserCallbackError as error:
+            # The request is proper, and an earlier one in the same bytes may be on its way.
+            self._handler.on_failure("caller_input", error.__context__ or error)
+            self._reject(500)
+            return self._event_count
         except httptools.HttpParserError:
             self._reject(400)
             return self._event_count
@@ -564,7 +569,13 @@
         try:
             while (exchange := self._next_startable()) is not None:
                 exchange.is_started = True
-                self._handler.serve(exchange)
+                try:
+                    self._handler.serve(exchange)
+                except Exception as error:
+                    # It may have been sent.
+                    exchange.is_last = True
+                    self._handler.on_failure("serve", error)
+                    exchange.respond(500, (), b"")
         finally:
             self._is_starting_exchanges = False
 
--- a/src/cottonlink/path/callers/_exchange.py
+++ b/src/cottonlink/path/callers/_exchange.py
@@ -87,6 +87,9 @@
     def on_offer_declined(self) -> None:
         """Called when a request offers another protocol; it is served as if it didn't."""
 
+    def on_failure(self, part: str, error: BaseException) -> None:
+        """Called when ``part`` of the node has failed; the request concerned is answered."""
+
     def is_shutting_down(self) -> bool:
         """Return whether the node is shutting down."""
 
--- a/src/cottonlink/path/callers/_status_server.py
+++ b/src/cottonlink/path/callers/_status_server.py
@@ -31,9 +31,11 @@
         connections: ConnectionAccount,
         call_soon: Callable[[Callable[[], None]], None],
         on_request_rejected: Callable[[int], None],
+        on_failure: Callable[[str, BaseException], None],
     ) -> None:
         self.connections = connections
         self.on_request_rejected = on_request_rejected
+        self.on_failure = on_failure
         self.call_soon = call_soon
         self._loop = loop
         self._pages = pages
--- a/src/cottonlink/path/store/_store_follower.py
+++ b/src/cottonlink/path/store/_store_follower.py
@@ -20,7 +20,7 @@
     StorePosition,
     make_watcher_election,
 )
-from cottonlink.path._log import EventLog
+from cottonlink.path._log import EventLog, describe_error
 from cottonlink.path._model import Configuration, Upstream
 from cottonlink.path.peers._frames import (
     SnapshotRequestFrame,
@@ -153,9 +153,7 @@
                 await self._wait_before_retry()
 
     def _log_failure(self, part: str, error: Exception) -> None:
-        self._log.event(
-            "store_follower_failed", part=part, error=f"{type(error).__name__}: {error}"
-        )
+        self._log.event("store_follower_failed", part=part, error=describe_error(error))
 
     async def _wait_before_retry(self) -> None:
         await asyncio.sleep(self._retry_delay_s * self._rng.uniform(0.5, 1.0))
--- a/tests/platform_fixtures.py
+++ b/tests/platform_fixtures.py
@@ -72,6 +72,7 @@
         "on_caller_connected": lambda _connection: None,
         "on_request_rejected": lambda _status: None,
         "on_offer_declined": lambda: None,
+        "on_failure": lambda _part, _error: None,
         "hold_body": lambda _head: memory.open("caller_requests", 0),
     }
     return SimpleNamespace(**{**defaults, **methods})
--- a/tests/test_protocol_offers.py
+++ b/tests/test_protocol_offers.py
@@ -225,6 +225,34 @@
                 self.assertIsInstance(result, ExchangeFailed)
                 self.assertFalse(self.connection.is_reusable)
 
+    def test_switch_behind_a_whole_response_does_not_fail_it(self) -> None:
+        """Bytes behind a whole response belong to no request."""
+        for fields in (b"Connection: Upgrade\r\nUpgrade: h2c\r\n", b""):
+            self.setUp()
+            response = HEAD + b"Content-Length: 5\r\n\r\n12345"
+            self.feed(iter((response + b"HTTP/1.1 101 Go\r\n" + fields + b"\r\n",)))
+            (result,) = self.results
+            self.assertEqual(bytes(result.body), b"12345")
+            self.assertFalse(self.connection.is_reusable)
+
+
+class TestFailureInside(unittest.TestCase):
+    """An error of the node itself isn't a malformed request."""
+
+    def test_failure_while_serving_is_answered_once(self) -> None:
+        """Guards against a 400 behind a request that is on its way."""
+        for method in ("serve", "parse_request"):
+            with self.subTest(method=method):
+                reader = Reader()
+
+                def fail(*_: object) -> None:
+                    raise RuntimeError("no room on the stack")
+
+                setattr(reader.connection._handler, method, fail)
+                reader.read([offering_request(b"POST", (), "length", BODY) * 2])
+                self.assertEqual(reader.statuses, [b"500"])
+                self.assertEqual(len(reader.failures), 1)
+
 
 class TestOffersAtTheThreadedListener(unittest.TestCase):
     """The listener of the project's own interface."""
--- a/tests/test_request_segments.py
+++ b/tests/test_request_segments.py
@@ -49,6 +49,7 @@
     def __init__(self, *, answers: bool = True) -> None:
         self.requests: list[tuple] = []
         self.exchanges: list[Exchange] = []
+        self.failures: list[tuple[str, Exception]] = []
         self._answers = answers
         self.loop = TurnLoop()
         self.written: list[bytes] = []
@@ -56,6 +57,7 @@
             self.loop,
             parse_request=self._parse_request,
             serve=self._serve,
+            on_failure=lambda part, error: self.failures.append((part, error)),
         )
         self.connection = CallerConnection(handler)
         transport = mock.Mock(spec=asyncio.Transport)
