Deliver a whole response with another protocol behind it

What callers saw: a 502 in place of a whole response of their target, if a 101 followed in the same bytes.

Cause: the exception that the parser raises for the 101 failed the exchange without a look at whether the response was complete, as is done for other bytes behind a response.

Change: both are handled alike: the response is delivered and the connection isn't used again. A fault in a callback has a reason of its own, internal_error.

Evidence: test_switch_behind_a_whole_response_does_not_fail_it ended with ExchangeFailed before, and passes now.

--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -249,10 +249,11 @@
         self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fail("bad_answer")
+        except httptools.HttpParserCallbackError:
+            self._fail("internal_error")
             return False
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # Also a response that switches to another protocol, which no request has offered.
             if not self._is_complete:
                 self._fail("bad_answer")
                 return False
