Take only statuses from 200 to 599 for a target's response

What callers saw: "HTTP/1.1 0 Status" as an answer, if a target answered with the status 000 and closed the connection; a wait until the deadline if it announced a length. 600 to 999 were passed on. From a target at another VM such a status failed all other calls on the connection between the two nodes.

Cause: three places disagreed on what a final status is: where a message completes, where the end of the connection completes it, and in frames.

Change: one definition after RFC 9110, section 15. Interim is 100 to 199, final 200 to 599; anything else is no response, and the exchange fails at once with an unknown outcome (502, not sent again if it may run once). In a frame of an earlier build it costs its own call only. The project's own interface follows the same definition.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,8 @@
 # Final responses of a node that tell the caller that its request isn't proper; all requests here
 # are.
 DENIED_STATUSES = frozenset((400, 405, 411, 413, 414, 431))
+# Statuses that a caller may get at the end (RFC 9110, section 15).
+FINAL_STATUSES = range(200, 600)
 # Targets that a request may crash later than ``CONTACT_S`` after its third crash.
 MAX_LATER_CRASHES = 3
 
@@ -59,6 +61,8 @@
         problems.append(("UNASKED", f"ran with another body than {request.sent_body_bytes} bytes"))
     if request.ending.startswith("not a response"):
         problems.append(("MIXED", f"bytes that are {request.ending}"))
+    if request.ending == "answered" and request.status not in FINAL_STATUSES:
+        problems.append(("MIXED", f"a response with the status {request.status}"))
     if request.status == 200:
         if not request.seal:
             problems.append(("MIXED", "success without an X-Server-Seal header"))
--- a/soak/faulty_answers.py
+++ b/soak/faulty_answers.py
@@ -1,4 +1,8 @@
-"""Answers of a faulty target: doubled, foreign, without an id, cut, in tiny chunks, without end."""
+"""Answers of a faulty target.
+
+They are doubled, foreign, without an id, cut, in tiny chunks, without end, of no status, or a
+switch to another protocol.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +19,11 @@
 STRAY_DELAY_S = 0.01
 TINY_CHUNK_BYTES = 5
 ENDLESS_PIECE = b"5\r\nbytes\r\n" * 2_000
+ENDLESS_LINES = b"X-Endless: bytes\r\n" * 500
+ENDLESS_LINE = b"a" * 10_000
 ENDLESS_PAUSE_S = 0.002
+INVALID_STATUSES = (b"000", b"042", b"099", b"600", b"999")
+SWITCH = b"HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 Stand-in\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 Form = Callable[["FaultyAnswers", bytes, asyncio.StreamWriter], Awaitable[bytes | None]]
@@ -90,6 +98,26 @@
             await writer.drain()
             await asyncio.sleep(ENDLESS_PAUSE_S)
 
+    async def never_end_head(self, success: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send a head without end, until the connection is closed."""
+        writer.write(success.partition(b"\r\n\r\n")[0] + b"\r\n")
+        piece = self._rng.choice((ENDLESS_LINES, ENDLESS_LINE))
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(ENDLESS_PAUSE_S)
+
+    async def give_no_status(self, success: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send the answer with a status that HTTP doesn't define, up to the connection's end."""
+        head, _, body = success.partition(b"\r\n\r\n")
+        lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")]
+        lines[0] = b"HTTP/1.1 %b Odd" % self._rng.choice(INVALID_STATUSES)
+        writer.write(b"\r\n".join([*lines, b"", body]))
+
+    async def switch_protocol(self, success: bytes, _writer: asyncio.StreamWriter) -> bytes:
+        """Send the answer behind a switch to a protocol that no request has offered."""
+        return SWITCH + success
+
 
 FORMS: tuple[Form, ...] = (
     FaultyAnswers.copy_late,
@@ -99,4 +127,7 @@
     FaultyAnswers.cut,
     FaultyAnswers.chunk,
     FaultyAnswers.never_end,
+    FaultyAnswers.never_end_head,
+    FaultyAnswers.give_no_status,
+    FaultyAnswers.switch_protocol,
 )
--- a/src/cottonlink/node/_pool.py
+++ b/src/cottonlink/node/_pool.py
@@ -17,6 +17,7 @@
 from cottonlink._clock import Clock
 from cottonlink._headers import Headers
 from cottonlink._problem import HttpResponse
+from cottonlink._status import FINAL_STATUSES
 from cottonlink.errors import Step
 
 # The kernel resends a lost SYN after one second; trying another upstream is faster.
@@ -225,10 +226,10 @@
         )
 
     def _read_body(self, request, response, deadline_ms: int, limit_bytes: int) -> bytes:
-        if response.status < 200:
+        if response.status not in FINAL_STATUSES:
             raise ExchangeError(
                 Step.BODY,
-                f"unexpected informational status {response.status}",
+                f"expected the status of a final response, got {response.status}",
                 sent=True,
             )
         if not _is_delimited(request.method, response):
--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -9,6 +9,7 @@
 import httptools
 from attrs import define, frozen
 
+from cottonlink._status import FINAL_STATUSES, is_valid_status
 from cottonlink._value_class import value_class
 from cottonlink.path._body import LONG_BODY_BYTES, Body, BodyBuffer, WholeBody
 from cottonlink.path._body_stream import WINDOW_BYTES, BodyStream
@@ -106,6 +107,8 @@
         self._stream: BodyStream | None = None
         self._untaken_bytes = 0
         self._status = 0
+        # Whether a response came whose status isn't one, so that nothing behind it counts.
+        self._is_status_invalid = False
         self._belongs = False
         self._is_complete = False
         self._has_body_framing = False
@@ -258,6 +261,9 @@
                 self._fail("bad_answer")
                 return False
             self.is_reusable = False
+        if self._is_status_invalid:
+            self._fail("bad_answer")
+            return False
         overhead_bytes = self._received_bytes - self._body_bytes
         if not self._is_complete and overhead_bytes > OVERHEAD_LIMIT_BYTES + self._body_bytes:
             self._fail("answer_head_too_large")
@@ -327,13 +333,17 @@
             self._response_id = value
 
     def on_headers_complete(self) -> None:
-        if self._is_complete:
+        if self._is_complete or self._is_status_invalid:
             return
         # The parser goes on to what follows in the same bytes.
         self._status = self._parser.get_status_code()
+        if not is_valid_status(self._status):
+            self._is_status_invalid = True
+            return
         self._is_head_complete = True
         self._belongs = self._is_proven()
-        if not self._belongs and self._status >= 200 and self._on_skipped is not None:
+        is_final = self._status in FINAL_STATUSES
+        if not self._belongs and is_final and self._on_skipped is not None:
             expected_id = self._exchange.expected_id
             self._on_skipped(SkippedResponse(self._status, self._response_id, expected_id))
         if self._exchange.is_head and self._belongs:
@@ -351,8 +361,10 @@
         if self._is_complete:
             self.is_reusable = False
             return
-        if self._status < 200 or not self._belongs:
-            if self._status >= 200:
+        if self._is_status_invalid:
+            return
+        if self._status not in FINAL_STATUSES or not self._belongs:
+            if self._status in FINAL_STATUSES:
                 self.is_reusable = False
             self._begin_response()
             return
@@ -368,7 +380,7 @@
 
     def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._is_complete = False
+        self._is_complete = self._is_status_invalid = False
         self._received_bytes = self._body_bytes = 0
         self._begin_response()
 
--- a/src/cottonlink/path/peers/_frame_reader.py
+++ b/src/cottonlink/path/peers/_frame_reader.py
@@ -12,6 +12,7 @@
 
 import msgpack
 
+from cottonlink._status import FINAL_STATUSES
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.organisations import QuotaAnswer, QuotaExchange, QuotaGrant, QuotaUsage
 from cottonlink.overload import (
@@ -78,8 +79,6 @@
 ARRAY_LIMIT = 200_000
 # Largest integer that a float holds exactly; no count, revision or time in ms is larger.
 MAX_INTEGER = 2**53
-# Largest status of an HTTP response, and the smallest of a final one.
-MAX_STATUS, MIN_STATUS = 999, 200
 # Fields of a report of requests that crash targets, after their levels.
 _QUARANTINE_LATER_FIELDS = 3
 
@@ -184,12 +183,6 @@
     return value
 
 
-def _status(value: Any) -> int:
-    if not MIN_STATUS <= _integer(value) <= MAX_STATUS:
-        raise ValueError(f"expected the status of a final response, got {value}")
-    return value
-
-
 _CALL_TYPES = (
     int, str, str, bytes, bytes, bytes, bytes, tuple, bytes, int, int,
     int, int, bool, bool, str,
@@ -220,9 +213,10 @@
 
 def _decode_long_answer(
     stream: Any, status: Any, headers: Any, length: Any, report: Any
-) -> LongAnswerFrame:
-    answer = Answered(_status(status), _headers(headers), b"", _decode_report(report))
-    return LongAnswerFrame(_integer(stream), answer, _optional_integer(length))
+) -> LongAnswerFrame | OutcomeFrame:
+    answer = Answered(_integer(status), _headers(headers), b"", _decode_report(report))
+    frame = LongAnswerFrame(_integer(stream), answer, _optional_integer(length))
+    return frame if status in FINAL_STATUSES else _decode_invalid_status(frame.stream)
 
 
 def _decode_load(fields: Any) -> Load:
@@ -246,8 +240,17 @@
 def _decode_answered(
     stream: Any, status: Any, headers: Any, body: Any, report: Any
 ) -> OutcomeFrame:
-    outcome = Answered(_status(status), _headers(headers), _bytes(body), _decode_report(report))
-    return OutcomeFrame(_integer(stream), outcome)
+    outcome = Answered(_integer(status), _headers(headers), _bytes(body), _decode_report(report))
+    frame = OutcomeFrame(_integer(stream), outcome)
+    return frame if status in FINAL_STATUSES else _decode_invalid_status(frame.stream)
+
+
+def _decode_invalid_status(stream: int) -> OutcomeFrame:
+    """Return the outcome of a call whose target gave no response, as earlier builds report it.
+
+    Other calls on the connection go on.
+    """
+    return OutcomeFrame(stream, OutcomeUnknown("bad_answer"))
 
 
 def _decode_not_run(
