End a long response that is still arriving when its time is over

What callers saw: the head and a part of a long response, and then neither the rest nor an end: not at their route's time-out nor at their deadline, if the target fell silent or sent for ever to a caller that read slowly.

Cause: the head of a long response ends its call, and with it the deadline. Only the node next to the target watched the rest, and let it go on for 15 s without progress, or for 60 s.

Change: the node beside the caller watches the body. At the time-out it cuts a response whose caller has taken all that came, and tells the target's node. A caller that is behind may go on up to its own deadline; what has arrived as a whole is delivered late.

--- a/emulator/http_stand_in.py
+++ b/emulator/http_stand_in.py
@@ -7,6 +7,9 @@
 
 from attrs import frozen
 
+ENDLESS_PIECE_BYTES = 16_384
+ENDLESS_PAUSE_S = 0.002
+
 
 @frozen
 class ReceivedRequest:
@@ -79,6 +82,17 @@
     return HttpStandIn(await asyncio.start_server(serve, host, port), tasks)
 
 
+async def send_endless(writer: asyncio.StreamWriter, start: bytes, unit: bytes) -> None:
+    """Send ``start`` and then ``unit`` again and again, until the peer closes the connection."""
+    writer.write(start)
+    piece = unit * (ENDLESS_PIECE_BYTES // len(unit) + 1)
+    while not writer.transport.is_closing():
+        writer.write(piece)
+        await writer.drain()
+        # Without a pause, one connection would keep the others of this process waiting.
+        await asyncio.sleep(ENDLESS_PAUSE_S)
+
+
 def make_response(status: int, body: bytes, *headers: tuple[str, str]) -> bytes:
     """Return a complete HTTP response with a ``Content-Length``."""
     lines = [f"HTTP/1.1 {status} Stand-in", f"Content-Length: {len(body)}"]
--- a/src/cottonlink/path/_body_stream.py
+++ b/src/cottonlink/path/_body_stream.py
@@ -43,7 +43,12 @@
         self._untaken_bytes = 0
         self._pushed_bytes = 0
         self._is_whole: bool | None = None
-        self._is_cancelled = False
+        self._is_cancelled = self._is_given_up = False
+
+    @property
+    def is_reader_behind(self) -> bool:
+        """Whether the reader hasn't taken all that has come."""
+        return self._untaken_bytes > 0
 
     @property
     def has_ended(self) -> bool:
@@ -56,8 +61,8 @@
         early, self._early = self._early, bytearray()
         if early:
             reader.on_piece(bytes(early))
-        if self._is_whole is not None:
-            self._end_reader(self._is_whole)
+        if self._is_whole is not None or self._is_given_up:
+            self._end_reader(bool(self._is_whole) and not self._is_given_up)
 
     def push(self, piece: bytes) -> None:
         """Pass on the next bytes; bytes beyond the length end the body, which isn't whole then."""
@@ -108,6 +113,16 @@
         if self._untaken_bytes:
             self._on_taken(self._untaken_bytes)
 
+    def give_up(self) -> None:
+        """End the body for its reader, to which it isn't whole, and drop the rest."""
+        if self.has_ended or self._is_given_up:
+            return
+        self._is_given_up = True
+        reader = self._reader
+        self.cancel()
+        if reader is not None:
+            reader.on_end(is_whole=False)
+
     def _end_reader(self, is_whole: bool) -> None:
         """Tell the reader of the end; it refers to this stream, so it is let go then."""
         reader, self._reader = self._reader, None
--- a/src/cottonlink/path/callers/_ingress.py
+++ b/src/cottonlink/path/callers/_ingress.py
@@ -31,6 +31,7 @@
 from cottonlink.path.callers._final_response import TIMED_OUT, FinalResponses
 from cottonlink.path.callers._ingress_call import IngressCall
 from cottonlink.path.callers._key_gate import KeyGate
+from cottonlink.path.callers._late_responses import LateResponses
 from cottonlink.path.peers._frames import CallFrame
 
 # Time after a request's deadline for which the node still waits for the target's own response.
@@ -58,6 +59,7 @@
         self._key_gate = KeyGate(state, self.serve)
         self._deadlines = Deadlines(state.loop, self._time_out)
         self._final_responses = FinalResponses(state, self._finish)
+        self._late_responses = LateResponses(state)
 
     @property
     def is_idle(self) -> bool:
@@ -368,6 +370,8 @@
             self._retry(call, f"answer_{outcome.status}")
             return
         self._final_responses.answer(call, outcome)
+        if is_long:
+            self._late_responses.watch(call, outcome.body, TIMEOUT_GRACE_MS)
 
     def _on_not_run(self, outcome: NotRun, call: IngressCall, upstream: Upstream) -> None:
         state = self._state
