--- a/emulator/platform_store.py
+++ b/emulator/platform_store.py
@@ -10,7 +10,13 @@
 
 from attrs import frozen
 
-from emulator.http_stand_in import HttpStandIn, ReceivedRequest, make_response, serve_http
+from emulator.http_stand_in import (
+    HttpStandIn,
+    ReceivedRequest,
+    make_response,
+    send_endless,
+    serve_http,
+)
 
 
 @frozen
@@ -29,12 +35,13 @@
     store returns from a copy, after which it gives out revisions again.
 
     ``fault`` is one of ``FAULTS`` or None: ``silent`` never answers, ``busy`` answers 503,
-    ``reset`` closes the connection without an answer. ``request_targets`` lists the HTTP request
+    ``reset`` closes the connection without an answer, ``endless`` sends bytes until the node closes
+    it. ``request_targets`` lists the HTTP request
     targets received. A page of a range has ``page_items`` items. Reads that may be old are answered
     from ``stale_copy``, if it is set.
     """
 
-    FAULTS = ("silent", "busy", "reset")
+    FAULTS = ("silent", "busy", "reset", "endless")
 
     def __init__(self, page_items: int = 2) -> None:
         self._page_items = page_items
@@ -46,6 +53,8 @@
         self._changed = asyncio.Event()
         self._server: HttpStandIn | None = None
         self.fault: str | None = None
+        self.endless_start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.endless_unit = b"400\r\n" + b" " * 1_024 + b"\r\n"
         self.stale_copy: StoreCopy | None = None
         self.request_targets: list[str] = []
         self.address = ""
@@ -118,9 +127,7 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def _handle(
-        self, request: ReceivedRequest, _writer: asyncio.StreamWriter
-    ) -> bytes | None:
+    async def _handle(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bytes | None:
         self.request_targets.append(request.target)
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -131,6 +138,9 @@
             await asyncio.Event().wait()
         if self.fault == "reset":
             return None
+        if self.fault == "endless":
+            await send_endless(writer, self.endless_start, self.endless_unit)
+            return None
         if self.fault == "busy":
             return self._json(503, {"error": "busy"})
         source = StoreCopy(self._revision, self._items, ())
