Tell the calls that wait for a connection whatever ends the connecting

What callers saw: 504 at their deadline for a target whose address can't be connected to, or whose link closed before it was open; nothing was sent.

Cause: the tasks that connect expected an OSError or a time-out. A host that is no name, a NUL or a port out of range raise a UnicodeError, ValueError or OverflowError, which ended the task and told nobody. A link that closes cancels the task, and kept the calls that waited for it.

Change: any error, and the close of the link, refuses those calls at once as not run (peer_unreachable, target_unreachable), so they go elsewhere.

--- a/src/cottonlink/path/peers/_peer_links.py
+++ b/src/cottonlink/path/peers/_peer_links.py
@@ -316,6 +316,12 @@
         self._reopen_at_ms = None
         if self._open_task is not None:
             self._open_task.cancel()
+        self._refuse_queued_calls()
+
+    def _refuse_queued_calls(self) -> None:
+        queued, self._queued_calls = self._queued_calls, []
+        for _, pending in queued:
+            pending.on_outcome(NotRun("peer_unreachable"))
 
     def is_idle(self) -> bool:
         """Return whether no call is in progress."""
@@ -386,16 +392,15 @@
             if not connection.is_open:
                 # It was lost before this task resumed, and writing to it would fail.
                 raise ConnectionResetError
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Whatever it is: the calls that wait for the connection must be told.
             self._open_task = None
             now_ms = self.now_ms()
             self._retry_at_ms = now_ms + CONNECT_RETRY_DELAY_MS
             self._reopen_at_ms = now_ms + self._reopen_delay_ms
             self._reopen_delay_ms = min(self._reopen_delay_ms * 2, MAX_REOPEN_DELAY_MS)
             self.report_state("unreachable", type(error).__name__)
-            queued, self._queued_calls = self._queued_calls, []
-            for _, pending in queued:
-                pending.on_outcome(NotRun("peer_unreachable"))
+            self._refuse_queued_calls()
             return
         self._open_task = None
         self._reopen_delay_ms = MIN_REOPEN_DELAY_MS
--- a/src/cottonlink/path/target/_target_pool.py
+++ b/src/cottonlink/path/target/_target_pool.py
@@ -134,7 +134,8 @@
         except TimeoutError:
             on_failure("target_silent")
             return
-        except OSError:
+        except Exception:
+            # Not only an OSError: whatever it is, the call that waits must be told.
             on_failure("target_unreachable")
             return
         if not connection.can_send:
