Check entries, items and configurations once, where they come in

What callers saw: nodes that no longer followed the store because of one deeply nested entry, or one nested value in a configuration with keys (store_follower_failed again and again), and requests sent to addresses that no upstream can have.

Cause: what an upstream is was checked in part and in several places, each of which expected certain exceptions. The JSON parser takes about 1,024 levels, messages (repr) about 1,000 and the serializer 254.

An entry, an item or a configuration that raises anything costs itself only; an unreadable event leads to a read of everything, and a page that leads nowhere ends the read. Numbers of a configuration are bounded or refused; keys are hidden however deep the rest is.

The generator of the malformed messages knows nesting, large numbers and addresses.

--- a/src/cottonlink/errors.py
+++ b/src/cottonlink/errors.py
@@ -7,6 +7,9 @@
 
 import enum
 
+# What is shown of an error, which may hold foreign data.
+DESCRIBED_CHARACTERS = 400
+
 
 class Step(enum.StrEnum):
     """Step of a call, or of the control plane, at which an error was raised."""
@@ -53,6 +56,16 @@
         self.peer = peer
 
 
+def describe_error(error: BaseException) -> str:
+    """Return the type and message of an error, shortened to a bounded length."""
+    try:
+        message = str(error)
+    except Exception:
+        # It may hold a value that is nested too deeply to be shown.
+        message = "no message"
+    return f"{type(error).__name__}: {message}"[:DESCRIBED_CHARACTERS]
+
+
 class SettingsError(CottonlinkError):
     """The settings file is invalid. ``problems`` lists every problem with its path."""
 
--- a/src/cottonlink/path/_log.py
+++ b/src/cottonlink/path/_log.py
@@ -19,9 +19,6 @@
 # Bytes buffered for a slow reader; further lines are dropped and counted.
 BUFFER_LIMIT_BYTES = 1 << 18
 
-# What a line shows of an error, which may hold foreign data.
-ERROR_CHARACTERS = 400
-
 # Events of normal operation, many per second; all others report a failure or a change.
 ROUTINE_EVENTS = frozenset(("request_answered",))
 
@@ -117,11 +114,6 @@
     return str(value)
 
 
-def describe_error(error: BaseException) -> str:
-    """Return the type and message of an error, shortened to a bounded length."""
-    return f"{type(error).__name__}: {error}"[:ERROR_CHARACTERS]
-
-
 def make_event_log(node: str, loop: asyncio.AbstractEventLoop, descriptor: int = 1) -> EventLog:
     """Return the log of a node; ``descriptor`` is set to non-blocking."""
     os.set_blocking(descriptor, False)
--- a/src/cottonlink/path/_state.py
+++ b/src/cottonlink/path/_state.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from cottonlink.errors import describe_error
 from cottonlink.organisations import CurrencyProof
 from cottonlink.overload import (
     CrashRegistry,
@@ -22,7 +23,7 @@
     TrafficSplit,
 )
 from cottonlink.path._header_codec import HeaderCodec
-from cottonlink.path._log import EventLog, describe_error
+from cottonlink.path._log import EventLog
 from cottonlink.path._metrics import PathMetrics
 from cottonlink.path._model import Configuration, Request, Route
 from cottonlink.path._paced_input import Turns
--- a/src/cottonlink/path/store/_store.py
+++ b/src/cottonlink/path/store/_store.py
@@ -30,10 +30,14 @@
 
 @frozen
 class Listing:
-    """Items or changes that were read, all of one era, and the position to watch from."""
+    """Items or changes that were read, all of one era, and the position to watch from.
+
+    ``problems`` tells of items that can't be read, not even their keys.
+    """
 
     items: tuple[StoreItem, ...]
     position: StorePosition
+    problems: tuple[str, ...] = ()
 
 
 class Store(Protocol):
@@ -77,7 +81,7 @@
             items.pop(change.key, None)
         else:
             items[change.key] = change
-    return Listing(tuple(items.values()), changes.position)
+    return Listing(tuple(items.values()), changes.position, listing.problems)
 
 
 def pack_items(items: tuple[StoreItem, ...]) -> tuple[tuple[str, int, bytes | None], ...]:
--- a/src/cottonlink/path/store/_store_contents.py
+++ b/src/cottonlink/path/store/_store_contents.py
@@ -10,7 +10,7 @@
 
 from attrs import evolve
 
-from cottonlink.errors import CottonlinkError
+from cottonlink.errors import CottonlinkError, describe_error
 from cottonlink.overload import UNKNOWN_ERA, StorePosition, make_upstream_directory
 from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
@@ -169,23 +169,28 @@
             return None
         try:
             return self._store.decode_configuration(item)
-        except CottonlinkError as error:
-            # The previous configuration stays in force.
+        except Exception as error:
+            # The previous configuration stays in force, and the entries of targets are still read.
             self.is_configuration_unreadable = True
-            self._log.event("configuration_invalid", detail=error.detail)
+            self._log.event("configuration_invalid", detail=_describe_failure(error))
             return None
 
     def _decode_upstream(self, item: StoreItem) -> Upstream | None:
         try:
             return self._store.decode_upstream(item)
-        except CottonlinkError as error:
-            self._log.event("entry_invalid", key=item.key, detail=error.detail)
+        except Exception as error:
+            # Whatever one entry does, the others hold.
+            self._log.event("entry_invalid", key=item.key, detail=_describe_failure(error))
             return None
 
     def _publish(self) -> None:
         self._on_upstreams(self._directory.entries())
 
 
+def _describe_failure(error: Exception) -> str:
+    return error.detail if isinstance(error, CottonlinkError) else describe_error(error)
+
+
 def make_store_contents(
     store: Store,
     log: EventLog,
--- a/src/cottonlink/path/store/_store_follower.py
+++ b/src/cottonlink/path/store/_store_follower.py
@@ -14,13 +14,13 @@
 import random
 from typing import Any, Protocol
 
-from cottonlink.errors import CottonlinkError, Step
+from cottonlink.errors import CottonlinkError, Step, describe_error
 from cottonlink.overload import (
     UNKNOWN_ERA,
     StorePosition,
     make_watcher_election,
 )
-from cottonlink.path._log import EventLog, describe_error
+from cottonlink.path._log import EventLog
 from cottonlink.path._model import Configuration, Upstream
 from cottonlink.path.peers._frames import (
     SnapshotRequestFrame,
@@ -59,6 +59,8 @@
 MAINTENANCE_INTERVAL_S = 0.25
 # Interval at which a node that doesn't watch checks whether the watching nodes still send.
 LISTENER_CHECK_INTERVAL_S = 0.2
+# Items that can't be read of which a read tells the log.
+LOGGED_PROBLEMS_LIMIT = 16
 
 
 class StoreListener(Protocol):
@@ -286,6 +288,8 @@
             items=len(listing.items),
             previous=previous and previous.revision,
         )
+        for problem in listing.problems[:LOGGED_PROBLEMS_LIMIT]:
+            self._log.event("store_item_invalid", detail=problem)
         # An era that was announced meanwhile may have begun after the first answer.
         self._must_read = position.era < self._announced_era != announced_era
         if not self._must_read:
--- a/src/cottonlink/platform/_configuration_reader.py
+++ b/src/cottonlink/platform/_configuration_reader.py
@@ -21,21 +21,23 @@
 )
 from cottonlink.path import CallerLimits, Configuration, Route, WeightedService
 from cottonlink.platform._fields import (
+    MAX_NAME_CHARACTERS,
     Fault,
     FieldError,
     Fields,
     accept_any,
     check_header_text,
-    check_integer,
     check_mapping,
     check_rank,
     check_string,
+    check_version,
     describe,
     describe_type,
     is_amount,
     is_integer,
     seconds_to_ms,
     to_integer,
+    to_route_rank,
     to_weight,
 )
 
@@ -46,6 +48,8 @@
 REPEATABLE_KINDS = ("safe", "download")
 # Rank of a route without a priority: other routes can rank above it, with 0, or below it.
 _DEFAULT_RANK = 1
+# Requests, and requests per second, that no organisation reaches.
+_MAX_QUOTA = 1e9
 
 
 @frozen
@@ -133,7 +137,7 @@
     # The document itself has no path.
     top_faults: list[Fault] = []
     top = Fields("", data, top_faults, is_secret=True)
-    draft.version = top.read("version", check_integer)
+    draft.version = top.read("version", check_version)
     resources = top.read("resources", _check_entries) or ()
     draft.faults += [Fault(f.path[1:], f.expected, f.found) for f in top_faults]
     for index, resource in enumerate(resources):
@@ -181,14 +185,14 @@
     kind = spec.read("kind", accept_any)
     objective_ms = spec.read("target_latency_s", seconds_to_ms, timeout_ms)
     # 0 is the most important.
-    rank = spec.read("priority", to_integer, _DEFAULT_RANK)
+    rank = spec.read("priority", to_route_rank, _DEFAULT_RANK)
     # Limits the upstreams that one attempt of a caller reaches, not the times that it is sent.
     upstream_limit = spec.read("max_attempts", to_integer, 1)
     services = _read_services(spec)
     if len(spec.faults) > count:
         return None
     return Route(
-        name=name,
+        name=_usable_name(name, spec.path),
         host=host.lower(),
         prefix=prefix.encode(),
         is_repeatable=kind in REPEATABLE_KINDS,
@@ -201,6 +205,12 @@
     )
 
 
+def _usable_name(name: Any, path: str) -> str:
+    """Return what stands for a route in tables and lines of the log."""
+    is_usable = isinstance(name, str) and len(name) <= MAX_NAME_CHARACTERS
+    return name if is_usable else path
+
+
 def _read_services(spec: Fields) -> tuple[WeightedService, ...]:
     if "weighted_targets" not in spec.values:
         return (WeightedService(spec.read("service", check_string), 1.0),)
@@ -301,4 +311,4 @@
         spec.report(name, "a number from 0 on", describe_type(amounts[name]))
     if invalid_names or not amounts["rate_per_s"]:
         return None
-    return Quota(float(amounts["rate_per_s"]), float(amounts["burst"]))
+    return Quota(*(min(float(amounts[name]), _MAX_QUOTA) for name in ("rate_per_s", "burst")))
--- a/src/cottonlink/platform/_fields.py
+++ b/src/cottonlink/platform/_fields.py
@@ -8,11 +8,20 @@
 
 from attrs import define, frozen
 
+from cottonlink._numbers import MAX_INTEGER
+
 REQUIRED = object()
 _MAX_SHOWN_CHARACTERS = 60
 # Ranks of organisations: a lower one would take slots that are kept free, and a higher one means
 # nothing.
 _MAX_RANK = 1_000
+MAX_NAME_CHARACTERS = 200
+# No request or connection lasts longer.
+MAX_DURATION_S = 24 * 3_600
+MAX_WEIGHT = 1e12
+MAX_ROUTE_RANK = 1_000_000
+# More requests than any target runs concurrently.
+MAX_SLOTS = 1_000_000
 _TYPE_NAMES = {
     dict: "a mapping",
     list: "a list",
@@ -124,6 +133,24 @@
     return value
 
 
+def check_name(value: Any) -> str:
+    """Return ``value`` if it can name a service or a data centre, also in a line of the log."""
+    if (
+        not isinstance(value, str)
+        or not 1 <= len(value) <= MAX_NAME_CHARACTERS
+        or not value.isprintable()
+    ):
+        raise FieldError(f"a name of 1 to {MAX_NAME_CHARACTERS} printable characters", value)
+    return value
+
+
+def check_text(value: Any) -> str:
+    """Return ``value`` if it is a string, which may be empty."""
+    if not isinstance(value, str):
+        raise FieldError("a string", value)
+    return value
+
+
 def check_string(value: Any) -> str:
     """Return ``value`` if it is a non-empty string."""
     if not isinstance(value, str) or not value:
@@ -131,10 +158,12 @@
     return value
 
 
-def check_integer(value: Any) -> int:
-    """Return ``value`` if it is an integer."""
+def check_version(value: Any) -> int:
+    """Return ``value`` if it is a version, which nodes also tell each other."""
     if not is_integer(value):
         raise FieldError("an integer", value)
+    if not 0 <= value <= MAX_INTEGER:
+        raise FieldError(f"an integer from 0 to {MAX_INTEGER}", value)
     return value
 
 
@@ -154,8 +183,8 @@
 
 def check_slots(value: Any) -> int:
     """Return ``value`` if it is a number of slots."""
-    if not is_integer(value) or value < 1:
-        raise FieldError("an integer of at least 1", value)
+    if not is_integer(value) or not 1 <= value <= MAX_SLOTS:
+        raise FieldError(f"an integer from 1 to {MAX_SLOTS}", value)
     return value
 
 
@@ -167,22 +196,30 @@
         raise FieldError("a whole number", value) from None
 
 
+def to_route_rank(value: Any) -> int:
+    """Return the priority of a route, which may be written as a string."""
+    rank = to_integer(value)
+    if abs(rank) > MAX_ROUTE_RANK:
+        raise FieldError(f"a whole number from {-MAX_ROUTE_RANK} to {MAX_ROUTE_RANK}", value)
+    return rank
+
+
 def to_weight(value: Any) -> float:
     """Return a number from 0 on, which may be written as a string."""
     try:
         weight = float(value)
     except (TypeError, ValueError, OverflowError):
         weight = math.nan
-    if not weight >= 0:
-        raise FieldError("a number from 0 on", value)
+    if not 0 <= weight <= MAX_WEIGHT:
+        raise FieldError(f"a number from 0 to {MAX_WEIGHT:g}", value)
     return weight
 
 
 def seconds_to_ms(value: Any) -> float:
-    """Return a duration in seconds as milliseconds."""
+    """Return a duration in seconds as milliseconds; a longer one counts as MAX_DURATION_S."""
     if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 0:
         raise FieldError("a duration in seconds", value)
-    return value * 1000.0
+    return min(value, MAX_DURATION_S) * 1000.0
 
 
 def accept_any(value: Any) -> Any:
--- a/src/cottonlink/platform/_store_client.py
+++ b/src/cottonlink/platform/_store_client.py
@@ -9,6 +9,7 @@
 import orjson
 from attrs import evolve
 
+from cottonlink._numbers import MAX_INTEGER
 from cottonlink.errors import CottonlinkError, Step
 from cottonlink.path import (
     UNKNOWN_ERA,
@@ -23,14 +24,14 @@
     StorePosition,
     Upstream,
 )
+from cottonlink.platform._fields import is_integer
 from cottonlink.platform._records import (
     CONFIGURATION_KEY,
-    UPSTREAM_PREFIX,
     decode_configuration,
     decode_item,
-    decode_upstream,
     hide_keys,
 )
+from cottonlink.platform._upstream_entries import UPSTREAM_PREFIX, decode_upstream
 
 # The store usually answers within milliseconds; a slow one takes about a hundred times as long.
 READ_TIMEOUT_S = 1.0
@@ -72,6 +73,7 @@
         between.
         """
         items: list[StoreItem] = []
+        problems: list[str] = []
         position: StorePosition | None = None
         query = {"prefix": _ALL_KEYS_PREFIX, **({"serializable": 1} if may_be_stale else {})}
         while True:
@@ -81,10 +83,17 @@
             # The watch continues from the first page, so that no change between pages is missed.
             position = position or page_position
             _expect_era(page_position.era, position.era)
-            page = _read_items(data, "items", position.era)
+            page, page_problems = _read_items(data, "items", position.era)
             items += page
-            if not data.get("has_more") or not page:
-                return Listing(tuple(items), position)
+            problems += page_problems
+            if not data.get("has_more") or not (page or page_problems):
+                return Listing(tuple(items), position, tuple(problems))
+            if not page or page[-1].key <= query.get("after", ""):
+                raise CottonlinkError(
+                    "store_answer_invalid",
+                    f"no page follows {query.get('after', '')!r}",
+                    step=Step.POLICY_READ,
+                )
             query["after"] = page[-1].key
 
     def is_configuration(self, key: str) -> bool:
@@ -129,8 +138,11 @@
         data = _parse(_expect_ok(answer))
         answered = _read_position(answer, data)
         _expect_era(answered.era, position.era)
-        events = tuple(_read_items(data, "events", answered.era))
-        return Listing(events, max(position, answered))
+        events, problems = _read_items(data, "events", answered.era)
+        if problems:
+            # It may be of any key, so only the present items tell what has changed.
+            raise HistoryLostError("store_event_invalid", problems[0], step=Step.POLICY_READ)
+        return Listing(tuple(events), max(position, answered))
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -218,13 +230,21 @@
     return data
 
 
-def _read_items(data: dict[str, Any], name: str, era: int) -> list[StoreItem]:
+def _read_items(data: dict[str, Any], name: str, era: int) -> tuple[list[StoreItem], list[str]]:
+    """Return the items of an answer, and what is wrong with those that can't be read."""
     items = data.get(name, [])
     if not isinstance(items, list):
         raise CottonlinkError(
             "store_answer_invalid", f"expected a list in {name}", step=Step.POLICY_READ
         )
-    return [_hide_keys(decode_item(item, era)) for item in items]
+    read: list[StoreItem] = []
+    problems: list[str] = []
+    for item in items:
+        try:
+            read.append(_hide_keys(decode_item(item, era)))
+        except CottonlinkError as error:
+            problems.append(error.detail)
+    return read, problems
 
 
 def _hide_keys(item: StoreItem) -> StoreItem:
@@ -235,9 +255,9 @@
 
 def _read_position(answer: HttpResponse, data: dict[str, Any]) -> StorePosition:
     revision = data.get("as_of")
-    if not isinstance(revision, int):
+    if not is_integer(revision) or not 0 <= revision <= MAX_INTEGER:
         raise CottonlinkError(
-            "store_answer_invalid", "expected an integer in as_of", step=Step.POLICY_READ
+            "store_answer_invalid", "expected a revision in as_of", step=Step.POLICY_READ
         )
     return StorePosition(_read_era(answer), revision)
 
--- a/tests/test_malformed_messages.py
+++ b/tests/test_malformed_messages.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import random
 from typing import Any
@@ -36,9 +37,14 @@
 from tests.platform_fixtures import FleetCase, Vm, request_bytes
 
 READS = route_resource("reads", "shop.example", "/reads/", "browse")
+NESTED_LIST, NESTED_MAPPING = functools.reduce(
+    lambda pair, _: ([pair[0]], {"a": pair[1]}), range(300), (None, None)
+)
 ODD_VALUES = (
     None, True, -1, 0, 2**63, 1e300, float("nan"), float("inf"), "", "x" * 300, b"", b"\xff\x00",
-    (), ((),), ((None,),), {}, {"a": 1}, (1, "a", None),
+    (), ((),), ((None,),), {}, {"a": 1}, (1, "a", None), NESTED_LIST, NESTED_MAPPING, 2**53 + 1,
+    2**64 - 1, 1e308, "9" * 5_000, "127.0.0.9:0", "127.0.0.9:99999", "..:80", "[::1",
+    "x" * 70 + ":80", "a\0b:80", "a\r\nb",
 )  # fmt: skip
 REPORT = TargetReport(Load(1, 2, 3, 4.0), True, False, 1.5, False)
 FRAMES = (
--- a/tests/test_platform_tools.py
+++ b/tests/test_platform_tools.py
@@ -20,7 +20,7 @@
 from cottonlink.path import StoreItem, StorePosition, load_node_settings, make_event_log
 from cottonlink.platform import load_configuration
 from cottonlink.platform._process import _load_settings
-from cottonlink.platform._records import decode_upstream
+from cottonlink.platform._upstream_entries import decode_upstream
 from emulator.platform_target import configuration, route_resource
 
 ROUTE = route_resource("r", "shop.example", "/r/", "browse")
@@ -116,21 +116,24 @@
     def test_upstream_entry_with_invalid_field_is_refused(self) -> None:
         """Guards against a number in place of a name, or the reverse, that fails only in use."""
         entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
-        entry |= {"state": "ready", "warmup_left_s": 0, "born": 5}
+        entry |= {"state": "ready", "warmup_left_s": 0, "born": 5, "version": "1", "sequence": 1}
         decode_upstream(StoreItem("servers/a", StorePosition(1, 1), json.dumps(entry).encode()))
         for name, value in {"service": 1, "slots": 0, "born": 1.5, "zone": None}.items():
             data = json.dumps(entry | {name: value}).encode()
             with self.subTest(name=name), self.assertRaises(CottonlinkError):
                 decode_upstream(StoreItem("servers/a", StorePosition(1, 1), data))
 
-    def test_upstream_entry_without_a_usable_sequence_is_accepted(self) -> None:
-        """Guards against refusing an upstream for a field that it can do without."""
+    def test_upstream_entry_without_a_field_of_the_page_is_refused(self) -> None:
+        """An entry with fields missing or of another type names no upstream, says the page."""
         entry = {"service": "s", "address": "10.0.0.1:80", "zone": "z", "slots": 4}
-        entry |= {"state": "ready", "warmup_left_s": 0}
-        for fields, expected in (({"sequence": 7}, 7), ({}, None), ({"sequence": "x"}, None)):
-            data = json.dumps(entry | fields).encode()
-            upstream = decode_upstream(StoreItem("servers/a", StorePosition(1, 1), data))
-            self.assertEqual(upstream.sequence, expected)
+        entry |= {"state": "ready", "warmup_left_s": 0, "version": "1", "sequence": 7}
+        decode_upstream(StoreItem("servers/a", StorePosition(1, 1), json.dumps(entry).encode()))
+        for name in entry:
+            fields = {key: value for key, value in entry.items() if key != name}
+            for odd in (fields, fields | {name: None}, fields | {name: [entry[name]]}):
+                data = json.dumps(odd).encode()
+                with self.subTest(entry=odd), self.assertRaises(CottonlinkError):
+                    decode_upstream(StoreItem("servers/a", StorePosition(1, 1), data))
 
 
 class TestLog(unittest.IsolatedAsyncioTestCase):
