Bound what frames and headers may hold

What callers saw: a whole response lost (502) if its target wrote a Keep-Alive time-out of 400 or more digits; all calls on a connection between two nodes lost if a frame held a deeply nested value, or if the handler of a frame that belongs to no call failed.

Cause: the number was converted unbounded; the message about a value raised a RecursionError where a certain set of errors was expected.

A Server-Limit with an underscore is no number.

Evidence: TestHeaders and TestFrames failed before (2 errors and 1 failure, 3 errors), and pass now.

--- a/src/cottonlink/path/_http_client.py
+++ b/src/cottonlink/path/_http_client.py
@@ -21,6 +21,8 @@
 RESPONSE_BODY_LIMIT_BYTES = 32 * 1024 * 1024
 # Digits of a Content-Length that are read; more mean a length above any bound.
 _LENGTH_DIGITS = 18
+# Digits of an idle time-out in seconds that are read; more mean one above any use.
+_TIMEOUT_DIGITS = 9
 # Bytes of a long body that are passed on together, while more of it has arrived.
 PASSED_ON_BYTES = 32 * 1024
 # Responses from this HTTP status on are no successes.
@@ -453,5 +455,5 @@
     for part in value.split(b","):
         key, _, number = part.strip().partition(b"=")
         if key.lower() == b"timeout" and number.strip().isdigit():
-            return int(number) * 1000.0
+            return int(number.strip()[:_TIMEOUT_DIGITS]) * 1000.0
     return None
--- a/src/cottonlink/path/_node.py
+++ b/src/cottonlink/path/_node.py
@@ -406,6 +406,13 @@
         self._peer_connections.discard(connection)
 
     def on_peer_frame(self, frame: Any) -> None:
+        try:
+            self._receive_frame(frame)
+        except Exception as error:
+            # The calls on the same connection go on.
+            self.state.report_failure("peer_frame", error)
+
+    def _receive_frame(self, frame: Any) -> None:
         if isinstance(frame, StoreChangesFrame):
             self.store_view.apply_changes(frame)
         elif isinstance(frame, StoreSnapshotFrame):
--- a/src/cottonlink/path/peers/_frame_reader.py
+++ b/src/cottonlink/path/peers/_frame_reader.py
@@ -12,8 +12,9 @@
 
 import msgpack
 
+from cottonlink._numbers import MAX_INTEGER
 from cottonlink._status import FINAL_STATUSES
-from cottonlink.errors import CottonlinkError, Step
+from cottonlink.errors import CottonlinkError, Step, describe_error
 from cottonlink.organisations import QuotaAnswer, QuotaExchange, QuotaGrant, QuotaUsage
 from cottonlink.overload import (
     NESTED_CALL_TIER,
@@ -77,8 +78,6 @@
 KEPT_BUFFER_BYTES = 512 * 1024
 # Most elements of an array in a frame, such as the entries in a copy of the store.
 ARRAY_LIMIT = 200_000
-# Largest integer that a float holds exactly; no count, revision or time in ms is larger.
-MAX_INTEGER = 2**53
 # Fields of a report of requests that crash targets, after their levels.
 _QUARANTINE_LATER_FIELDS = 3
 
@@ -107,8 +106,9 @@
             for fields in unpacker:
                 read_bytes = unpacker.tell()
                 yield _DECODERS[fields[0]](*fields[1:])
-        except (ValueError, TypeError, LookupError, msgpack.exceptions.UnpackException) as error:
-            detail = f"unreadable frame: {type(error).__name__}: {error}"
+        except Exception as error:
+            # Also what a message about a deeply nested value raises.
+            detail = f"unreadable frame: {describe_error(error)}"
             raise CottonlinkError("peer_frame_invalid", detail, step=Step.ACCEPT) from error
         if self._longest_bytes > KEPT_BUFFER_BYTES and read_bytes == self._fed_bytes:
             self._unpacker = _make_unpacker()
--- a/src/cottonlink/platform/_headers.py
+++ b/src/cottonlink/platform/_headers.py
@@ -172,7 +172,8 @@
 
 def _decode_limit(value: bytes) -> float:
     try:
-        limit_per_s = float(value)
+        # Python's own way to write digits isn't one of the page.
+        limit_per_s = math.nan if b"_" in value else float(value)
     except ValueError:
         limit_per_s = math.nan
     if not 0 <= limit_per_s <= _MAX_LIMIT_PER_S:
