Look up a route by the lengths of prefixes, not the slashes of the path

What callers saw: 128 requests with paths of slashes, 2 MB in all, held up a node until their clients left.

Cause: each look-up tried the path up to each of its slashes, the longest first, with a copy of that part: quadratic in the length of the path, and several times for each request.

Change: the prefixes of a host are indexed with their distinct lengths, and a path is compared once for each length.

--- a/src/cottonlink/path/_model.py
+++ b/src/cottonlink/path/_model.py
@@ -42,6 +42,34 @@
     needs_key: bool = True
 
 
+@frozen
+class HostRoutes:
+    """The routes of one host by prefix, and the lengths of the prefixes, the longest first.
+
+    A path is compared once for each length, however many slashes it has.
+    """
+
+    by_prefix: dict[bytes, Route]
+    lengths: tuple[int, ...]
+
+    def find(self, path: bytes) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or None.
+
+        Prefixes end with ``/``.
+        """
+        for length in self.lengths:
+            if path[length - 1 : length] == b"/":
+                route = self.by_prefix.get(path[:length])
+                if route is not None:
+                    return route
+        return None
+
+
+def make_host_routes(by_prefix: dict[bytes, Route]) -> HostRoutes:
+    """Return the routes of one host."""
+    return HostRoutes(by_prefix, tuple(sorted({len(prefix) for prefix in by_prefix}, reverse=True)))
+
+
 @frozen
 class CallerLimits:
     """Limits on the size of a caller's request, and time-outs of its connection."""
@@ -66,32 +94,19 @@
     connection_limits: dict[str, int]
     organisations: OrganisationDirectory | None = None
     problems: tuple[str, ...] = ()
-    _index: dict[str, dict[bytes, Route]] = field(init=False, repr=False, eq=False)
+    _hosts: dict[str, HostRoutes] = field(init=False, repr=False, eq=False)
 
-    @_index.default
-    def _build_index(self) -> dict[str, dict[bytes, Route]]:
-        index: dict[str, dict[bytes, Route]] = {}
+    @_hosts.default
+    def _index_routes(self) -> dict[str, HostRoutes]:
+        by_host: dict[str, dict[bytes, Route]] = {}
         for route in self.routes:
-            index.setdefault(route.host, {})[route.prefix] = route
-        return index
+            by_host.setdefault(route.host, {})[route.prefix] = route
+        return {host: make_host_routes(by_prefix) for host, by_prefix in by_host.items()}
 
     def find_route(self, host: str, path: bytes) -> Route | None:
-        """Return the route of ``host`` with the longest prefix of ``path``, or None.
-
-        Prefixes end with ``/``.
-        """
-        prefixes = self._index.get(host)
-        if not prefixes:
-            return None
-        end = len(path)
-        while end > 0:
-            end = path.rfind(b"/", 0, end)
-            if end < 0:
-                return None
-            route = prefixes.get(path[: end + 1])
-            if route is not None:
-                return route
-        return None
+        """Return the route of ``host`` with the longest prefix of ``path``, or None."""
+        routes = self._hosts.get(host)
+        return None if routes is None else routes.find(path)
 
 
 @frozen
