--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 from collections.abc import Awaitable, Callable
@@ -25,6 +26,18 @@
 LIMIT_PER_S = 6.0
 # How long the store is away before it returns from a copy, as shares of the age of the copy.
 AWAY_SHARES = (0.0, 0.15, 0.6)
+# Fields that make an entry odd, with their values as JSON.
+ODD_FIELDS = (
+    ("state", "[" * 1_000 + "]" * 1_000),
+    ("born", '{"a":' * 1_000 + "1" + "}" * 1_000),
+    ("slots", str(2**63)),
+    ("warmup_left_s", "1e308"),
+    ("address", '"127.0.0.1:0"'),
+    ("address", '"127.0.0.1:99999"'),
+    ("address", '"..:80"'),
+    ("address", f'"{"x" * 70}:80"'),
+    ("sequence", "null"),
+)
 FaultAction = Callable[[SoakFleet, SoakVm, float], Awaitable[None]]
 
 
@@ -206,6 +219,19 @@
     vm.end_limit()
 
 
+async def write_odd_entries(fleet: SoakFleet, vm: SoakVm, for_s: float) -> None:
+    """Let another writer leave entries that name no upstream among those of the targets."""
+    proper = json.dumps(vm.target.entry(sequence=1))
+    keys = []
+    for number, (name, text) in enumerate(ODD_FIELDS):
+        fields = {**json.loads(proper), name: "@"}
+        keys.append(f"servers/odd-{vm.number}-{number}")
+        await fleet.store.put(keys[-1], json.dumps(fields).replace('"@"', text).encode())
+    await asyncio.sleep(for_s)
+    for key in keys:
+        await fleet.store.remove(key)
+
+
 FAULT_ACTIONS: dict[str, FaultAction] = {
     action.__name__: action
     for action in (
@@ -228,6 +254,7 @@
         remove_target,
         leave_unregistered,
         limit_rate,
+        write_odd_entries,
     )
 }
 
