--- a/tests/test_lost_connections.py
+++ b/tests/test_lost_connections.py
@@ -141,7 +141,7 @@
         with mock.patch("cottonlink.path.peers._peer_server.enable_dead_peer_detection"):
             connection = PeerConnection(handler)
             connection.connection_made(ClosedTransport())
-        connection._handle(mock.Mock(spec=CallFrame, stream=1))
+        connection._handle(mock.Mock(spec=CallFrame, stream=1, headers=(), target=b"/1", body=b""))
         on_outcome = handler.dispatcher.submit.call_args.args[2]
         on_outcome(NotRun("queue_full"))
         connection.send_leaving(takes_calls=True)
