--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -47,8 +47,8 @@
 SLOTS = 60
 CALLERS_PER_FORM = 4
 DEADLINE_MS = 2_000
-# Callers wait no longer. A response ends by its deadline, and slow callers then read what is left of
-# it; without an end it goes on for a minute.
+# Callers wait no longer. A response ends by its deadline, and slow callers then read what is left
+# of it; without an end it goes on for a minute.
 LATEST_S = 10.0
 # Readers that stop, whose responses take the room that the node has for long bodies.
 STOPPED_READERS = 24
