--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -26,6 +26,8 @@
 HOST = "shop.example"
 NODE_COMMAND = ("python3", "-OO", "target/app/run_node.py")
 READY_TIMEOUT_S = 20.0
+# A case may take 120 s.
+CASE_TIMEOUT_S = 105.0
 # The bounds of the site norrsken-mesh.
 GRACE_S = 6
 HEARTBEAT_S = 1.5
@@ -147,7 +149,7 @@
         status = 2
         try:
             status = asyncio.run(self._run(scenario))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             self.record("error", f"{type(error).__name__}: {error}")
         result = {0: "the rule held", 1: "THE RULE IS BROKEN", 2: "the case could not run"}[status]
         self.record("result", result)
@@ -164,7 +166,10 @@
             try:
                 await self.store.start(f"127.{self.block}.{self.subblock}.250")
                 self.store_address = self.store.address
-                return 0 if await scenario(self) else 1
+                # Ended from outside, it ends its processes as well.
+                task = asyncio.ensure_future(scenario(self))
+                asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+                return 0 if await asyncio.wait_for(task, CASE_TIMEOUT_S) else 1
             finally:
                 await self._end()
 
@@ -179,6 +184,8 @@
 
     async def _end(self) -> None:
         """End all processes that the case started."""
+        # What is cut off from here on says nothing.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         for task in self._tasks:
             task.cancel()
         for machine in self.machines:
