--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -31,6 +31,7 @@
 # The bounds of the site norrsken-mesh.
 GRACE_S = 6
 HEARTBEAT_S = 1.5
+FIRST_START_MS = 1_780_000_000_000
 
 
 class CaseError(Exception):
@@ -126,15 +127,15 @@
 class Rig:
     """The deployment, and the record of what was sent, answered and run."""
 
-    def __init__(self, case: Path) -> None:
-        self._case = case
+    def __init__(self, record_path: Path) -> None:
+        self._record_path = record_path
         self._started_s = time.monotonic()
         self.lines: list[str] = []
         self.machines: list[Machine] = []
         self.store = PlatformStore(page_items=50)
         self._version = 0
         self._tasks: set[asyncio.Task] = set()
-        self._sequences: dict[str, int] = {}
+        self._sequences: dict[tuple[str, int], int] = {}
 
     def now_s(self) -> float:
         """Return the time since the start of the case."""
@@ -153,7 +154,7 @@
             self.record("error", f"{type(error).__name__}: {error}")
         result = {0: "the rule held", 1: "THE RULE IS BROKEN", 2: "the case could not run"}[status]
         self.record("result", result)
-        (self._case / "record.txt").write_text("\n".join(self.lines) + "\n")
+        self._record_path.write_text("\n".join(self.lines) + "\n")
         print(result)
         sys.exit(status)
 
@@ -212,9 +213,12 @@
         await self.store.put("op/config", configuration(self._version, *routes, **limits))
         self.record("config", f"version {self._version} acknowledged")
 
-    async def register(self, machine: Machine, upstream_id: str, **changes: object) -> None:
-        """Let the upstream on ``machine`` write its entry."""
-        sequence = self._sequences[upstream_id] = self._sequences.get(upstream_id, 0) + 1
+    async def register(
+        self, machine: Machine, upstream_id: str, born: int = FIRST_START_MS, **changes: object
+    ) -> None:
+        """Let the upstream on ``machine`` write its entry; with a new start its count is anew."""
+        start = (upstream_id, born)
+        sequence = self._sequences[start] = self._sequences.get(start, 0) + 1
         entry = {
             "service": machine.service,
             "address": f"{machine.ip}:{self.ports['app']}",
@@ -224,11 +228,29 @@
             "state": "ready",
             "warmup_left_s": 0,
             "sequence": sequence,
-            "born": 1_780_000_000_000,
+            "born": born,
             **changes,
         }
         await self.store.put(f"servers/{upstream_id}", entry)
 
+    async def unregister(self, upstream_id: str) -> None:
+        """Remove the entry of an upstream that has left."""
+        await self.store.remove(f"servers/{upstream_id}")
+
+    async def start_upstream(self, machine: Machine, upstream_id: str) -> None:
+        """Start a sound upstream that answers at once, on a machine that the case needs besides."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    _, _, headers = parse_head(await reader.readuntil(b"\r\n\r\n"))
+                    await reader.readexactly(int(headers.get("content-length", 0)))
+                    writer.write(success(headers, upstream_id, b"done"))
+            writer.close()
+
+        await asyncio.start_server(serve, *machine.app)
+        await self.register(machine, upstream_id)
+
     def spawn(self, coroutine: Awaitable) -> asyncio.Task:
         """Run a coroutine beside the scenario."""
         task = asyncio.ensure_future(coroutine)
@@ -315,6 +337,17 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
+def success(headers: dict[str, str], upstream_id: str, body: bytes) -> bytes:
+    """Return the answer of an upstream to a request with ``headers``; 421 if it isn't meant."""
+    request_id = headers.get("x-attempt-id", "")
+    if headers.get("x-expected-instance", upstream_id) != upstream_id:
+        text = f"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: {request_id}\r\n"
+        return f"{text}X-Instance-Id: {upstream_id}\r\nContent-Length: 0\r\n\r\n".encode()
+    text = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request_id}\r\n"
+    text += f"X-Server-Seal: {upstream_id}.{request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return text.encode() + body
+
+
 def parse_head(data: bytes) -> tuple[str, str, dict[str, str]]:
     """Return method, target and headers of a request's head."""
     first, *rest = data.decode("latin-1").split("\r\n")
@@ -328,6 +361,7 @@
 
 
 __all__ = [
+    "FIRST_START_MS",
     "GRACE_S",
     "HEARTBEAT_S",
     "HOST",
@@ -341,4 +375,5 @@
     "parse_head",
     "request_head",
     "route_resource",
+    "success",
 ]  # fmt: skip
