Review: case 11, uploads at once exceed the memory of their machines (FAULT)

Cause: a node counts the room for a long body, and copies up to 256 KiB of it into the buffer of the link to another node as soon as that node grants it. The bound on that buffer holds for new calls only.

The rig of the cases can set a machine's memory and where its node listens for others; the cases 12 to 14 use neither.

--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -51,6 +51,9 @@
         self.outbound = (self.ip, ports["outbound"])
         self.ready = (self.ip, ports["ready"])
         self.app = (self.ip, ports["app"])
+        # Where the node listens for other nodes; they look for it at the machine's own address.
+        self.peer_ip = self.ip
+        self.memory_mb = 300
         self.process: asyncio.subprocess.Process | None = None
         self.settings_path = rig.folder / f"{self.name}.yaml"
         self.log_path = rig.folder / f"{self.name}.log"
@@ -63,7 +66,7 @@
             "data_centre": self.zone,
             "service": self.service,
             "caller_address": f"{self.ip}:{ports['outbound']}",
-            "peer_address": f"{self.ip}:{ports['inbound']}",
+            "peer_address": f"{self.peer_ip}:{ports['inbound']}",
             "ready_address": f"{self.ip}:{ports['ready']}",
             "metrics_address": f"{self.ip}:{ports['metrics']}",
             "target_address": f"{self.ip}:{ports['app']}",
@@ -84,7 +87,7 @@
             "PYTHONPATH": "target/deps",
             "PYTHONDONTWRITEBYTECODE": "1",
             "COTTONLINK_NODE_FILE": str(self.settings_path),
-            "COTTONLINK_MEMORY_MB": "300",
+            "COTTONLINK_MEMORY_MB": str(self.memory_mb),
             "COTTONLINK_STRICT_REVOCATION": "",
             "COTTONLINK_REVOCATION_S": "",
         }
